--- /dev/null
+++ b/include/limpetroad/clock.h
@@ -0,0 +1,25 @@
+#ifndef LIMPETROAD_CLOCK_H
+#define LIMPETROAD_CLOCK_H
+
+#include <stdint.h>
+
+/** \defgroup clock Clock
+ *  Time in milliseconds.
+ *
+ *  Every duration and instant in the library has the type LimpetMs. Use the
+ *  monotonic clock for deadlines and the wall clock for values that leave the process.
+ */
+
+/** Milliseconds: a duration, or an instant of one of the two clocks below. */
+typedef int64_t LimpetMs;
+
+/** Returns the monotonic time, in ms. It goes on while the process is stopped. */
+LimpetMs limpet_clock_mono_ms (void);
+
+/** Returns the wall-clock time since the epoch, in ms. */
+LimpetMs limpet_clock_wall_ms (void);
+
+/** Blocks the calling thread for \p duration_ms. */
+void limpet_clock_sleep_ms (LimpetMs duration_ms);
+
+#endif
--- /dev/null
+++ b/src/liblimpetroad/admission.c
@@ -0,0 +1,358 @@
+#include "limpetroad/admission.h"
+
+#include "limpetroad/counters.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define RATE_ALPHA 0.05
+#define MOST_FAILED_TRIES 8
+#define RETRY_AFTER_LEAST_MS 1000
+#define RETRY_AFTER_MOST_MS 30000
+#define WAKE_PERIOD_MS 50
+
+/* A request that waits for a slot. Lives on the stack of its thread. */
+typedef struct
+{
+  const LimpetAdmissionRequest *request;
+  LimpetTarget *target; /* set when served */
+  pthread_cond_t served;
+  uint64_t order;
+  double used_share;
+} Waiter;
+
+struct LimpetAdmission
+{
+  LimpetTargets *targets;
+  pthread_mutex_t lock;
+  GPtrArray *waiters;     /* of Waiter */
+  GHashTable *team_usage; /* team name → requests in flight here */
+  uint64_t next_order;
+  uint32_t routers;
+  double release_gap_ms; /* moving average of the time between releases */
+  LimpetMs last_release_ms;
+};
+
+LimpetAdmission *
+limpet_admission_new (LimpetTargets *targets)
+{
+  LimpetAdmission *admission = g_new0 (LimpetAdmission, 1);
+
+  admission->targets = targets;
+  admission->routers = 1;
+  pthread_mutex_init (&admission->lock, NULL);
+  admission->waiters = g_ptr_array_new ();
+  admission->team_usage = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return admission;
+}
+
+void
+limpet_admission_delete (LimpetAdmission *admission)
+{
+  if (admission == NULL)
+    return;
+  g_assert (admission->waiters->len == 0);
+  g_ptr_array_free (admission->waiters, TRUE);
+  g_hash_table_destroy (admission->team_usage);
+  pthread_mutex_destroy (&admission->lock);
+  g_free (admission);
+}
+
+static int32_t
+team_inflight (const LimpetAdmission *admission, const LimpetTeam *team)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (admission->team_usage, team->name));
+}
+
+static void
+add_team_inflight (LimpetAdmission *admission, const LimpetTeam *team, int32_t change)
+{
+  int32_t count = team_inflight (admission, team) + change;
+
+  if (count > 0)
+    g_hash_table_replace (admission->team_usage, g_strdup (team->name),
+                          GINT_TO_POINTER (count));
+  else
+    g_hash_table_remove (admission->team_usage, team->name);
+}
+
+/* Above the reserve, slots go only to teams that are within their share. */
+static bool
+share_allows (const LimpetAdmission *admission,
+              const LimpetAdmissionRequest *request,
+              const LimpetTargetView *view)
+{
+  const LimpetBundle *bundle = request->bundle;
+  int64_t slots = 0;
+  int64_t inflight = 0;
+  double team_slots;
+
+  for (uint32_t i = 0; i < view->count; i++)
+    if (view->targets[i]->vm.kind == LIMPET_VM_ENGINE
+        && !atomic_load (&view->targets[i]->leaving))
+      {
+        slots += view->targets[i]->vm.slots;
+        inflight += limpet_target_inflight (view->targets[i]);
+      }
+  if (inflight * 100 < slots * (100 - bundle->fleet.reserve_percent))
+    return true;
+  team_slots = (double)slots * (double)request->team->share / (double)bundle->shares_total
+               / admission->routers;
+  return team_inflight (admission, request->team) < MAX (1.0, team_slots);
+}
+
+static LimpetTarget *
+choose_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+{
+  const LimpetPolicy *policy = limpet_policy_by_name (request->bundle->fleet.policy);
+  LimpetTargetView *view = limpet_targets_snapshot (admission->targets);
+  LimpetTarget *target = NULL;
+
+  if (request->team == NULL || request->route.kind != LIMPET_VM_ENGINE
+      || share_allows (admission, request, view))
+    target
+        = limpet_policy_choose (policy, &request->route, view, limpet_clock_mono_ms ());
+  if (target != NULL)
+    {
+      limpet_target_ref (target);
+      atomic_fetch_add (&target->own_inflight, 1);
+      if (request->route.is_long)
+        atomic_fetch_add (&target->own_long, 1);
+      if (request->team != NULL)
+        add_team_inflight (admission, request->team, 1);
+    }
+  limpet_target_view_release (view);
+  return target;
+}
+
+static int
+compare_waiters (const void *a, const void *b)
+{
+  const Waiter *left = *(Waiter *const *)a;
+  const Waiter *right = *(Waiter *const *)b;
+  int64_t left_priority = left->request->team != NULL ? left->request->team->priority : 0;
+  int64_t right_priority
+      = right->request->team != NULL ? right->request->team->priority : 0;
+
+  if (left_priority != right_priority)
+    return left_priority > right_priority ? -1 : 1;
+  if (left->used_share < right->used_share || left->used_share > right->used_share)
+    return left->used_share < right->used_share ? -1 : 1;
+  return left->order < right->order ? -1 : 1;
+}
+
+static void
+serve_waiters_locked (LimpetAdmission *admission)
+{
+  uint32_t failed = 0;
+
+  for (guint i = 0; i < admission->waiters->len; i++)
+    {
+      Waiter *waiter = g_ptr_array_index (admission->waiters, i);
+      const LimpetTeam *team = waiter->request->team;
+
+      if (team != NULL)
+        waiter->used_share
+            = (double)team_inflight (admission, team) / (double)team->share;
+    }
+  g_ptr_array_sort (admission->waiters, compare_waiters);
+  for (guint i = 0; i < admission->waiters->len && failed < MOST_FAILED_TRIES;)
+    {
+      Waiter *waiter = g_ptr_array_index (admission->waiters, i);
+
+      waiter->target = choose_locked (admission, waiter->request);
+      if (waiter->target == NULL)
+        {
+          failed++;
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index (admission->waiters, i);
+      pthread_cond_signal (&waiter->served);
+    }
+}
+
+static LimpetMs
+expected_wait_ms (const LimpetAdmission *admission)
+{
+  return (LimpetMs)((admission->waiters->len + 1) * admission->release_gap_ms);
+}
+
+static LimpetMs
+retry_after_ms_locked (LimpetAdmission *admission)
+{
+  LimpetMs wait_ms = 2 * expected_wait_ms (admission);
+
+  return CLAMP (wait_ms, RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS);
+}
+
+static void
+wait_until (LimpetAdmission *admission, Waiter *waiter, LimpetMs until_ms)
+{
+  while (waiter->target == NULL)
+    {
+      LimpetMs now_ms = limpet_clock_mono_ms ();
+      LimpetMs wake_ms = MIN (until_ms, now_ms + WAKE_PERIOD_MS);
+      struct timespec wake
+          = { .tv_sec = wake_ms / 1000, .tv_nsec = wake_ms % 1000 * 1000000 };
+
+      if (now_ms >= until_ms)
+        return;
+      if (pthread_cond_timedwait (&waiter->served, &admission->lock, &wake) != 0)
+        serve_waiters_locked (admission);
+    }
+}
+
+static void
+init_waiter (LimpetAdmission *admission,
+             Waiter *waiter,
+             const LimpetAdmissionRequest *request)
+{
+  pthread_condattr_t attributes;
+
+  *waiter = (Waiter){ .request = request, .order = admission->next_order++ };
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&waiter->served, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
+static LimpetTarget *
+wait_for_slot (LimpetAdmission *admission,
+               const LimpetAdmissionRequest *request,
+               LimpetMs until_ms)
+{
+  Waiter waiter;
+
+  limpet_count (LIMPET_COUNTER_QUEUED, 1);
+  init_waiter (admission, &waiter, request);
+  g_ptr_array_add (admission->waiters, &waiter);
+  wait_until (admission, &waiter, until_ms);
+  if (waiter.target == NULL)
+    g_ptr_array_remove (admission->waiters, &waiter);
+  pthread_cond_destroy (&waiter.served);
+  return waiter.target;
+}
+
+static LimpetTarget *
+acquire_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+{
+  const LimpetFleetPart *fleet = &request->bundle->fleet;
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+  LimpetMs longest_ms = MIN (fleet->queue_wait_ms, request->deadline_ms - now_ms);
+  LimpetTarget *target = NULL;
+
+  if (admission->waiters->len == 0)
+    target = choose_locked (admission, request);
+  if (target != NULL)
+    return target;
+  if ((int64_t)admission->waiters->len >= fleet->queue_limit
+      || expected_wait_ms (admission) > longest_ms)
+    return NULL;
+  return wait_for_slot (admission, request, now_ms + longest_ms);
+}
+
+LimpetStatus
+limpet_admission_acquire (LimpetAdmission *admission,
+                          const LimpetAdmissionRequest *request,
+                          LimpetTarget **target,
+                          LimpetMs *retry_after_ms,
+                          LimpetError *error)
+{
+  pthread_mutex_lock (&admission->lock);
+  *target = acquire_locked (admission, request);
+  *retry_after_ms = *target == NULL ? retry_after_ms_locked (admission) : 0;
+  pthread_mutex_unlock (&admission->lock);
+  if (*target != NULL)
+    return LIMPET_STATUS_OK;
+  limpet_count (LIMPET_COUNTER_REFUSED_ADMISSION, 1);
+  return limpet_error_set (error, LIMPET_STATUS_OVERLOADED, "admission", NULL,
+                           "no slot for %s within the deadline", request->route.group);
+}
+
+LimpetTarget *
+limpet_admission_try (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+{
+  LimpetTarget *target;
+
+  pthread_mutex_lock (&admission->lock);
+  target = choose_locked (admission, request);
+  pthread_mutex_unlock (&admission->lock);
+  return target;
+}
+
+static void
+note_release (LimpetAdmission *admission)
+{
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  if (admission->last_release_ms > 0)
+    admission->release_gap_ms
+        += RATE_ALPHA
+           * ((double)(now_ms - admission->last_release_ms) - admission->release_gap_ms);
+  admission->last_release_ms = now_ms;
+}
+
+void
+limpet_admission_release (LimpetAdmission *admission,
+                          LimpetTarget *target,
+                          const LimpetTeam *team,
+                          bool is_long)
+{
+  atomic_fetch_sub (&target->own_inflight, 1);
+  if (is_long)
+    atomic_fetch_sub (&target->own_long, 1);
+  pthread_mutex_lock (&admission->lock);
+  if (team != NULL)
+    add_team_inflight (admission, team, -1);
+  note_release (admission);
+  if (admission->waiters->len > 0)
+    serve_waiters_locked (admission);
+  pthread_mutex_unlock (&admission->lock);
+  limpet_target_unref (target);
+}
+
+void
+limpet_admission_mark_long (LimpetTarget *target)
+{
+  atomic_fetch_add (&target->own_long, 1);
+}
+
+void
+limpet_admission_kick (LimpetAdmission *admission)
+{
+  pthread_mutex_lock (&admission->lock);
+  if (admission->waiters->len > 0)
+    serve_waiters_locked (admission);
+  pthread_mutex_unlock (&admission->lock);
+}
+
+void
+limpet_admission_set_routers (LimpetAdmission *admission, uint32_t count)
+{
+  pthread_mutex_lock (&admission->lock);
+  admission->routers = MAX (1, count);
+  pthread_mutex_unlock (&admission->lock);
+}
+
+void
+limpet_admission_dump (LimpetAdmission *admission, json_object *object)
+{
+  json_object *teams = json_object_new_object ();
+  GHashTableIter iter;
+  gpointer name;
+  gpointer count;
+
+  pthread_mutex_lock (&admission->lock);
+  json_object_object_add (object, "waiting",
+                          json_object_new_int ((int)admission->waiters->len));
+  json_object_object_add (object, "routers",
+                          json_object_new_int ((int)admission->routers));
+  json_object_object_add (object, "release_gap_ms",
+                          json_object_new_double (admission->release_gap_ms));
+  g_hash_table_iter_init (&iter, admission->team_usage);
+  while (g_hash_table_iter_next (&iter, &name, &count))
+    json_object_object_add (teams, name, json_object_new_int (GPOINTER_TO_INT (count)));
+  json_object_object_add (object, "team_inflight", teams);
+  pthread_mutex_unlock (&admission->lock);
+}
--- /dev/null
+++ b/src/liblimpetroad/bundle_history.c
@@ -0,0 +1,677 @@
+#include "limpetroad/bundle_history.h"
+
+#include "private/schema.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+
+#define REMEMBERED_BUNDLES 64
+#define REMEMBERED_DRAFTS 256
+
+const char *const limpet_bundle_event_string[LIMPET_BUNDLE_EVENT_COUNT] = {
+  [LIMPET_BUNDLE_EVENT_NONE] = "none",
+  [LIMPET_BUNDLE_EVENT_DRAFTED] = "drafted",
+  [LIMPET_BUNDLE_EVENT_APPROVED] = "approved",
+  [LIMPET_BUNDLE_EVENT_ROLLED] = "rolled",
+  [LIMPET_BUNDLE_EVENT_CHECKPOINT] = "checkpoint",
+  [LIMPET_BUNDLE_EVENT_REJECTED] = "rejected",
+  [LIMPET_BUNDLE_EVENT_GAP] = "gap",
+};
+
+typedef struct
+{
+  char id[LIMPET_HASH_HEX_SIZE];
+  int64_t parent;
+  char root[LIMPET_HASH_HEX_SIZE];
+  char author[LIMPET_NAME_SIZE];
+  char note[LIMPET_NAME_SIZE];
+  char approver[LIMPET_NAME_SIZE]; /* of the first valid approval, else empty */
+  char signature[LIMPET_SIGNATURE_HEX_SIZE];
+  LimpetPart *changes;
+  uint32_t changes_count;
+} Draft;
+
+struct LimpetBundleHistory
+{
+  LimpetApprover approvers[LIMPET_MAX_APPROVERS];
+  uint32_t approvers_count;
+  bool author_may_approve;
+  GPtrArray *drafts; /* of Draft, oldest first */
+  GPtrArray *rolled; /* of LimpetRolledBundle, oldest first */
+  LimpetBundle *current;
+  LimpetBundleProof proof;
+};
+
+/* Fields that the records share; each record type names the ones it needs. */
+typedef struct
+{
+  char id[LIMPET_HASH_HEX_SIZE];
+  int64_t version;
+  int64_t parent;
+  char root[LIMPET_HASH_HEX_SIZE];
+  char author[LIMPET_NAME_SIZE];
+  char approver[LIMPET_NAME_SIZE];
+  char by[LIMPET_NAME_SIZE];
+  char *note;
+  char *signature;
+} RecordFields;
+
+#define OTHER(key_)                                                                      \
+  {                                                                                      \
+    key_, LIMPET_FIELD_OTHER, 0, true, 0, 0, NULL                                        \
+  }
+#define TEXT(key_, type_, member_)                                                       \
+  {                                                                                      \
+    key_, type_, offsetof (RecordFields, member_), true, 0, 0, NULL                      \
+  }
+#define OFFSET(key_, member_)                                                            \
+  {                                                                                      \
+    key_, LIMPET_FIELD_INT, offsetof (RecordFields, member_), true, 0, INT64_MAX, NULL   \
+  }
+
+static const LimpetField draft_fields[] = {
+  OTHER ("type"),
+  OFFSET ("parent", parent),
+  TEXT ("root", LIMPET_FIELD_HEX, root),
+  TEXT ("author", LIMPET_FIELD_NAME, author),
+  TEXT ("note", LIMPET_FIELD_STRING, note),
+  OTHER ("changes"),
+  { .key = NULL },
+};
+
+static const LimpetField approval_fields[] = {
+  OTHER ("type"),
+  TEXT ("draft", LIMPET_FIELD_HEX, id),
+  TEXT ("approver", LIMPET_FIELD_NAME, approver),
+  TEXT ("signature", LIMPET_FIELD_STRING, signature),
+  { .key = NULL },
+};
+
+static const LimpetField roll_fields[] = {
+  OTHER ("type"),
+  TEXT ("draft", LIMPET_FIELD_HEX, id),
+  TEXT ("by", LIMPET_FIELD_NAME, by),
+  { .key = NULL },
+};
+
+static const LimpetField checkpoint_fields[] = {
+  OTHER ("type"),
+  OFFSET ("version", version),
+  OFFSET ("parent", parent),
+  TEXT ("root", LIMPET_FIELD_HEX, root),
+  TEXT ("author", LIMPET_FIELD_NAME, author),
+  TEXT ("approver", LIMPET_FIELD_NAME, approver),
+  TEXT ("signature", LIMPET_FIELD_STRING, signature),
+  OTHER ("changes"),
+  { .key = NULL },
+};
+
+static void
+free_draft (gpointer data)
+{
+  Draft *draft = data;
+
+  limpet_parts_free (draft->changes, draft->changes_count);
+  g_free (draft);
+}
+
+static void
+free_rolled (gpointer data)
+{
+  LimpetRolledBundle *rolled = data;
+
+  g_strfreev (rolled->changed);
+  g_free (rolled);
+}
+
+LimpetBundleHistory *
+limpet_bundle_history_new (const LimpetSettings *settings)
+{
+  LimpetBundleHistory *history = g_new0 (LimpetBundleHistory, 1);
+
+  memcpy (history->approvers, settings->approvers, sizeof history->approvers);
+  history->approvers_count = settings->approvers_count;
+  history->author_may_approve = settings->author_may_approve;
+  history->drafts = g_ptr_array_new_with_free_func (free_draft);
+  history->rolled = g_ptr_array_new_with_free_func (free_rolled);
+  history->current = limpet_bundle_new_empty ();
+  return history;
+}
+
+void
+limpet_bundle_history_delete (LimpetBundleHistory *history)
+{
+  if (history == NULL)
+    return;
+  g_ptr_array_free (history->drafts, TRUE);
+  g_ptr_array_free (history->rolled, TRUE);
+  limpet_bundle_unref (history->current);
+  g_free (history);
+}
+
+LimpetBundle *
+limpet_bundle_history_current (const LimpetBundleHistory *history)
+{
+  return history->current;
+}
+
+const LimpetBundleProof *
+limpet_bundle_history_proof (const LimpetBundleHistory *history)
+{
+  return &history->proof;
+}
+
+uint32_t
+limpet_bundle_history_length (const LimpetBundleHistory *history)
+{
+  return history->rolled->len;
+}
+
+const LimpetRolledBundle *
+limpet_bundle_history_get (const LimpetBundleHistory *history, uint32_t index)
+{
+  return g_ptr_array_index (history->rolled, index);
+}
+
+static Draft *
+find_draft (const LimpetBundleHistory *history, const char *prefix)
+{
+  for (guint i = history->drafts->len; i > 0; i--)
+    {
+      Draft *draft = g_ptr_array_index (history->drafts, i - 1);
+
+      if (g_str_has_prefix (draft->id, prefix))
+        return draft;
+    }
+  return NULL;
+}
+
+const char *
+limpet_bundle_history_find_draft (const LimpetBundleHistory *history, const char *prefix)
+{
+  const Draft *draft = find_draft (history, prefix);
+
+  return draft != NULL ? draft->id : NULL;
+}
+
+static const LimpetApprover *
+find_approver (const LimpetBundleHistory *history, const char *name)
+{
+  for (uint32_t i = 0; i < history->approvers_count; i++)
+    if (strcmp (history->approvers[i].name, name) == 0)
+      return &history->approvers[i];
+  return NULL;
+}
+
+static bool
+signature_is_valid (const char *id, const char *signature, const char *public_key)
+{
+  uint8_t key[crypto_sign_PUBLICKEYBYTES];
+  uint8_t bytes[crypto_sign_BYTES];
+  size_t key_length = 0;
+  size_t length = 0;
+
+  if (sodium_hex2bin (key, sizeof key, public_key, strlen (public_key), NULL, &key_length,
+                      NULL)
+          != 0
+      || sodium_hex2bin (bytes, sizeof bytes, signature, strlen (signature), NULL,
+                         &length, NULL)
+             != 0)
+    return false;
+  if (key_length != sizeof key || length != sizeof bytes)
+    return false;
+  return crypto_sign_verify_detached (bytes, (const uint8_t *)id, strlen (id), key) == 0;
+}
+
+static LimpetStatus
+check_approval (const LimpetBundleHistory *history,
+                const char *id,
+                const char *author,
+                const char *approver,
+                const char *signature,
+                LimpetError *error)
+{
+  const LimpetApprover *known = find_approver (history, approver);
+
+  if (known == NULL)
+    return limpet_error_set (error, LIMPET_STATUS_UNAUTHORIZED, "approve", NULL,
+                             "%s is not an approver in the settings", approver);
+  if (!history->author_may_approve && strcmp (author, approver) == 0)
+    return limpet_error_set (error, LIMPET_STATUS_UNAUTHORIZED, "approve", NULL,
+                             "%s is the author and may not approve alone", approver);
+  if (!signature_is_valid (id, signature, known->public_key))
+    return limpet_error_set (error, LIMPET_STATUS_UNAUTHORIZED, "approve", NULL,
+                             "the signature of %s does not fit the draft", approver);
+  return LIMPET_STATUS_OK;
+}
+
+static LimpetStatus
+read_changes (json_object *record,
+              LimpetPart **changes,
+              uint32_t *count,
+              LimpetError *error)
+{
+  json_object *array = json_object_object_get (record, "changes");
+  LimpetPart *parts;
+
+  if (!json_object_is_type (array, json_type_array))
+    return limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL,
+                             "record.changes: must be an array");
+  *count = json_object_array_length (array);
+  parts = g_new0 (LimpetPart, *count);
+  *changes = parts;
+  for (uint32_t i = 0; i < *count; i++)
+    {
+      json_object *entry = json_object_array_get_idx (array, i);
+      json_object *name = NULL;
+      json_object *text = NULL;
+
+      if (!json_object_is_type (entry, json_type_object)
+          || !json_object_object_get_ex (entry, "name", &name) || name == NULL)
+        return limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL,
+                                 "record.changes[%u].name: is missing", i);
+      text = json_object_object_get (entry, "text");
+      parts[i].name = g_strdup (json_object_get_string (name));
+      parts[i].text = text != NULL ? g_strdup (json_object_get_string (text)) : NULL;
+    }
+  return LIMPET_STATUS_OK;
+}
+
+static void
+forget_stale_drafts (LimpetBundleHistory *history)
+{
+  for (guint i = history->drafts->len; i > 0; i--)
+    {
+      const Draft *draft = g_ptr_array_index (history->drafts, i - 1);
+
+      if (draft->parent < history->current->version)
+        g_ptr_array_remove_index (history->drafts, i - 1);
+    }
+  while (history->drafts->len > REMEMBERED_DRAFTS)
+    g_ptr_array_remove_index (history->drafts, 0);
+}
+
+static void
+remember_rolled (LimpetBundleHistory *history,
+                 const char *by,
+                 const char *note,
+                 LimpetMs time_ms,
+                 const LimpetPart *changes,
+                 uint32_t count)
+{
+  LimpetRolledBundle *rolled = g_new0 (LimpetRolledBundle, 1);
+
+  rolled->proof = history->proof;
+  rolled->time_ms = time_ms;
+  g_strlcpy (rolled->rolled_by, by, sizeof rolled->rolled_by);
+  g_strlcpy (rolled->note, note, sizeof rolled->note);
+  rolled->changed = g_new0 (char *, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    rolled->changed[i] = g_strdup (changes[i].name);
+  g_ptr_array_add (history->rolled, rolled);
+  if (history->rolled->len > REMEMBERED_BUNDLES)
+    g_ptr_array_remove_index (history->rolled, 0);
+}
+
+static void
+put_in_force (LimpetBundleHistory *history,
+              LimpetBundle *bundle,
+              const LimpetBundleProof *proof)
+{
+  g_assert (proof->version > history->current->version);
+  bundle->version = proof->version;
+  limpet_bundle_unref (history->current);
+  history->current = bundle;
+  history->proof = *proof;
+}
+
+/* Builds and checks the bundle that changes make of base; its root must be the stated
+ * one. */
+static LimpetBundle *
+build_bundle (const LimpetBundle *base,
+              const LimpetPart *changes,
+              uint32_t count,
+              const char *root,
+              LimpetError *error)
+{
+  LimpetBundle *bundle = limpet_bundle_new_changed (base, changes, count);
+
+  if (strcmp (bundle->root, root) != 0)
+    {
+      limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL,
+                        "the parts do not add up to root %.16s", root);
+      goto fail;
+    }
+  if (limpet_bundle_check (bundle, error) != LIMPET_STATUS_OK)
+    goto fail;
+  return bundle;
+
+fail:
+  limpet_bundle_unref (bundle);
+  return NULL;
+}
+
+static LimpetBundleEvent
+apply_draft (LimpetBundleHistory *history,
+             json_object *record,
+             const RecordFields *fields,
+             LimpetError *error)
+{
+  Draft *draft = g_new0 (Draft, 1);
+
+  draft->parent = fields->parent;
+  memcpy (draft->root, fields->root, sizeof draft->root);
+  memcpy (draft->author, fields->author, sizeof draft->author);
+  g_strlcpy (draft->note, fields->note, sizeof draft->note);
+  limpet_draft_id (draft->parent, draft->root, draft->author, draft->id);
+  if (read_changes (record, &draft->changes, &draft->changes_count, error)
+      != LIMPET_STATUS_OK)
+    {
+      free_draft (draft);
+      return LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  if (find_draft (history, draft->id) != NULL)
+    {
+      free_draft (draft);
+      return LIMPET_BUNDLE_EVENT_NONE;
+    }
+  g_ptr_array_add (history->drafts, draft);
+  forget_stale_drafts (history);
+  return LIMPET_BUNDLE_EVENT_DRAFTED;
+}
+
+static LimpetBundleEvent
+apply_approval (LimpetBundleHistory *history,
+                const RecordFields *fields,
+                LimpetError *error)
+{
+  Draft *draft = find_draft (history, fields->id);
+
+  if (draft == NULL)
+    {
+      limpet_error_set (error, LIMPET_STATUS_NOT_FOUND, "approve", NULL, "no draft %.16s",
+                        fields->id);
+      return LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  if (check_approval (history, draft->id, draft->author, fields->approver,
+                      fields->signature, error)
+      != LIMPET_STATUS_OK)
+    return LIMPET_BUNDLE_EVENT_REJECTED;
+  if (draft->approver[0] != '\0')
+    return LIMPET_BUNDLE_EVENT_NONE;
+  g_strlcpy (draft->approver, fields->approver, sizeof draft->approver);
+  g_strlcpy (draft->signature, fields->signature, sizeof draft->signature);
+  return LIMPET_BUNDLE_EVENT_APPROVED;
+}
+
+static LimpetBundleEvent
+reject_roll (const LimpetBundleHistory *history, const char *id, LimpetError *error)
+{
+  const LimpetRolledBundle *winner = NULL;
+
+  if (history->rolled->len > 0)
+    winner = g_ptr_array_index (history->rolled, history->rolled->len - 1);
+  limpet_error_set (error, LIMPET_STATUS_CONFLICT, "roll", NULL,
+                    "draft %.16s does not follow version %" PRId64 ", rolled by %s", id,
+                    history->current->version,
+                    winner != NULL ? winner->rolled_by : "nobody");
+  return LIMPET_BUNDLE_EVENT_REJECTED;
+}
+
+static LimpetBundleEvent
+apply_roll (LimpetBundleHistory *history,
+            int64_t offset,
+            LimpetMs time_ms,
+            const RecordFields *fields,
+            LimpetError *error)
+{
+  const Draft *draft = find_draft (history, fields->id);
+  LimpetBundle *bundle;
+  LimpetBundleProof proof;
+
+  if (offset <= history->current->version)
+    return LIMPET_BUNDLE_EVENT_NONE;
+  if (draft == NULL || draft->parent < history->current->version)
+    return reject_roll (history, fields->id, error);
+  if (draft->parent > history->current->version)
+    {
+      limpet_error_set (error, LIMPET_STATUS_NOT_FOUND, "roll", NULL,
+                        "version %" PRId64 ", parent of draft %.16s, is missing here",
+                        draft->parent, draft->id);
+      return LIMPET_BUNDLE_EVENT_GAP;
+    }
+  if (draft->approver[0] == '\0')
+    {
+      limpet_error_set (error, LIMPET_STATUS_UNAUTHORIZED, "roll", NULL,
+                        "draft %.16s has no valid approval", draft->id);
+      return LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  bundle = build_bundle (history->current, draft->changes, draft->changes_count,
+                         draft->root, error);
+  if (bundle == NULL)
+    return LIMPET_BUNDLE_EVENT_REJECTED;
+  proof = (LimpetBundleProof){ .version = offset, .parent = draft->parent };
+  g_strlcpy (proof.root, draft->root, sizeof proof.root);
+  g_strlcpy (proof.author, draft->author, sizeof proof.author);
+  g_strlcpy (proof.approver, draft->approver, sizeof proof.approver);
+  g_strlcpy (proof.signature, draft->signature, sizeof proof.signature);
+  put_in_force (history, bundle, &proof);
+  remember_rolled (history, fields->by, draft->note, time_ms, draft->changes,
+                   draft->changes_count);
+  forget_stale_drafts (history);
+  return LIMPET_BUNDLE_EVENT_ROLLED;
+}
+
+/* A later bundle descends from the one in force, so its signed parent cannot be older
+ * than that; an approved but superseded bundle under a raised version number is thus
+ * refused. */
+static LimpetStatus
+check_proof (const LimpetBundleHistory *history,
+             const LimpetBundleProof *proof,
+             LimpetError *error)
+{
+  char id[LIMPET_HASH_HEX_SIZE];
+
+  if (proof->version <= history->current->version || proof->parent >= proof->version
+      || proof->parent < history->current->version)
+    return limpet_error_set (error, LIMPET_STATUS_EXPIRED, "adopt", NULL,
+                             "version %" PRId64 " does not follow version %" PRId64,
+                             proof->version, history->current->version);
+  limpet_draft_id (proof->parent, proof->root, proof->author, id);
+  return check_approval (history, id, proof->author, proof->approver, proof->signature,
+                         error);
+}
+
+LimpetStatus
+limpet_bundle_history_adopt (LimpetBundleHistory *history,
+                             const LimpetBundleProof *proof,
+                             int64_t base_version,
+                             const LimpetPart *changes,
+                             uint32_t changes_count,
+                             LimpetError *error)
+{
+  LimpetStatus status = check_proof (history, proof, error);
+  LimpetBundle *empty = NULL;
+  const LimpetBundle *base = history->current;
+  LimpetBundle *bundle;
+
+  if (status != LIMPET_STATUS_OK)
+    return status;
+  if (base_version != 0 && base_version != base->version)
+    return limpet_error_set (error, LIMPET_STATUS_CONFLICT, "adopt", NULL,
+                             "the parts start from version %" PRId64 ", not %" PRId64,
+                             base_version, base->version);
+  if (base_version == 0)
+    base = empty = limpet_bundle_new_empty ();
+  bundle = build_bundle (base, changes, changes_count, proof->root, error);
+  limpet_bundle_unref (empty);
+  if (bundle == NULL)
+    return LIMPET_STATUS_INVALID;
+  put_in_force (history, bundle, proof);
+  g_ptr_array_set_size (history->rolled, 0);
+  remember_rolled (history, "another holder", "", 0, changes, changes_count);
+  forget_stale_drafts (history);
+  return LIMPET_STATUS_OK;
+}
+
+static LimpetBundleEvent
+apply_checkpoint (LimpetBundleHistory *history,
+                  json_object *record,
+                  const RecordFields *fields,
+                  LimpetError *error)
+{
+  LimpetBundleProof proof = { .version = fields->version, .parent = fields->parent };
+  LimpetPart *changes = NULL;
+  uint32_t count = 0;
+  LimpetBundleEvent event = LIMPET_BUNDLE_EVENT_REJECTED;
+
+  if (fields->version <= history->current->version)
+    return LIMPET_BUNDLE_EVENT_NONE;
+  g_strlcpy (proof.root, fields->root, sizeof proof.root);
+  g_strlcpy (proof.author, fields->author, sizeof proof.author);
+  g_strlcpy (proof.approver, fields->approver, sizeof proof.approver);
+  g_strlcpy (proof.signature, fields->signature, sizeof proof.signature);
+  if (read_changes (record, &changes, &count, error) == LIMPET_STATUS_OK
+      && limpet_bundle_history_adopt (history, &proof, 0, changes, count, error)
+             == LIMPET_STATUS_OK)
+    event = LIMPET_BUNDLE_EVENT_CHECKPOINT;
+  limpet_parts_free (changes, count);
+  return event;
+}
+
+static LimpetBundleEvent
+apply_record (LimpetBundleHistory *history,
+              int64_t offset,
+              LimpetMs time_ms,
+              json_object *record,
+              RecordFields *fields,
+              LimpetError *error)
+{
+  const char *type = json_object_get_string (json_object_object_get (record, "type"));
+  LimpetStatus status = LIMPET_STATUS_OK;
+
+  if (g_strcmp0 (type, "draft") == 0)
+    {
+      status = limpet_schema_read (record, draft_fields, fields, "record", error);
+      return status == LIMPET_STATUS_OK ? apply_draft (history, record, fields, error)
+                                        : LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  if (g_strcmp0 (type, "approval") == 0)
+    {
+      status = limpet_schema_read (record, approval_fields, fields, "record", error);
+      return status == LIMPET_STATUS_OK ? apply_approval (history, fields, error)
+                                        : LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  if (g_strcmp0 (type, "roll") == 0)
+    {
+      status = limpet_schema_read (record, roll_fields, fields, "record", error);
+      return status == LIMPET_STATUS_OK
+                 ? apply_roll (history, offset, time_ms, fields, error)
+                 : LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  if (g_strcmp0 (type, "checkpoint") == 0)
+    {
+      status = limpet_schema_read (record, checkpoint_fields, fields, "record", error);
+      return status == LIMPET_STATUS_OK
+                 ? apply_checkpoint (history, record, fields, error)
+                 : LIMPET_BUNDLE_EVENT_REJECTED;
+    }
+  limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL, "record.type: unknown");
+  return LIMPET_BUNDLE_EVENT_REJECTED;
+}
+
+LimpetBundleEvent
+limpet_bundle_history_apply (LimpetBundleHistory *history,
+                             int64_t offset,
+                             LimpetMs time_ms,
+                             const char *data,
+                             size_t length,
+                             LimpetError *error)
+{
+  RecordFields fields = { .note = NULL };
+  json_object *record = limpet_schema_parse (data, length, "record", error);
+  LimpetBundleEvent event = LIMPET_BUNDLE_EVENT_REJECTED;
+
+  if (!json_object_is_type (record, json_type_object))
+    limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL,
+                      "record: must be an object");
+  else
+    event = apply_record (history, offset, time_ms, record, &fields, error);
+  g_free (fields.note);
+  g_free (fields.signature);
+  json_object_put (record);
+  return event;
+}
+
+static bool
+collect_changed (const LimpetBundleHistory *history,
+                 int64_t base_version,
+                 GHashTable *names)
+{
+  bool known = false;
+
+  for (guint i = 0; i < history->rolled->len; i++)
+    {
+      const LimpetRolledBundle *rolled = g_ptr_array_index (history->rolled, i);
+
+      known = known || rolled->proof.parent == base_version;
+      if (!known)
+        continue;
+      for (char **name = rolled->changed; *name != NULL; name++)
+        g_hash_table_add (names, *name);
+    }
+  return known;
+}
+
+int64_t
+limpet_bundle_history_changes_since (const LimpetBundleHistory *history,
+                                     int64_t base_version,
+                                     LimpetPart **changes,
+                                     uint32_t *count)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  bool known = base_version != 0 && collect_changed (history, base_version, names);
+  GHashTableIter iter;
+  gpointer name;
+  uint32_t used = 0;
+
+  *count = known ? g_hash_table_size (names) : history->current->parts_count;
+  *changes = g_new0 (LimpetPart, *count);
+  g_hash_table_iter_init (&iter, names);
+  while (known && g_hash_table_iter_next (&iter, &name, NULL))
+    (*changes)[used++] = (LimpetPart){
+      .name = g_strdup (name),
+      .text = g_strdup (limpet_bundle_part (history->current, name)),
+    };
+  for (uint32_t i = 0; !known && i < *count; i++)
+    (*changes)[i] = (LimpetPart){
+      .name = g_strdup (history->current->parts[i].name),
+      .text = g_strdup (history->current->parts[i].text),
+    };
+  g_hash_table_destroy (names);
+  return known ? base_version : 0;
+}
+
+LimpetBundle *
+limpet_bundle_history_preview (const LimpetBundleHistory *history,
+                               const char *id,
+                               LimpetError *error)
+{
+  const Draft *draft = find_draft (history, id);
+
+  if (draft == NULL)
+    {
+      limpet_error_set (error, LIMPET_STATUS_NOT_FOUND, "preview", NULL, "no draft %.16s",
+                        id);
+      return NULL;
+    }
+  if (draft->parent != history->current->version)
+    {
+      reject_roll (history, id, error);
+      return NULL;
+    }
+  return build_bundle (history->current, draft->changes, draft->changes_count,
+                       draft->root, error);
+}
--- /dev/null
+++ b/src/liblimpetroad/clock.c
@@ -0,0 +1,34 @@
+#include "limpetroad/clock.h"
+
+#include <time.h>
+
+static LimpetMs
+read_clock_ms (clockid_t id)
+{
+  struct timespec ts;
+
+  clock_gettime (id, &ts);
+  return (LimpetMs)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+LimpetMs
+limpet_clock_mono_ms (void)
+{
+  return read_clock_ms (CLOCK_MONOTONIC);
+}
+
+LimpetMs
+limpet_clock_wall_ms (void)
+{
+  return read_clock_ms (CLOCK_REALTIME);
+}
+
+void
+limpet_clock_sleep_ms (LimpetMs duration_ms)
+{
+  struct timespec ts
+      = { .tv_sec = duration_ms / 1000, .tv_nsec = duration_ms % 1000 * 1000000 };
+
+  while (nanosleep (&ts, &ts) != 0)
+    continue;
+}
--- /dev/null
+++ b/src/liblimpetroad/filter_chat.c
@@ -0,0 +1,273 @@
+#include "private/call.h"
+
+#include "limpetroad/counters.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+/* Sends the events to the caller as they come, in chunks of one write each. */
+typedef struct
+{
+  LimpetChatSink parent;
+  LimpetCall *call;
+  GString *out; /* the events of one batch */
+} StreamSink;
+
+/* Puts the answer together for a caller that did not ask for a stream. */
+typedef struct
+{
+  LimpetChatSink parent;
+  GString *content;
+  LimpetAttemptAnswer answer;
+  int64_t tokens;
+} WholeSink;
+
+#define CHUNK_HEAD_BYTES 10 /* eight hexadecimal digits and CRLF */
+
+static bool
+stream_begin (LimpetChatSink *sink, const LimpetAttemptAnswer *answer)
+{
+  StreamSink *self = (StreamSink *)sink;
+  LimpetCall *call = self->call;
+
+  return mg_printf (call->connection,
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                    "Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n"
+                    "X-Request-Id: %s\r\nX-Prompt-Tokens: %" PRId64 "\r\n"
+                    "X-Cached-Tokens: %" PRId64 "\r\n%s\r\n",
+                    call->request_id, answer->prompt_tokens, answer->cached_tokens,
+                    atomic_load (&call->context->draining) ? "Connection: close\r\n" : "")
+         > 0;
+}
+
+static bool
+stream_event (LimpetChatSink *sink, const LimpetSseEvent *event)
+{
+  StreamSink *self = (StreamSink *)sink;
+
+  if (self->out->len == 0)
+    g_string_append_len (self->out, "00000000\r\n", CHUNK_HEAD_BYTES);
+  g_string_append_len (self->out, event->raw, (gssize)event->raw_length);
+  return true;
+}
+
+static bool
+stream_flush (LimpetChatSink *sink)
+{
+  StreamSink *self = (StreamSink *)sink;
+  size_t length = self->out->len;
+  char head[CHUNK_HEAD_BYTES + 1];
+  bool written;
+
+  if (length == 0)
+    return true;
+  g_snprintf (head, sizeof head, "%08x\r\n", (unsigned)(length - CHUNK_HEAD_BYTES));
+  memcpy (self->out->str, head, CHUNK_HEAD_BYTES);
+  g_string_append_len (self->out, "\r\n", 2);
+  written = mg_write (self->call->connection, self->out->str, self->out->len)
+            == (int)self->out->len;
+  g_string_truncate (self->out, 0);
+  return written;
+}
+
+static const LimpetChatSinkOps stream_ops = {
+  .begin = stream_begin,
+  .event = stream_event,
+  .flush = stream_flush,
+};
+
+static bool
+whole_begin (LimpetChatSink *sink, const LimpetAttemptAnswer *answer)
+{
+  ((WholeSink *)sink)->answer = *answer;
+  return true;
+}
+
+static bool
+whole_event (LimpetChatSink *sink, const LimpetSseEvent *event)
+{
+  WholeSink *self = (WholeSink *)sink;
+  json_tokener *tokener = json_tokener_new_ex (LIMPET_MAX_JSON_DEPTH);
+  json_object *root
+      = json_tokener_parse_ex (tokener, event->data, (int)event->data_length);
+  json_object *choices = NULL;
+  json_object *delta = NULL;
+  json_object *content = NULL;
+
+  if (json_object_is_type (root, json_type_object)
+      && json_object_object_get_ex (root, "choices", &choices)
+      && json_object_is_type (choices, json_type_array)
+      && json_object_object_get_ex (json_object_array_get_idx (choices, 0), "delta",
+                                    &delta)
+      && json_object_object_get_ex (delta, "content", &content))
+    {
+      g_string_append (self->content, json_object_get_string (content));
+      self->tokens++;
+    }
+  json_object_put (root);
+  json_tokener_free (tokener);
+  return true;
+}
+
+static bool
+whole_flush (LimpetChatSink *sink)
+{
+  (void)sink;
+  return true;
+}
+
+static const LimpetChatSinkOps whole_ops = {
+  .begin = whole_begin,
+  .event = whole_event,
+  .flush = whole_flush,
+};
+
+static void
+reply_target_error (LimpetCall *call, const LimpetChatResult *result)
+{
+  const char *body = result->target_body != NULL ? result->target_body : "";
+
+  call->outcome = result->outcome;
+  limpet_reply_body (call, (int)result->target_code, "application/json", "", body,
+                     strlen (body));
+}
+
+static void
+reply_failure (LimpetCall *call, const LimpetChatResult *result)
+{
+  LimpetReplyError reply = {
+    .code = result->outcome == LIMPET_OUTCOME_NOT_RUN ? 503 : 504,
+    .outcome = result->outcome,
+    .retry_after_ms = result->retry_after_ms,
+    .error = &result->error,
+  };
+
+  if (result->target_code != 0)
+    reply_target_error (call, result);
+  else
+    limpet_reply_error (call, &reply);
+}
+
+/* An answer that cannot be completed ends with an error event and without the last chunk,
+ * so that it cannot be taken for a whole one. */
+static void
+end_stream (LimpetCall *call, StreamSink *sink, const LimpetChatResult *result)
+{
+  char *event;
+
+  if (result->outcome == LIMPET_OUTCOME_DONE)
+    {
+      mg_write (call->connection, "0\r\n\r\n", 5);
+      return;
+    }
+  event = g_strdup_printf (
+      "event: error\ndata: {\"error\":{\"type\":\"%s\",\"outcome\":\"%s\","
+      "\"step\":\"%s\",\"peer\":\"%s\",\"request_id\":\"%s\"}}\n\n",
+      limpet_status_string[result->error.status], limpet_outcome_string[result->outcome],
+      result->error.step, result->error.peer, call->request_id);
+  stream_event (&sink->parent,
+                &(LimpetSseEvent){ .raw = event, .raw_length = strlen (event) });
+  stream_flush (&sink->parent);
+  mg_disable_connection_keep_alive (call->connection);
+  g_free (event);
+}
+
+static void
+reply_whole (LimpetCall *call, const WholeSink *sink)
+{
+  json_object *root = json_object_new_object ();
+  json_object *choices = json_object_new_array ();
+  json_object *choice = json_object_new_object ();
+  json_object *message = json_object_new_object ();
+  json_object *usage = json_object_new_object ();
+  char headers[128];
+  const char *text;
+
+  json_object_object_add (message, "role", json_object_new_string ("assistant"));
+  json_object_object_add (message, "content",
+                          json_object_new_string (sink->content->str));
+  json_object_object_add (choice, "index", json_object_new_int (0));
+  json_object_object_add (choice, "message", message);
+  json_object_object_add (choice, "finish_reason", json_object_new_string ("stop"));
+  json_object_array_add (choices, choice);
+  json_object_object_add (usage, "prompt_tokens",
+                          json_object_new_int64 (sink->answer.prompt_tokens));
+  json_object_object_add (usage, "completion_tokens",
+                          json_object_new_int64 (sink->tokens));
+  json_object_object_add (root, "id", json_object_new_string (call->request_id));
+  json_object_object_add (root, "object", json_object_new_string ("chat.completion"));
+  json_object_object_add (root, "model", json_object_new_string (call->model));
+  json_object_object_add (root, "choices", choices);
+  json_object_object_add (root, "usage", usage);
+  text = json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN);
+  g_snprintf (headers, sizeof headers,
+              "X-Prompt-Tokens: %" PRId64 "\r\nX-Cached-Tokens: %" PRId64 "\r\n",
+              sink->answer.prompt_tokens, sink->answer.cached_tokens);
+  limpet_reply_body (call, 200, "application/json", headers, text, strlen (text));
+  json_object_put (root);
+}
+
+static void
+run_stream (LimpetCall *call, const LimpetChatRequest *request)
+{
+  StreamSink sink = { .parent = { .ops = &stream_ops }, .call = call };
+  LimpetChatResult result;
+
+  sink.out = g_string_new (NULL);
+  limpet_chat_run (&call->context->chat, request, &sink.parent, &result);
+  call->outcome = result.outcome;
+  if (result.began)
+    end_stream (call, &sink, &result);
+  else
+    reply_failure (call, &result);
+  g_string_free (sink.out, TRUE);
+  g_free (result.target_body);
+}
+
+static void
+run_whole (LimpetCall *call, const LimpetChatRequest *request)
+{
+  WholeSink sink = { .parent = { .ops = &whole_ops } };
+  LimpetChatResult result;
+
+  sink.content = g_string_new (NULL);
+  limpet_chat_run (&call->context->chat, request, &sink.parent, &result);
+  call->outcome = result.outcome;
+  if (result.outcome == LIMPET_OUTCOME_DONE)
+    reply_whole (call, &sink);
+  else
+    reply_failure (call, &result);
+  g_string_free (sink.content, TRUE);
+  g_free (result.target_body);
+}
+
+/* Sends the chat to engines and the answer to the caller. */
+static LimpetFilterResult
+send_chat (const LimpetFilter *filter, LimpetCall *call)
+{
+  LimpetChatRequest request = {
+    .bundle = call->bundle,
+    .team = call->team,
+    .model = call->model,
+    .request_id = call->request_id,
+    .key_hash = call->key_hash,
+    .is_long = call->is_long,
+    .deadline_ms = call->deadline_ms,
+  };
+
+  (void)filter;
+  json_object_object_add (call->json, "stream", json_object_new_boolean (true));
+  request.body = json_object_to_json_string_length (call->json, JSON_C_TO_STRING_PLAIN,
+                                                    &request.body_length);
+  request.model = json_object_get_string (json_object_object_get (call->json, "model"));
+  if (call->wants_stream)
+    run_stream (call, &request);
+  else
+    run_whole (call, &request);
+  return LIMPET_FILTER_STOP;
+}
+
+static const LimpetFilterOps ops = { .name = "send_chat", .process = send_chat };
+
+const LimpetFilter limpet_filter_send_chat = { .ops = &ops };
--- /dev/null
+++ b/src/liblimpetroad/http.c
@@ -0,0 +1,155 @@
+#include "private/http.h"
+
+#include "limpetroad/limits.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+struct LimpetHttp
+{
+  CURL *easy;
+  GString *body;
+  LimpetCounter sent;
+  LimpetCounter received;
+};
+
+int
+limpet_http_set_socket_options (void *user, curl_socket_t fd, curlsocktype purpose)
+{
+  int user_timeout_ms = LIMPET_TCP_USER_TIMEOUT_MS;
+  int on = 1;
+
+  (void)user;
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
+              sizeof user_timeout_ms);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return CURL_SOCKOPT_OK;
+}
+
+LimpetStatus
+limpet_http_status (CURLcode code, curl_off_t sent_bytes)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+      return LIMPET_STATUS_OK;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+      return LIMPET_STATUS_UNREACHABLE;
+    case CURLE_OPERATION_TIMEDOUT:
+      return sent_bytes == 0 ? LIMPET_STATUS_UNREACHABLE : LIMPET_STATUS_TIMEOUT;
+    case CURLE_OUT_OF_MEMORY:
+    case CURLE_FAILED_INIT:
+    case CURLE_URL_MALFORMAT:
+      return LIMPET_STATUS_INTERNAL;
+    default:
+      return LIMPET_STATUS_BROKEN;
+    }
+}
+
+static size_t
+append_body (char *data, size_t size, size_t count, void *user)
+{
+  LimpetHttp *http = user;
+
+  if (http->body->len + size * count > LIMPET_MAX_CONTROL_BODY_BYTES)
+    return 0;
+  g_string_append_len (http->body, data, (gssize)(size * count));
+  return size * count;
+}
+
+LimpetHttp *
+limpet_http_new (LimpetCounter sent, LimpetCounter received)
+{
+  LimpetHttp *http = g_new0 (LimpetHttp, 1);
+
+  http->easy = curl_easy_init ();
+  http->body = g_string_new (NULL);
+  http->sent = sent;
+  http->received = received;
+  return http;
+}
+
+void
+limpet_http_delete (LimpetHttp *http)
+{
+  if (http == NULL)
+    return;
+  curl_easy_cleanup (http->easy);
+  g_string_free (http->body, TRUE);
+  g_free (http);
+}
+
+static struct curl_slist *
+set_options (LimpetHttp *http, const LimpetHttpRequest *request)
+{
+  struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
+  CURL *easy = http->easy;
+
+  headers = curl_slist_append (headers, "Content-Type: application/json");
+  for (const char *const *header = request->headers; header != NULL && *header != NULL;
+       header++)
+    headers = curl_slist_append (headers, *header);
+  curl_easy_reset (easy);
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)LIMPET_CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, limpet_http_set_socket_options);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, http);
+  if (request->body != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)request->body_length);
+    }
+  return headers;
+}
+
+static void
+count_bytes (LimpetHttp *http, long request_size)
+{
+  curl_off_t uploaded = 0;
+  curl_off_t downloaded = 0;
+  long header_size = 0;
+
+  curl_easy_getinfo (http->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  curl_easy_getinfo (http->easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+  curl_easy_getinfo (http->easy, CURLINFO_HEADER_SIZE, &header_size);
+  limpet_count (http->sent, (uint64_t)(uploaded + request_size));
+  limpet_count (http->received, (uint64_t)(downloaded + header_size));
+}
+
+LimpetStatus
+limpet_http_exchange (LimpetHttp *http,
+                      const LimpetHttpRequest *request,
+                      LimpetHttpResponse *response,
+                      const char *step,
+                      LimpetError *error)
+{
+  struct curl_slist *headers = set_options (http, request);
+  LimpetStatus status;
+  CURLcode code;
+  long request_size = 0;
+
+  g_string_truncate (http->body, 0);
+  code = curl_easy_perform (http->easy);
+  curl_easy_getinfo (http->easy, CURLINFO_REQUEST_SIZE, &request_size);
+  count_bytes (http, request_size);
+  status = limpet_http_status (code, request_size);
+  response->code = 0;
+  response->body = http->body;
+  if (status == LIMPET_STATUS_OK)
+    curl_easy_getinfo (http->easy, CURLINFO_RESPONSE_CODE, &response->code);
+  else
+    limpet_error_set (error, status, step, request->url, "%s", curl_easy_strerror (code));
+  curl_slist_free_all (headers);
+  return status;
+}
--- /dev/null
+++ b/src/liblimpetroad/link.c
@@ -0,0 +1,71 @@
+#include "private/link.h"
+
+#include <glib.h>
+
+LimpetLink *
+limpet_link_acquire (LimpetTarget *target, bool fresh)
+{
+  LimpetMs oldest_ms = limpet_clock_mono_ms () - LIMPET_POOL_IDLE_MS;
+  LimpetLink *link = NULL;
+
+  if (!fresh)
+    {
+      pthread_mutex_lock (&target->lock);
+      link = target->idle_links;
+      if (link != NULL)
+        target->idle_links = link->next;
+      pthread_mutex_unlock (&target->lock);
+    }
+  if (link != NULL && link->idle_since_ms < oldest_ms)
+    {
+      limpet_link_delete (link);
+      limpet_link_clear_pool (target);
+      link = NULL;
+    }
+  if (link != NULL)
+    {
+      link->reused = true;
+      return link;
+    }
+  link = g_new0 (LimpetLink, 1);
+  link->multi = curl_multi_init ();
+  link->easy = curl_easy_init ();
+  curl_multi_setopt (link->multi, CURLMOPT_MAXCONNECTS, 1L);
+  return link;
+}
+
+void
+limpet_link_release (LimpetTarget *target, LimpetLink *link)
+{
+  link->idle_since_ms = limpet_clock_mono_ms ();
+  pthread_mutex_lock (&target->lock);
+  link->next = target->idle_links;
+  target->idle_links = link;
+  pthread_mutex_unlock (&target->lock);
+}
+
+void
+limpet_link_delete (LimpetLink *link)
+{
+  curl_easy_cleanup (link->easy);
+  curl_multi_cleanup (link->multi);
+  g_free (link);
+}
+
+void
+limpet_link_clear_pool (LimpetTarget *target)
+{
+  LimpetLink *link;
+
+  pthread_mutex_lock (&target->lock);
+  link = target->idle_links;
+  target->idle_links = NULL;
+  pthread_mutex_unlock (&target->lock);
+  while (link != NULL)
+    {
+      LimpetLink *next = link->next;
+
+      limpet_link_delete (link);
+      link = next;
+    }
+}
--- /dev/null
+++ b/src/liblimpetroad/policy.c
@@ -0,0 +1,268 @@
+#include "limpetroad/policy.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Part of the bound that one router plans with; the rest covers what the digests do not
+ * show yet and the requests that end elsewhere. */
+#define PLANNED_EXCESS_PERCENT 60
+
+/* Sums over the targets of a group that may get work. */
+typedef struct
+{
+  int64_t inflight;
+  int64_t slots;
+} GroupLoad;
+
+double
+limpet_policy_score (const LimpetTarget *target, uint64_t key_hash)
+{
+  uint64_t hash = XXH64 (&key_hash, sizeof key_hash, target->id_hash);
+  double uniform = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C (1) << 53);
+
+  return -(double)target->vm.slots / log (uniform);
+}
+
+static bool
+is_excluded (const LimpetRouteRequest *request, const LimpetTarget *target)
+{
+  for (uint32_t i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == target)
+      return true;
+  return false;
+}
+
+static bool
+is_member (const LimpetRouteRequest *request, const LimpetTarget *target, LimpetMs now_ms)
+{
+  return target->vm.kind == request->kind
+         && strcmp (target->vm.group, request->group) == 0
+         && limpet_target_is_open (target, now_ms);
+}
+
+static bool
+has_room (const LimpetRouteRequest *request, const LimpetTarget *target)
+{
+  int64_t long_slots
+      = MAX (1, target->vm.slots * request->fleet->long_share_percent / 100);
+
+  if (target->vm.kind != LIMPET_VM_ENGINE)
+    return true;
+  if (limpet_target_inflight (target) >= target->vm.slots)
+    return false;
+  return !request->is_long || limpet_target_long_inflight (target) < long_slots;
+}
+
+static bool
+is_candidate (const LimpetRouteRequest *request,
+              const LimpetTarget *target,
+              LimpetMs now_ms)
+{
+  return is_member (request, target, now_ms) && !is_excluded (request, target)
+         && has_room (request, target);
+}
+
+/* A target with a lowered weight gets that share of its turns. */
+static bool
+gets_turn (const LimpetRouteRequest *request, const LimpetTarget *target, LimpetMs now_ms)
+{
+  int32_t weight = limpet_target_weight (target, now_ms);
+  uint64_t draw = XXH64 (&request->seed, sizeof request->seed, target->id_hash);
+
+  return weight >= LIMPET_WEIGHT_FULL || (int32_t)(draw % LIMPET_WEIGHT_FULL) < weight;
+}
+
+static GroupLoad
+group_load (const LimpetRouteRequest *request,
+            const LimpetTargetView *view,
+            LimpetMs now_ms)
+{
+  GroupLoad load = { .inflight = 0 };
+
+  for (uint32_t i = 0; i < view->count; i++)
+    if (is_member (request, view->targets[i], now_ms))
+      {
+        load.inflight += limpet_target_inflight (view->targets[i]);
+        load.slots += view->targets[i]->vm.slots;
+      }
+  return load;
+}
+
+/* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the
+ * order of rendezvous scores instead of a ring. */
+static bool
+is_within_bound (const LimpetRouteRequest *request,
+                 const LimpetTarget *target,
+                 const GroupLoad *load)
+{
+  double planned = 1
+                   + (double)(request->fleet->load_bound_percent - 100)
+                         * PLANNED_EXCESS_PERCENT / 10000.0;
+  double mean
+      = (double)(load->inflight + 1) * (double)target->vm.slots / (double)load->slots;
+
+  return limpet_target_inflight (target) <= (int64_t)(planned * mean);
+}
+
+static LimpetTarget *
+least_relative_load (const LimpetRouteRequest *request,
+                     const LimpetTargetView *view,
+                     LimpetMs now_ms)
+{
+  LimpetTarget *best = NULL;
+  double best_load = 0;
+
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+      double load;
+
+      if (!is_candidate (request, target, now_ms))
+        continue;
+      load = ((double)limpet_target_inflight (target) + 1) / (double)target->vm.slots
+             * LIMPET_WEIGHT_FULL / limpet_target_weight (target, now_ms);
+      if (best == NULL || load < best_load)
+        {
+          best = target;
+          best_load = load;
+        }
+    }
+  return best;
+}
+
+static LimpetTarget *
+choose_bounded (const LimpetPolicy *policy,
+                const LimpetRouteRequest *request,
+                const LimpetTargetView *view,
+                LimpetMs now_ms)
+{
+  GroupLoad load = group_load (request, view, now_ms);
+  LimpetTarget *best = NULL;
+  double best_score = 0;
+
+  (void)policy;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+      double score;
+
+      if (!is_candidate (request, target, now_ms)
+          || !is_within_bound (request, target, &load)
+          || !gets_turn (request, target, now_ms))
+        continue;
+      score = limpet_policy_score (target, request->key_hash);
+      if (best == NULL || score > best_score)
+        {
+          best = target;
+          best_score = score;
+        }
+    }
+  return best != NULL ? best : least_relative_load (request, view, now_ms);
+}
+
+static LimpetTarget *
+choose_rendezvous (const LimpetPolicy *policy,
+                   const LimpetRouteRequest *request,
+                   const LimpetTargetView *view,
+                   LimpetMs now_ms)
+{
+  LimpetTarget *best = NULL;
+  double best_score = 0;
+
+  (void)policy;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+      double score;
+
+      if (!is_member (request, target, now_ms) || is_excluded (request, target))
+        continue;
+      score = limpet_policy_score (target, request->key_hash);
+      if (best == NULL || score > best_score)
+        {
+          best = target;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static LimpetTarget *
+choose_least_loaded (const LimpetPolicy *policy,
+                     const LimpetRouteRequest *request,
+                     const LimpetTargetView *view,
+                     LimpetMs now_ms)
+{
+  LimpetTarget *best = NULL;
+
+  (void)policy;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+
+      if (!is_member (request, target, now_ms) || is_excluded (request, target))
+        continue;
+      if (best == NULL
+          || atomic_load (&target->reported_inflight)
+                 < atomic_load (&best->reported_inflight))
+        best = target;
+    }
+  return best;
+}
+
+static LimpetTarget *
+choose_random (const LimpetPolicy *policy,
+               const LimpetRouteRequest *request,
+               const LimpetTargetView *view,
+               LimpetMs now_ms)
+{
+  LimpetTarget *chosen = NULL;
+  uint64_t seen = 0;
+
+  (void)policy;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+
+      if (!is_member (request, target, now_ms) || is_excluded (request, target))
+        continue;
+      seen++;
+      if (XXH64 (&seen, sizeof seen, request->seed) % seen == 0)
+        chosen = target;
+    }
+  return chosen;
+}
+
+static const LimpetPolicyOps policy_ops[] = {
+  { .name = "bounded", .choose = choose_bounded },
+  { .name = "rendezvous", .choose = choose_rendezvous },
+  { .name = "least_loaded", .choose = choose_least_loaded },
+  { .name = "random", .choose = choose_random },
+};
+
+static const LimpetPolicy policies[G_N_ELEMENTS (policy_ops)] = {
+  { .ops = &policy_ops[0] },
+  { .ops = &policy_ops[1] },
+  { .ops = &policy_ops[2] },
+  { .ops = &policy_ops[3] },
+};
+
+const LimpetPolicy *
+limpet_policy_by_name (const char *name)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    if (strcmp (policies[i].ops->name, name) == 0)
+      return &policies[i];
+  return NULL;
+}
+
+LimpetTarget *
+limpet_policy_choose (const LimpetPolicy *policy,
+                      const LimpetRouteRequest *request,
+                      const LimpetTargetView *view,
+                      LimpetMs now_ms)
+{
+  return policy->ops->choose (policy, request, view, now_ms);
+}
--- /dev/null
+++ b/src/liblimpetroad/schema.c
@@ -0,0 +1,249 @@
+#include "private/schema.h"
+
+#include "limpetroad/limits.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+static size_t
+edit_distance (const char *a, const char *b)
+{
+  size_t row[LIMPET_NAME_SIZE + 1];
+  size_t a_length = strnlen (a, LIMPET_NAME_SIZE);
+  size_t b_length = strnlen (b, LIMPET_NAME_SIZE);
+
+  for (size_t j = 0; j <= b_length; j++)
+    row[j] = j;
+  for (size_t i = 1; i <= a_length; i++)
+    {
+      size_t diagonal = row[0];
+
+      row[0] = i;
+      for (size_t j = 1; j <= b_length; j++)
+        {
+          size_t above = row[j];
+          size_t best = diagonal + (a[i - 1] != b[j - 1]);
+
+          best = MIN (best, above + 1);
+          best = MIN (best, row[j - 1] + 1);
+          row[j] = best;
+          diagonal = above;
+        }
+    }
+  return row[b_length];
+}
+
+static const LimpetField *
+find_field (const LimpetField *fields, const char *key)
+{
+  for (; fields->key != NULL; fields++)
+    if (strcmp (fields->key, key) == 0)
+      return fields;
+  return NULL;
+}
+
+static const char *
+nearest_key (const LimpetField *fields, const char *key)
+{
+  const char *nearest = fields->key;
+
+  if (nearest == NULL)
+    return "";
+  for (; fields->key != NULL; fields++)
+    if (edit_distance (fields->key, key) < edit_distance (nearest, key))
+      nearest = fields->key;
+  return nearest;
+}
+
+static LimpetStatus
+invalid (LimpetError *error, const char *path, const char *key, const char *reason)
+{
+  return limpet_error_set (error, LIMPET_STATUS_INVALID, "check", NULL, "%s.%s: %s", path,
+                           key, reason);
+}
+
+static bool
+is_hex (const char *text)
+{
+  return strlen (text) == LIMPET_HASH_HEX_SIZE - 1
+         && strspn (text, "0123456789abcdef") == LIMPET_HASH_HEX_SIZE - 1;
+}
+
+static LimpetStatus
+read_text (json_object *value,
+           const LimpetField *field,
+           void *place,
+           const char *path,
+           LimpetError *error)
+{
+  const char *text;
+
+  if (!json_object_is_type (value, json_type_string))
+    return invalid (error, path, field->key, "must be a string");
+  text = json_object_get_string (value);
+  if (strlen (text) != (size_t)json_object_get_string_len (value))
+    return invalid (error, path, field->key, "must not hold a NUL character");
+  if (field->type == LIMPET_FIELD_STRING)
+    {
+      *(char **)place = g_strdup (text);
+      return LIMPET_STATUS_OK;
+    }
+  if (field->type == LIMPET_FIELD_HEX)
+    {
+      if (!is_hex (text))
+        return invalid (error, path, field->key,
+                        "must be 64 lower-case hexadecimal digits");
+      memcpy (place, text, LIMPET_HASH_HEX_SIZE);
+      return LIMPET_STATUS_OK;
+    }
+  if (text[0] == '\0' || strlen (text) >= LIMPET_NAME_SIZE)
+    return invalid (error, path, field->key, "must have 1 to 63 characters");
+  g_strlcpy (place, text, LIMPET_NAME_SIZE);
+  return LIMPET_STATUS_OK;
+}
+
+static LimpetStatus
+read_int (json_object *value,
+          const LimpetField *field,
+          void *place,
+          const char *path,
+          LimpetError *error)
+{
+  int64_t number;
+
+  if (!json_object_is_type (value, json_type_int))
+    return invalid (error, path, field->key, "must be a whole number");
+  number = json_object_get_int64 (value);
+  if (number < field->min || number > field->max)
+    return limpet_error_set (error, LIMPET_STATUS_INVALID, "check", NULL,
+                             "%s.%s: %" PRId64 " is outside %" PRId64 " to %" PRId64,
+                             path, field->key, number, field->min, field->max);
+  *(int64_t *)place = number;
+  return LIMPET_STATUS_OK;
+}
+
+static LimpetStatus
+read_field (json_object *value,
+            const LimpetField *field,
+            void *base,
+            const char *path,
+            LimpetError *error)
+{
+  void *place = (char *)base + field->offset;
+  LimpetStatus status = LIMPET_STATUS_OK;
+  char *nested_path;
+
+  switch (field->type)
+    {
+    case LIMPET_FIELD_NAME:
+    case LIMPET_FIELD_HEX:
+    case LIMPET_FIELD_STRING:
+      return read_text (value, field, place, path, error);
+    case LIMPET_FIELD_INT:
+      return read_int (value, field, place, path, error);
+    case LIMPET_FIELD_BOOL:
+      if (!json_object_is_type (value, json_type_boolean))
+        return invalid (error, path, field->key, "must be true or false");
+      *(bool *)place = json_object_get_boolean (value);
+      return LIMPET_STATUS_OK;
+    case LIMPET_FIELD_OBJECT:
+      nested_path = g_strdup_printf ("%s.%s", path, field->key);
+      status = limpet_schema_read (value, field->fields, place, nested_path, error);
+      g_free (nested_path);
+      return status;
+    case LIMPET_FIELD_OTHER:
+      return LIMPET_STATUS_OK;
+    }
+  g_assert_not_reached ();
+}
+
+static LimpetStatus
+check_required (json_object *object,
+                const LimpetField *fields,
+                const char *path,
+                LimpetError *error)
+{
+  for (; fields->key != NULL; fields++)
+    if (fields->required && !json_object_object_get_ex (object, fields->key, NULL))
+      return invalid (error, path, fields->key, "is missing");
+  return LIMPET_STATUS_OK;
+}
+
+LimpetStatus
+limpet_schema_read (json_object *object,
+                    const LimpetField *fields,
+                    void *base,
+                    const char *path,
+                    LimpetError *error)
+{
+  LimpetStatus status;
+
+  if (!json_object_is_type (object, json_type_object))
+    return limpet_error_set (error, LIMPET_STATUS_INVALID, "check", NULL,
+                             "%s: must be an object", path);
+  json_object_object_foreach (object, key, value)
+  {
+    const LimpetField *field = find_field (fields, key);
+
+    if (field == NULL)
+      return limpet_error_set (error, LIMPET_STATUS_INVALID, "check", NULL,
+                               "%s.%.60s: unknown key; did you mean \"%s\"?", path, key,
+                               nearest_key (fields, key));
+    status = read_field (value, field, base, path, error);
+    if (status != LIMPET_STATUS_OK)
+      return status;
+  }
+  return check_required (object, fields, path, error);
+}
+
+static int
+line_of (const char *text, size_t offset)
+{
+  int line = 1;
+
+  for (size_t i = 0; i < offset; i++)
+    line += text[i] == '\n';
+  return line;
+}
+
+json_object *
+limpet_schema_parse (const char *text,
+                     size_t length,
+                     const char *file,
+                     LimpetError *error)
+{
+  json_tokener *tokener = json_tokener_new_ex (LIMPET_MAX_JSON_DEPTH);
+  json_object *object = json_tokener_parse_ex (tokener, text, (int)length);
+  enum json_tokener_error parse_error = json_tokener_get_error (tokener);
+  size_t end = json_tokener_get_parse_end (tokener);
+
+  if (parse_error == json_tokener_continue || object == NULL)
+    limpet_error_set (error, LIMPET_STATUS_INVALID, "parse", NULL, "%s:%d: %s", file,
+                      line_of (text, end),
+                      parse_error == json_tokener_continue
+                          ? "ends in the middle of a value"
+                          : json_tokener_error_desc (parse_error));
+  json_tokener_free (tokener);
+  return object;
+}
+
+LimpetStatus
+limpet_schema_read_file (const char *path,
+                         char **text,
+                         size_t *length,
+                         LimpetError *error)
+{
+  GError *glib_error = NULL;
+  gsize size = 0;
+
+  if (!g_file_get_contents (path, text, &size, &glib_error))
+    {
+      limpet_error_set (error, LIMPET_STATUS_NOT_FOUND, "read", NULL, "%s",
+                        glib_error->message);
+      g_error_free (glib_error);
+      return LIMPET_STATUS_NOT_FOUND;
+    }
+  *length = size;
+  return LIMPET_STATUS_OK;
+}
--- /dev/null
+++ b/src/liblimpetroad/service_exchange.c
@@ -0,0 +1,79 @@
+#include "private/service_exchange.h"
+
+#include "limpetroad/limits.h"
+
+#include <inttypes.h>
+
+static bool
+on_data (void *user, const char *data, size_t length)
+{
+  LimpetServiceAnswer *answer = user;
+
+  if (answer->body->len + length > LIMPET_MAX_BODY_BYTES)
+    return false;
+  g_string_append_len (answer->body, data, (gssize)length);
+  return true;
+}
+
+static void
+add_headers (LimpetAttempt *attempt, const LimpetServiceRequest *request)
+{
+  limpet_attempt_add_header (attempt, "X-Request-Id: %s", request->request_id);
+  if (request->content_type != NULL)
+    limpet_attempt_add_header (attempt, "Content-Type: %s", request->content_type);
+  if (request->idempotency_key != NULL)
+    limpet_attempt_add_header (attempt, "Idempotency-Key: %s", request->idempotency_key);
+  if (request->fencing > 0)
+    limpet_attempt_add_header (attempt, "X-Fencing-Number: %" PRId64, request->fencing);
+}
+
+static void
+run_to_end (LimpetAttempt *attempt, LimpetMs until_ms)
+{
+  LimpetMs now_ms;
+
+  while (limpet_attempt_state (attempt) != LIMPET_ATTEMPT_ENDED
+         && (now_ms = limpet_clock_mono_ms ()) < until_ms)
+    {
+      struct pollfd fd;
+      LimpetMs wait_ms = limpet_attempt_prepare (attempt, &fd, now_ms);
+
+      poll (&fd, 1, (int)MIN (wait_ms, until_ms - now_ms));
+      limpet_attempt_process (attempt, fd.revents, limpet_clock_mono_ms ());
+    }
+}
+
+LimpetStatus
+limpet_service_exchange (const LimpetServiceRequest *request,
+                         LimpetServiceAnswer *answer,
+                         LimpetError *error)
+{
+  LimpetAttempt *attempt = limpet_attempt_new (request->target);
+  LimpetStatus status;
+
+  *answer = (LimpetServiceAnswer){ .body = g_string_new (NULL) };
+  limpet_attempt_set_request (attempt, request->method, request->path, request->body,
+                              request->body_length);
+  limpet_attempt_set_data (attempt, on_data, answer);
+  if (request->attempt_id != NULL)
+    limpet_attempt_set_id (attempt, request->attempt_id);
+  if (request->fresh)
+    limpet_attempt_set_fresh (attempt);
+  add_headers (attempt, request);
+  limpet_attempt_start (attempt);
+  run_to_end (attempt, limpet_clock_mono_ms () + request->timeout_ms);
+  answer->answer = *limpet_attempt_answer (attempt);
+  status = limpet_attempt_status (attempt, error);
+  if (status == LIMPET_STATUS_INVALID)
+    g_string_assign (answer->body, limpet_attempt_error_body (attempt));
+  limpet_attempt_delete (attempt);
+  return status;
+}
+
+void
+limpet_service_answer_clear (LimpetServiceAnswer *answer)
+{
+  if (answer->body != NULL)
+    g_string_free (answer->body, TRUE);
+  answer->body = NULL;
+}
--- /dev/null
+++ b/src/liblimpetroad/targets.c
@@ -0,0 +1,344 @@
+#include "limpetroad/targets.h"
+
+#include "limpetroad/logger.h"
+#include "private/link.h"
+
+#include <glib.h>
+#include <string.h>
+#include <urcu-bp.h>
+#include <xxhash.h>
+
+#define RETURN_MEMORY_MS 300000
+#define RETURN_STEP_MS 1000
+#define RETURN_FIRST_WEIGHT 125
+#define REST_FIRST_MS 200
+#define REST_LONGEST_MS 5000
+#define TIMES_ALPHA 0.3
+
+/* When a target id was last seen to leave, for the return in steps. */
+typedef struct
+{
+  LimpetMs left_ms;
+} Departure;
+
+struct LimpetTargets
+{
+  LimpetTargetView *view; /* protected by RCU */
+  GHashTable *departures; /* id → Departure */
+};
+
+static void
+free_target (struct urcu_ref *reference)
+{
+  LimpetTarget *target = caa_container_of (reference, LimpetTarget, references);
+
+  limpet_link_clear_pool (target);
+  pthread_mutex_destroy (&target->lock);
+  g_free (target);
+}
+
+void
+limpet_target_ref (LimpetTarget *target)
+{
+  urcu_ref_get (&target->references);
+}
+
+void
+limpet_target_unref (LimpetTarget *target)
+{
+  if (target != NULL)
+    urcu_ref_put (&target->references, free_target);
+}
+
+static void
+free_view (struct urcu_ref *reference)
+{
+  LimpetTargetView *view = caa_container_of (reference, LimpetTargetView, references);
+
+  for (uint32_t i = 0; i < view->count; i++)
+    limpet_target_unref (view->targets[i]);
+  g_free (view->targets);
+  g_free (view);
+}
+
+void
+limpet_target_view_release (LimpetTargetView *view)
+{
+  urcu_ref_put (&view->references, free_view);
+}
+
+static LimpetTargetView *
+view_new (uint32_t capacity)
+{
+  LimpetTargetView *view = g_new0 (LimpetTargetView, 1);
+
+  urcu_ref_init (&view->references);
+  view->targets = g_new0 (LimpetTarget *, capacity + 1);
+  return view;
+}
+
+LimpetTargets *
+limpet_targets_new (void)
+{
+  LimpetTargets *targets = g_new0 (LimpetTargets, 1);
+
+  targets->view = view_new (0);
+  targets->departures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return targets;
+}
+
+void
+limpet_targets_delete (LimpetTargets *targets)
+{
+  if (targets == NULL)
+    return;
+  limpet_target_view_release (targets->view);
+  g_hash_table_destroy (targets->departures);
+  g_free (targets);
+}
+
+LimpetTargetView *
+limpet_targets_snapshot (LimpetTargets *targets)
+{
+  LimpetTargetView *view;
+
+  urcu_bp_read_lock ();
+  view = rcu_dereference (targets->view);
+  urcu_ref_get (&view->references);
+  urcu_bp_read_unlock ();
+  return view;
+}
+
+static LimpetTarget *
+target_new (const LimpetVm *vm, LimpetMs joined_ms)
+{
+  LimpetTarget *target = g_new0 (LimpetTarget, 1);
+
+  target->vm = *vm;
+  target->id_hash = XXH32 (vm->id, strlen (vm->id), 0);
+  urcu_ref_init (&target->references);
+  pthread_mutex_init (&target->lock, NULL);
+  atomic_store (&target->reported_inflight, -1);
+  atomic_store (&target->leaving, vm->leaving);
+  atomic_store (&target->own_weight, LIMPET_WEIGHT_FULL);
+  atomic_store (&target->peers_weight, LIMPET_WEIGHT_FULL);
+  atomic_store (&target->joined_ms, joined_ms);
+  return target;
+}
+
+static LimpetTarget *
+find_by_id (const LimpetTargetView *view, const char *id)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    if (strcmp (view->targets[i]->vm.id, id) == 0)
+      return view->targets[i];
+  return NULL;
+}
+
+static void
+note_departure (LimpetTargets *targets, const char *id, LimpetMs now_ms)
+{
+  Departure *departure = g_new0 (Departure, 1);
+
+  departure->left_ms = now_ms;
+  g_hash_table_replace (targets->departures, g_strdup (id), departure);
+}
+
+/* A target that left a short while ago comes back in steps. */
+static LimpetMs
+return_start_ms (LimpetTargets *targets, const char *id, LimpetMs now_ms)
+{
+  const Departure *departure = g_hash_table_lookup (targets->departures, id);
+
+  if (departure == NULL || now_ms - departure->left_ms > RETURN_MEMORY_MS)
+    return 0;
+  return now_ms;
+}
+
+static LimpetTarget *
+take_target (LimpetTargets *targets,
+             LimpetTargetView *old,
+             const LimpetVm *vm,
+             LimpetMs now_ms)
+{
+  LimpetTarget *target = find_by_id (old, vm->id);
+
+  if (target != NULL && target->vm.incarnation == vm->incarnation)
+    {
+      if (vm->leaving)
+        limpet_target_mark_leaving (target, "vm list");
+      limpet_target_ref (target);
+      return target;
+    }
+  if (target != NULL)
+    note_departure (targets, vm->id, now_ms);
+  limpet_log (LIMPET_LOG_NOTICE, "targets", vm->id,
+              "joined as %s of %s at %s:%d, incarnation %ld",
+              limpet_vm_kind_string[vm->kind], vm->group, vm->address, (int)vm->port,
+              (long)vm->incarnation);
+  return target_new (vm, return_start_ms (targets, vm->id, now_ms));
+}
+
+static int
+compare_targets (const void *a, const void *b)
+{
+  const LimpetTarget *const *left = a;
+  const LimpetTarget *const *right = b;
+
+  return strcmp ((*left)->vm.id, (*right)->vm.id);
+}
+
+static void
+note_gone (LimpetTargets *targets,
+           const LimpetTargetView *old,
+           const LimpetTargetView *view,
+           LimpetMs now_ms)
+{
+  for (uint32_t i = 0; i < old->count; i++)
+    if (find_by_id (view, old->targets[i]->vm.id) == NULL)
+      {
+        note_departure (targets, old->targets[i]->vm.id, now_ms);
+        limpet_target_mark_leaving (old->targets[i], "vm list");
+      }
+}
+
+static gboolean
+departure_is_old (gpointer key, gpointer value, gpointer user)
+{
+  (void)key;
+  return ((const Departure *)value)->left_ms + RETURN_MEMORY_MS < *(const LimpetMs *)user;
+}
+
+void
+limpet_targets_update (LimpetTargets *targets, const LimpetVmList *list)
+{
+  LimpetTargetView *old = targets->view;
+  LimpetTargetView *view = view_new (list->count);
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  for (uint32_t i = 0; i < list->count; i++)
+    if (list->vms[i].kind != LIMPET_VM_ROUTER)
+      view->targets[view->count++] = take_target (targets, old, &list->vms[i], now_ms);
+  if (view->count == 0)
+    {
+      limpet_target_view_release (view);
+      return;
+    }
+  qsort (view->targets, view->count, sizeof *view->targets, compare_targets);
+  for (uint32_t i = 0; i < view->count; i++)
+    view->fingerprint
+        = XXH32 (&view->targets[i]->id_hash, sizeof (uint32_t), view->fingerprint);
+  note_gone (targets, old, view, now_ms);
+  g_hash_table_foreach_remove (targets->departures, departure_is_old, &now_ms);
+  rcu_assign_pointer (targets->view, view);
+  urcu_bp_synchronize_rcu ();
+  limpet_target_view_release (old);
+}
+
+LimpetTarget *
+limpet_target_view_find (const LimpetTargetView *view, uint32_t id_hash)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    if (view->targets[i]->id_hash == id_hash)
+      return view->targets[i];
+  return NULL;
+}
+
+int32_t
+limpet_target_inflight (const LimpetTarget *target)
+{
+  return atomic_load (&target->own_inflight) + atomic_load (&target->peers_inflight);
+}
+
+int32_t
+limpet_target_long_inflight (const LimpetTarget *target)
+{
+  return atomic_load (&target->own_long) + atomic_load (&target->peers_long);
+}
+
+static int32_t
+return_weight (const LimpetTarget *target, LimpetMs now_ms)
+{
+  LimpetMs joined_ms = atomic_load (&target->joined_ms);
+  int64_t steps = (now_ms - joined_ms) / RETURN_STEP_MS;
+
+  if (joined_ms == 0 || steps > 10)
+    return LIMPET_WEIGHT_FULL;
+  return (int32_t)MIN (LIMPET_WEIGHT_FULL, RETURN_FIRST_WEIGHT << steps);
+}
+
+int32_t
+limpet_target_weight (const LimpetTarget *target, LimpetMs now_ms)
+{
+  int32_t weight = atomic_load (&target->own_weight);
+
+  weight = MIN (weight, return_weight (target, now_ms));
+  if (now_ms < atomic_load (&target->peers_weight_until_ms))
+    weight = MIN (weight, atomic_load (&target->peers_weight));
+  return weight;
+}
+
+bool
+limpet_target_is_open (const LimpetTarget *target, LimpetMs now_ms)
+{
+  return !atomic_load (&target->leaving) && now_ms >= atomic_load (&target->full_until_ms)
+         && now_ms >= atomic_load (&target->failed_until_ms);
+}
+
+void
+limpet_target_mark_leaving (LimpetTarget *target, const char *source)
+{
+  if (!atomic_exchange (&target->leaving, true))
+    limpet_log (LIMPET_LOG_NOTICE, "targets", target->vm.id, "leaving, by %s", source);
+}
+
+static void
+blend (double *average, double sample)
+{
+  *average = *average <= 0 ? sample : *average + TIMES_ALPHA * (sample - *average);
+}
+
+void
+limpet_target_note_first (LimpetTarget *target, double first_ms)
+{
+  pthread_mutex_lock (&target->lock);
+  blend (&target->times.first_ms, first_ms);
+  target->times.sampled_ms = limpet_clock_mono_ms ();
+  pthread_mutex_unlock (&target->lock);
+}
+
+double
+limpet_target_gap_ms (LimpetTarget *target)
+{
+  double gap_ms;
+
+  pthread_mutex_lock (&target->lock);
+  gap_ms = target->times.gap_ms;
+  pthread_mutex_unlock (&target->lock);
+  return gap_ms;
+}
+
+void
+limpet_target_note_gap (LimpetTarget *target, double gap_ms)
+{
+  pthread_mutex_lock (&target->lock);
+  blend (&target->times.gap_ms, gap_ms);
+  target->times.sampled_ms = limpet_clock_mono_ms ();
+  pthread_mutex_unlock (&target->lock);
+}
+
+void
+limpet_target_note_result (LimpetTarget *target, LimpetStatus status)
+{
+  int32_t failures;
+  LimpetMs rest_ms;
+
+  if (status == LIMPET_STATUS_OK)
+    {
+      atomic_store (&target->failures, 0);
+      return;
+    }
+  failures = atomic_fetch_add (&target->failures, 1);
+  rest_ms = MIN (REST_LONGEST_MS, (LimpetMs)REST_FIRST_MS << MIN (failures, 8));
+  atomic_store (&target->failed_until_ms, limpet_clock_mono_ms () + rest_ms);
+}
--- /dev/null
+++ b/src/limpetfake/service.c
@@ -0,0 +1,155 @@
+#include "fake.h"
+
+#include "limpetroad/clock.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+/* The ledger: every run, with the key and the attempt that asked for it. */
+static struct
+{
+  pthread_mutex_t lock;
+  GString *ledger; /* JSON objects, separated by commas */
+  int64_t runs;
+  FakeOptions options;
+  int drop_answers;  /* runs after which the connection closes without an answer */
+  int drop_requests; /* requests that close the connection without a run */
+  int refuse;        /* requests refused before starting */
+  int wrong_ids;     /* answers under another attempt's id */
+  int64_t highest_fencing;
+} state;
+
+static bool
+take (int *count)
+{
+  if (*count <= 0)
+    return false;
+  (*count)--;
+  return true;
+}
+
+static const char *
+header (struct mg_connection *connection, const char *name)
+{
+  const char *value = mg_get_header (connection, name);
+
+  return value != NULL ? value : "";
+}
+
+static void
+write_ledger (struct mg_connection *connection, const char *body)
+{
+  json_object *entry = json_object_new_object ();
+
+  json_object_object_add (
+      entry, "key", json_object_new_string (header (connection, "Idempotency-Key")));
+  json_object_object_add (entry, "attempt",
+                          json_object_new_string (header (connection, "X-Attempt-Id")));
+  json_object_object_add (entry, "body", json_object_new_string (body));
+  if (state.ledger->len > 0)
+    g_string_append_c (state.ledger, ',');
+  g_string_append (state.ledger,
+                   json_object_to_json_string_ext (entry, JSON_C_TO_STRING_PLAIN));
+  json_object_put (entry);
+  state.runs++;
+}
+
+static int
+close_silently (struct mg_connection *connection)
+{
+  mg_disable_connection_keep_alive (connection);
+  return 200;
+}
+
+static int
+handle_call (struct mg_connection *connection, void *user)
+{
+  char *body = fake_read_body (connection);
+  json_object *answer = json_object_new_object ();
+  char headers[128];
+  bool drop_answer;
+  bool wrong_id;
+  bool fenced;
+  int64_t fencing = g_ascii_strtoll (header (connection, "X-Fencing-Number"), NULL, 10);
+
+  (void)user;
+  pthread_mutex_lock (&state.lock);
+  fenced = state.options.fencing != 0 && fencing > 0 && fencing < state.highest_fencing;
+  g_snprintf (headers, sizeof headers, "X-Attempt-Id: %.64s\r\n",
+              header (connection, "X-Attempt-Id"));
+  if (take (&state.drop_requests))
+    {
+      pthread_mutex_unlock (&state.lock);
+      json_object_put (answer);
+      g_free (body);
+      return close_silently (connection);
+    }
+  if (fenced || take (&state.refuse))
+    {
+      pthread_mutex_unlock (&state.lock);
+      g_strlcat (headers, "X-Not-Started: 1\r\n", sizeof headers);
+      g_free (body);
+      return fake_reply (connection, fenced ? 409 : 503, headers, answer);
+    }
+  state.highest_fencing = MAX (state.highest_fencing, fencing);
+  write_ledger (connection, body);
+  json_object_object_add (answer, "run", json_object_new_int64 (state.runs));
+  json_object_object_add (answer, "echo", json_object_new_string (body));
+  drop_answer = take (&state.drop_answers);
+  wrong_id = take (&state.wrong_ids);
+  pthread_mutex_unlock (&state.lock);
+  g_free (body);
+  if (state.options.delay_ms > 0)
+    limpet_clock_sleep_ms (state.options.delay_ms);
+  if (wrong_id)
+    g_strlcpy (headers, "X-Attempt-Id: 00000000000000000000000000000000\r\n",
+               sizeof headers);
+  if (!drop_answer)
+    return fake_reply (connection, 200, headers, answer);
+  json_object_put (answer);
+  return close_silently (connection);
+}
+
+static int
+handle_ledger (struct mg_connection *connection, void *user)
+{
+  char *text;
+  int code;
+
+  (void)user;
+  pthread_mutex_lock (&state.lock);
+  text = g_strdup_printf ("{\"runs\":[%s]}", state.ledger->str);
+  pthread_mutex_unlock (&state.lock);
+  code = fake_reply (connection, 200, "", json_tokener_parse (text));
+  g_free (text);
+  return code;
+}
+
+static int
+handle_fault (struct mg_connection *connection, void *user)
+{
+  json_object *fault = fake_read_json (connection);
+
+  (void)user;
+  pthread_mutex_lock (&state.lock);
+  state.drop_answers = (int)fake_number (fault, "drop_answers", state.drop_answers);
+  state.drop_requests = (int)fake_number (fault, "drop_requests", state.drop_requests);
+  state.refuse = (int)fake_number (fault, "refuse", state.refuse);
+  state.wrong_ids = (int)fake_number (fault, "wrong_ids", state.wrong_ids);
+  state.options.delay_ms = (int)fake_number (fault, "delay_ms", state.options.delay_ms);
+  pthread_mutex_unlock (&state.lock);
+  json_object_put (fault);
+  return fake_reply (connection, 200, "", json_object_new_object ());
+}
+
+void
+fake_service_start (struct mg_context *server, const FakeOptions *options)
+{
+  state.options = *options;
+  pthread_mutex_init (&state.lock, NULL);
+  state.ledger = g_string_new (NULL);
+  mg_set_request_handler (server, "/", handle_call, NULL);
+  mg_set_request_handler (server, "/fake/ledger$", handle_ledger, NULL);
+  mg_set_request_handler (server, "/fake/fault$", handle_fault, NULL);
+}
--- /dev/null
+++ b/src/limpetfake/vms.c
@@ -0,0 +1,92 @@
+#include "fake.h"
+
+#include "limpetroad/clock.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <string.h>
+
+/* A list and the time from which it is shown. */
+typedef struct
+{
+  LimpetMs shown_ms;
+  char *text;
+} Version;
+
+static struct
+{
+  pthread_mutex_t lock;
+  GPtrArray *versions;
+  int lag_ms;
+  bool down;
+} state;
+
+static char *
+current_text (void)
+{
+  const char *text = "{\"vms\":[]}";
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  for (guint i = 0; i < state.versions->len; i++)
+    {
+      const Version *version = g_ptr_array_index (state.versions, i);
+
+      if (version->shown_ms <= now_ms)
+        text = version->text;
+    }
+  return g_strdup (text);
+}
+
+/* POST sets the list that is shown after the lag; GET shows it. */
+static int
+handle_vms (struct mg_connection *connection, void *user)
+{
+  Version *version;
+  char *text = NULL;
+  bool down;
+  int code;
+
+  (void)user;
+  if (strcmp (mg_get_request_info (connection)->request_method, "POST") == 0)
+    {
+      version = g_new0 (Version, 1);
+      version->text = fake_read_body (connection);
+      pthread_mutex_lock (&state.lock);
+      version->shown_ms
+          = state.versions->len > 0 ? limpet_clock_mono_ms () + state.lag_ms : 0;
+      g_ptr_array_add (state.versions, version);
+      pthread_mutex_unlock (&state.lock);
+      return fake_reply (connection, 200, "", json_object_new_object ());
+    }
+  pthread_mutex_lock (&state.lock);
+  down = state.down;
+  text = current_text ();
+  pthread_mutex_unlock (&state.lock);
+  code = fake_reply (connection, down ? 503 : 200, "", json_tokener_parse (text));
+  g_free (text);
+  return code;
+}
+
+static int
+handle_fault (struct mg_connection *connection, void *user)
+{
+  json_object *fault = fake_read_json (connection);
+
+  (void)user;
+  pthread_mutex_lock (&state.lock);
+  state.down = fake_number (fault, "down", state.down) != 0;
+  state.lag_ms = (int)fake_number (fault, "lag_ms", state.lag_ms);
+  pthread_mutex_unlock (&state.lock);
+  json_object_put (fault);
+  return fake_reply (connection, 200, "", json_object_new_object ());
+}
+
+void
+fake_vms_start (struct mg_context *server, const FakeOptions *options)
+{
+  pthread_mutex_init (&state.lock, NULL);
+  state.versions = g_ptr_array_new ();
+  state.lag_ms = options->lag_ms;
+  mg_set_request_handler (server, "/vms$", handle_vms, NULL);
+  mg_set_request_handler (server, "/fake/fault$", handle_fault, NULL);
+}
--- /dev/null
+++ b/test/demo.py
@@ -0,0 +1,42 @@
+"""make demo: a small fleet answers chats that return, and everything stops cleanly."""
+
+import sys
+
+import fleet as f
+
+
+def main():
+    with f.Fleet(routers=3, engines=4, services=1, idempotent=True) as fleet:
+        fleet.start()
+        print("3 routers, 4 engines, 1 plain service; bundle version %d is in force"
+              % fleet.version)
+        returning, cached, turns = 0, 0, 4
+        for number in range(12):
+            history = ""
+            for turn in range(turns):
+                router = fleet.routers[(number + turn) % 3]
+                tag = "chat%d-%d" % (number, turn)
+                answer = f.chat(router["port"], fleet.key("team-0"), tag, 24, "chat-%d" % number,
+                                history)
+                assert answer.is_whole(tag, 24), answer.error
+                if number == 0 and turn == 0:
+                    print("answer: " + " ".join(answer.tokens))
+                if turn > 0:
+                    returning += 1
+                    prompt = int(answer.headers["X-Prompt-Tokens"])
+                    cached += int(answer.headers["X-Cached-Tokens"]) >= prompt // 2
+                history += tag + " " + " ".join(answer.tokens) + " "
+        print("returning chats that met their cached prefix: %d of %d" % (cached, returning))
+        served = [fleet.stats(e)["served"] for e in fleet.engines]
+        print("requests for each engine: %s" % served)
+        status, _, body = f.request(fleet.routers[0]["port"], "POST", "/v1/services/booking/free",
+                                    {"kit": "gloves"},
+                                    {"Authorization": "Bearer " + fleet.key("team-0")})
+        print("plain service: %d %s" % (status, body))
+        codes = [r["process"].terminate() for r in fleet.routers]
+        print("routers stopped as planned: exit codes %s" % codes)
+        return 0 if codes == [0, 0, 0] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/test/fleet.py
@@ -0,0 +1,345 @@
+"""Starts a fleet of real processes with stand-ins, for tests, measurements and the demo."""
+
+import http.client
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("LIMPET_BUILD", os.path.join(ROOT, "build"))
+WAIT_LIMIT_S = float(os.environ.get("LIMPET_WAIT_S", "40"))
+ZONES = ["ke-central-a", "ke-central-b", "ke-central-c"]
+MODEL = "kit-7b"
+
+
+def free_ports(count):
+    """Returns ports that are free now, held open until all are found."""
+    sockets = [socket.socket() for _ in range(count)]
+    for s in sockets:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def request(port, method, path, body=None, headers=None, timeout=30):
+    """Returns (status, headers, body text) of one HTTP exchange."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body)
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read().decode()
+    finally:
+        connection.close()
+
+
+def get_json(port, path):
+    return json.loads(request(port, "GET", path)[2])
+
+
+def wait_for(condition, what, limit_s=None):
+    """Waits until condition() is true; fails after a generous limit."""
+    until = time.monotonic() + (limit_s or WAIT_LIMIT_S)
+    while time.monotonic() < until:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException, ValueError, KeyError):
+            pass
+        time.sleep(0.02)
+    raise AssertionError("timed out waiting for " + what)
+
+
+class Process:
+    """One process of ours, ended by its own id."""
+
+    def __init__(self, arguments, log_path):
+        self.log_path = log_path
+        self.log = open(log_path, "ab")
+        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def freeze(self):
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGKILL)
+            self.popen.wait()
+
+    def terminate(self, limit_s=60):
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGTERM)
+            self.popen.wait(limit_s)
+        return self.popen.returncode
+
+    def log_text(self):
+        with open(self.log_path, errors="replace") as f:
+            return f.read()
+
+
+def program(name):
+    return os.path.join(BUILD, name)
+
+
+class Fleet:
+    """Log, VM list, engines, plain services and routers on loopback."""
+
+    def __init__(self, routers=3, engines=4, services=1, teams=3, fleet=None, engine_options=None,
+                 log_options=None, idempotent=False, retention_ms=3600000, workers=256,
+                 control_bytes_per_s=2500, service_options=None, proxy=None):
+        self.directory = tempfile.mkdtemp(prefix="limpet-")
+        self.processes = []
+        self.proxy_roles = proxy or {}
+        self.routers, self.engines, self.services = [], [], []
+        self.teams = ["team-%d" % i for i in range(teams)]
+        self.fleet_part = fleet or {}
+        self.idempotent = idempotent
+        self.retention_ms = retention_ms
+        self.workers = workers
+        self.control_bytes_per_s = control_bytes_per_s
+        self.log_port, self.vms_port = free_ports(2)
+        self.fake("log", self.log_port, "--retention-ms", retention_ms, *(log_options or []))
+        self.fake("vms", self.vms_port, "--lag-ms", 300)
+        ports = free_ports(engines + services)
+        for i in range(engines):
+            self.add_engine("e%02d" % i, ports[i], engine_options or [])
+        for i in range(services):
+            self.add_service("s%02d" % i, ports[engines + i], service_options or [])
+        self.approver = self.make_key("amina")
+        for i in range(routers):
+            self.prepare_router("r%02d" % i)
+        self.push_vms()
+
+    def spawn(self, name, arguments):
+        process = Process([str(a) for a in arguments], os.path.join(self.directory, name + ".log"))
+        self.processes.append(process)
+        return process
+
+    def fake(self, role, port, *options):
+        process = self.spawn("%s-%d" % (role, port),
+                             [program("limpetfake"), role, "--port", port, "--threads", 300,
+                              *options])
+        wait_for(lambda: socket.create_connection(("127.0.0.1", port), 1).close() or True, role)
+        return process
+
+    def add_engine(self, vm_id, port, options):
+        process = self.fake("engine", port, "--name", vm_id, *options)
+        slots = options[options.index("--slots") + 1] if "--slots" in options else 16
+        self.engines.append({"id": vm_id, "port": port, "process": process, "slots": slots,
+                             "leaving": False, "incarnation": 1})
+
+    def add_service(self, vm_id, port, options):
+        process = self.fake("service", port, "--name", vm_id, *options)
+        self.services.append({"id": vm_id, "port": port, "process": process, "leaving": False,
+                              "incarnation": 1})
+
+    def make_key(self, name):
+        path = os.path.join(self.directory, name + ".key")
+        out = self.run([program("limpetctl"), "--json", "keygen", name, path])
+        return {"name": name, "path": path, "public_key": json.loads(out)["public_key"]}
+
+    def run(self, arguments, code=0):
+        result = subprocess.run([str(a) for a in arguments], capture_output=True, text=True)
+        assert result.returncode == code, "%s: code %d, %s%s" % (
+            arguments, result.returncode, result.stdout, result.stderr)
+        return result.stdout + (result.stderr if code else "")
+
+    def ctl(self, *arguments, code=0):
+        return self.run([program("limpetctl"), "--settings", self.routers[0]["settings"],
+                         *arguments], code)
+
+    def settings(self, router):
+        return {
+            "name": router["id"], "zone": ZONES[len(self.routers) % len(ZONES)],
+            "callers": {"address": "127.0.0.1", "port": router["port"]},
+            "operators": {"address": "127.0.0.1", "port": router["operators"]},
+            "peers": {"address": "127.0.0.1", "port": router["peers"]},
+            "log_url": "http://127.0.0.1:%d" % router["log_port"],
+            "log_retention_ms": self.retention_ms,
+            "vm_list_url": "http://127.0.0.1:%d" % self.vms_port,
+            "workers": self.workers, "control_bytes_per_s": self.control_bytes_per_s,
+            "approvers": [{"name": "amina", "public_key": self.approver["public_key"]}],
+        }
+
+    def prepare_router(self, vm_id):
+        ports = free_ports(3)
+        router = {"id": vm_id, "port": ports[0], "operators": ports[1], "peers": ports[2],
+                  "log_port": self.log_port, "incarnation": 1, "leaving": False,
+                  "settings": os.path.join(self.directory, vm_id + ".json")}
+        with open(router["settings"], "w") as f:
+            f.write("// settings of one router\n")
+            json.dump(self.settings(router), f)
+        self.routers.append(router)
+        return router
+
+    def start_router(self, router, wait=True):
+        router["process"] = self.spawn(router["id"], [program("limpetroadd"), router["settings"]])
+        if wait:
+            self.wait_ready(router)
+
+    def start_routers(self):
+        for router in self.routers:
+            self.start_router(router, wait=False)
+        for router in self.routers:
+            self.wait_ready(router)
+
+    def wait_ready(self, router):
+        wait_for(lambda: request(router["port"], "GET", "/readyz")[0] == 200,
+                 router["id"] + " to be ready")
+
+    def vm(self, kind, entry, group):
+        vm = {"id": entry["id"], "kind": kind, "address": "127.0.0.1",
+              "port": entry.get("shown_port", entry["peers"] if kind == "router" else
+                                entry["port"]),
+              "zone": ZONES[0], "group": group, "incarnation": entry["incarnation"],
+              "leaving": entry["leaving"]}
+        if kind == "engine":
+            vm["slots"] = int(entry["slots"])
+        return vm
+
+    def push_vms(self):
+        vms = [self.vm("engine", e, MODEL) for e in self.engines]
+        vms += [self.vm("service", s, "booking") for s in self.services]
+        vms += [self.vm("router", r, "limpetroad") for r in self.routers]
+        request(self.vms_port, "POST", "/vms", {"vms": vms})
+
+    def key(self, team):
+        return "key-of-" + team
+
+    def bundle(self):
+        hashes = {t: self.run([program("limpetctl"), "hash", self.key(t)]).strip()
+                  for t in self.teams}
+        return {"fleet": self.fleet_part, "models": {MODEL: {}},
+                "teams": {t: {"key_hash": hashes[t], "share": 10} for t in self.teams},
+                "services": {"booking": {"idempotent": self.idempotent}}}
+
+    def write_bundle(self, content, name="bundle.json"):
+        path = os.path.join(self.directory, name)
+        with open(path, "w") as f:
+            json.dump(content, f)
+        return path
+
+    def roll(self, content):
+        """Drafts, approves and rolls a bundle; returns its version."""
+        path = self.write_bundle(content)
+        draft = json.loads(self.ctl("--json", "--author", "baraka", "draft", path))["draft"]
+        self.ctl("--key", self.approver["path"], "approve", draft)
+        return json.loads(self.ctl("--json", "--by", "baraka", "roll", draft))["offset"]
+
+    def start(self):
+        """Rolls the first bundle and starts the routers."""
+        self.version = self.roll(self.bundle())
+        self.start_routers()
+        return self
+
+    def fault(self, entry_or_port, **fault):
+        port = entry_or_port if isinstance(entry_or_port, int) else entry_or_port["port"]
+        request(port, "POST", "/fake/fault", fault)
+
+    def stats(self, entry):
+        return get_json(entry["port"], "/fake/stats")
+
+    def dump(self, router):
+        return get_json(router["operators"], "/dump")
+
+    def counters(self, router):
+        text = request(router["operators"], "GET", "/metrics")[2]
+        return {line.split()[0][len("limpet_"):]: int(line.split()[1])
+                for line in text.splitlines() if not line.startswith("#")}
+
+    def counter(self, name):
+        return sum(self.counters(r)[name] for r in self.routers)
+
+    def stop(self, keep=False):
+        for process in self.processes:
+            if process.popen.poll() is None:
+                process.thaw()
+                process.kill()
+        if not keep:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, trace):
+        if kind is not None:
+            for process in self.processes:
+                if "/r" in process.log_path:
+                    sys.stderr.write("".join(
+                        process.log_text().splitlines(keepends=True)[-12:]))
+        self.stop()
+
+
+class ChatAnswer:
+    """What a caller got for one chat."""
+
+    def __init__(self, status, headers, tokens, complete, error):
+        self.status, self.headers, self.tokens = status, headers, tokens
+        self.complete, self.error = complete, error
+
+    def is_whole(self, tag, count):
+        return self.complete and self.tokens == ["%s.%d" % (tag, i) for i in range(count)]
+
+
+def chat_body(tag, max_tokens=16, history="", stream=True):
+    messages = [{"role": "system", "content": "You draft loan plans for youth groups. " * 8}]
+    if history:
+        messages.append({"role": "assistant", "content": history})
+    messages.append({"role": "user", "content": tag + " may we borrow ten grabbers"})
+    return {"model": MODEL, "stream": stream, "max_tokens": max_tokens, "messages": messages}
+
+
+def read_events(response):
+    """Returns (tokens, whether the end marker came, error object)."""
+    tokens, done, error = [], False, None
+    for line in response.read().decode().split("\n"):
+        if not line.startswith("data: "):
+            continue
+        if line == "data: [DONE]":
+            done = True
+            continue
+        data = json.loads(line[6:])
+        if "error" in data:
+            error = data["error"]
+        else:
+            tokens.append(data["choices"][0]["delta"]["content"].strip())
+    return tokens, done, error
+
+
+def chat(port, key, tag, max_tokens=16, chat_id=None, history="", timeout=60, headers=None):
+    """Sends one streamed chat and reads its answer to the end."""
+    all_headers = {"Authorization": "Bearer " + key, "Content-Type": "application/json"}
+    if chat_id:
+        all_headers["X-Chat-Id"] = chat_id
+    all_headers.update(headers or {})
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request("POST", "/v1/chat/completions",
+                           json.dumps(chat_body(tag, max_tokens, history)), all_headers)
+        response = connection.getresponse()
+        if response.status != 200:
+            return ChatAnswer(response.status, dict(response.getheaders()), [], False,
+                              json.loads(response.read().decode() or "{}").get("error"))
+        try:
+            tokens, done, error = read_events(response)
+        except http.client.IncompleteRead as broken:
+            return ChatAnswer(200, dict(response.getheaders()), [], False,
+                              {"type": "cut", "partial": broken.partial.decode()})
+        return ChatAnswer(200, dict(response.getheaders()), tokens, done and error is None, error)
+    finally:
+        connection.close()
--- /dev/null
+++ b/test/install_dependencies.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Installs what the build and the tests need. Does nothing where all is there.
+set -e
+packages="gcc make cmake ninja-build pkg-config python3 clang-format cppcheck
+liburcu-dev libzmq3-dev libcivetweb-dev libcurl4-openssl-dev libjson-c-dev libglib2.0-dev
+libcunit1-dev libsodium-dev libxxhash-dev libprotobuf-c-dev gnuplot-nox"
+missing=""
+for package in $packages; do
+  dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
+done
+[ -z "$missing" ] && exit 0
+sudo=""
+[ "$(id -u)" = 0 ] || sudo="sudo"
+$sudo apt-get update -q >/dev/null
+DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -q $missing >/dev/null
--- /dev/null
+++ b/test/run_all.py
@@ -0,0 +1,98 @@
+"""Runs the unit tests and the system tests, and counts them.
+
+A case named in KNOWN-RED.txt ("red: NAME") may fail: it is printed as known red and not counted.
+"""
+
+import concurrent.futures
+import glob
+import importlib
+import os
+import re
+import subprocess
+import sys
+import time
+import traceback
+
+import fleet as f
+
+CASES_AT_ONCE = int(os.environ.get("LIMPET_CASES_AT_ONCE", "3"))
+
+
+def table(rows):
+    """Makes a case of each row: (name, arguments…)."""
+    def wrap(function):
+        function.rows = rows
+        return function
+    return wrap
+
+
+def known_red():
+    path = os.path.join(f.ROOT, "KNOWN-RED.txt")
+    with open(path) as file:
+        return set(re.findall(r"^red: (\S+)", file.read(), re.M))
+
+
+def cases_of(module):
+    for name in sorted(vars(module)):
+        function = getattr(module, name)
+        if not name.startswith("test_") or not callable(function):
+            continue
+        rows = getattr(function, "rows", None)
+        if rows is None:
+            yield "%s.%s" % (module.__name__, name), function, ()
+            continue
+        for row in rows:
+            yield "%s.%s[%s]" % (module.__name__, name, row[0]), function, row[1:]
+
+
+def run_case(case):
+    name, function, arguments = case
+    start = time.monotonic()
+    try:
+        function(*arguments)
+        return name, None, time.monotonic() - start
+    except BaseException:
+        return name, traceback.format_exc(limit=-3), time.monotonic() - start
+
+
+def run_units():
+    """Returns (passed, failed) of the CUnit program."""
+    result = subprocess.run([f.program("test_liblimpetroad")], capture_output=True, text=True)
+    match = re.search(r"tests\s+(\d+)\s+(\d+)\s+(\d+)\s+(\d+)", result.stdout)
+    if match is None or result.returncode not in (0, 1):
+        print(result.stdout + result.stderr)
+        return 0, 1
+    passed, failed = int(match.group(3)), int(match.group(4))
+    if failed:
+        print(result.stdout)
+    return passed, failed
+
+
+def main():
+    wanted = sys.argv[1:]
+    sys.modules["run_all"] = sys.modules["__main__"]
+    passed, failed = run_units() if not wanted else (0, 0)
+    print("unit tests: %d passed, %d failed" % (passed, failed))
+    red = known_red()
+    names = sorted(os.path.basename(p)[:-3]
+                   for p in glob.glob(os.path.join(f.ROOT, "test", "test_*.py")))
+    cases = [c for n in names for c in cases_of(importlib.import_module(n))
+             if not wanted or any(w in c[0] for w in wanted)]
+    with concurrent.futures.ThreadPoolExecutor(CASES_AT_ONCE) as pool:
+        for name, trace, seconds in pool.map(run_case, cases):
+            if trace is None:
+                passed += 1
+                note = "passes now, take it out of KNOWN-RED.txt" if name in red else ""
+                print("ok    %s (%.1f s) %s" % (name, seconds, note))
+            elif name in red:
+                print("red   %s, known (%.1f s)" % (name, seconds))
+            else:
+                failed += 1
+                print("FAIL  %s (%.1f s)\n%s" % (name, seconds, trace))
+            sys.stdout.flush()
+    print("%d passed, %d failed" % (passed, failed))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
