Orders run at most once: claims in the log, decided by reading them back

Cause: a call that may not be repeated needs one winner among routers that share nothing but the platform's log. Change: claim index (first claim of a key by offset wins; a promise never to run frees the key), 16 shards, each read and written in batches by one router chosen by rendezvous; outcome records for repeats; digests between routers over ZeroMQ (counts, leaving and slow marks, bundle version) paced by a byte limit; bundles from peers; limpetproxy, a TCP proxy that injects faults. The test that a 'not run' is true compared with runs of later repeats; it now compares attempt ids, and keys at the end of each phase.

--- a/include/limpetroad/router.h
+++ b/include/limpetroad/router.h
@@ -40,7 +40,7 @@
 /** Returns the state. */
 LimpetRouterState limpet_router_state (LimpetRouter *router);
 
-/** Returns the requests in flight. */
+/** Returns the requests in flight, and the outcomes that the log does not have yet. */
 uint32_t limpet_router_inflight (LimpetRouter *router);
 
 /** Closes the ports and stops the controllers. Requests in flight are waited for. */
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -34,7 +34,8 @@
 typedef struct
 {
   LimpetVm vm;
-  uint32_t id_hash; /**< XXH32 of the VM id */
+  uint32_t id_hash;    /**< of the VM id and its incarnation */
+  uint32_t route_hash; /**< of the VM id: a restarted VM keeps its chats */
   struct urcu_ref references;
   _Atomic int32_t own_inflight;   /**< requests of this router */
   _Atomic int32_t own_long;       /**< long ones among them */
--- /dev/null
+++ b/src/liblimpetroad/claim_controller.c
@@ -0,0 +1,657 @@
+#include "private/claim_controller.h"
+
+#include "limpetroad/counters.h"
+#include "limpetroad/logger.h"
+#include "private/worker.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SHARDS 16
+#define RESEND_MS 150
+/* After this many sends without a decision the next router is asked. */
+#define SENDS_TO_ONE_OWNER 4
+#define OUTBOX_PERIOD_MS 100
+#define OUTBOX_RESEND_MS 500
+#define OUTBOX_LIFE_MS 120000
+#define MOST_UNREPORTED 10000
+#define REMOTE_LIFE_MS 30000
+#define KEEP_PERIOD_MS 1000
+/* Time to hear the peers before shards are taken for owned. */
+#define KEEP_START_MS 3000
+
+/* A request of this router that waits for a decision. Lives on the stack of its thread.
+ */
+typedef struct
+{
+  const LimpetClaimEntry *entry;
+  LimpetClaimAnswer *answer;
+  pthread_cond_t changed;
+  bool decided;
+} Waiter;
+
+/* An outcome that the log does not have yet. */
+typedef struct
+{
+  LimpetOutcomeEntry entry;
+  LimpetMs first_ms;
+  LimpetMs sent_ms;
+  uint32_t sends;
+} Unreported;
+
+/* The router to answer about an attempt. */
+typedef struct
+{
+  char router[LIMPET_NAME_SIZE];
+  LimpetMs time_ms;
+} Remote;
+
+struct LimpetClaimController
+{
+  LimpetController parent;
+  const LimpetSettings *settings;
+  LimpetPeerController *peers;
+  LimpetClaimShard *shards[SHARDS];
+  LimpetWorker outbox_worker;
+  pthread_mutex_t lock;      /* guards the tables below; never held in calls to a shard */
+  GHashTable *waiters;       /* attempt → Waiter */
+  GHashTable *unreported;    /* attempt → Unreported */
+  GHashTable *claim_remotes; /* attempt → Remote, claims asked for by peers */
+  GHashTable *outcome_remotes; /* attempt → Remote, outcomes sent by peers */
+};
+
+static guint
+hash_id (gconstpointer data)
+{
+  guint hash;
+
+  memcpy (&hash, data, sizeof hash);
+  return hash;
+}
+
+static gboolean
+ids_are_equal (gconstpointer a, gconstpointer b)
+{
+  return limpet_claim_id_equal (a, b);
+}
+
+static uint32_t
+shard_of (const LimpetClaimId *key)
+{
+  return key->bytes[LIMPET_KEY_BYTES - 1] % SHARDS;
+}
+
+static void
+free_unreported (gpointer data)
+{
+  Unreported *unreported = data;
+
+  g_free (unreported->entry.outcome.body);
+  g_free (unreported);
+}
+
+static void
+put_remote (GHashTable *table, const LimpetClaimId *attempt, const char *router)
+{
+  Remote *remote = g_new0 (Remote, 1);
+
+  g_strlcpy (remote->router, router, sizeof remote->router);
+  remote->time_ms = limpet_clock_mono_ms ();
+  g_hash_table_replace (table, g_memdup2 (attempt, sizeof *attempt), remote);
+}
+
+static ProtobufCBinaryData
+pack_id (const LimpetClaimId *id)
+{
+  return (ProtobufCBinaryData){ .data = (uint8_t *)id->bytes, .len = sizeof id->bytes };
+}
+
+static bool
+unpack_id (const ProtobufCBinaryData *data, LimpetClaimId *id)
+{
+  if (data->len != sizeof id->bytes)
+    return false;
+  memcpy (id->bytes, data->data, sizeof id->bytes);
+  return true;
+}
+
+static void
+fill_answer (LimpetClaimAnswer *answer,
+             const LimpetClaimEntry *entry,
+             LimpetClaimResult result,
+             const LimpetClaim *claim)
+{
+  *answer = (LimpetClaimAnswer){ .result = result };
+  if (claim == NULL)
+    return;
+  answer->offset = claim->offset;
+  answer->same_request = claim->request_hash == entry->request_hash;
+  answer->has_outcome = claim->has_outcome;
+  answer->outcome = claim->outcome;
+  answer->outcome.body = g_strdup (claim->outcome.body);
+}
+
+static void
+send_reply (LimpetClaimController *self,
+            const char *router,
+            const LimpetClaimEntry *entry,
+            const LimpetClaimAnswer *answer)
+{
+  Limpet__Envelope envelope = LIMPET__ENVELOPE__INIT;
+  Limpet__ClaimReply reply = LIMPET__CLAIM_REPLY__INIT;
+
+  reply.key = pack_id (&entry->key);
+  reply.attempt = pack_id (&entry->attempt);
+  reply.result = answer->result;
+  reply.offset = answer->offset;
+  reply.same_request = answer->same_request;
+  reply.has_outcome = answer->has_outcome;
+  reply.outcome = answer->outcome.outcome;
+  reply.code = (uint32_t)answer->outcome.code;
+  reply.content_type = (char *)answer->outcome.content_type;
+  reply.has_body = answer->outcome.body != NULL;
+  if (reply.has_body)
+    reply.body = answer->outcome.body;
+  envelope.body_case = LIMPET__ENVELOPE__BODY_CLAIM_REPLY;
+  envelope.claim_reply = &reply;
+  limpet_peer_controller_send (self->peers, router, &envelope);
+}
+
+static void
+wake_waiter (LimpetClaimController *self,
+             const LimpetClaimId *attempt,
+             const LimpetClaimAnswer *answer)
+{
+  Waiter *waiter = g_hash_table_lookup (self->waiters, attempt);
+
+  if (waiter == NULL || waiter->decided)
+    return;
+  *waiter->answer = *answer;
+  waiter->answer->outcome.body = g_strdup (answer->outcome.body);
+  waiter->decided = true;
+  pthread_cond_signal (&waiter->changed);
+}
+
+static bool
+take_remote (GHashTable *table,
+             const LimpetClaimId *attempt,
+             char router[LIMPET_NAME_SIZE])
+{
+  const Remote *remote = g_hash_table_lookup (table, attempt);
+
+  if (remote == NULL)
+    return false;
+  g_strlcpy (router, remote->router, LIMPET_NAME_SIZE);
+  g_hash_table_remove (table, attempt);
+  return true;
+}
+
+static void
+on_decided (void *user,
+            const LimpetClaimEntry *entry,
+            LimpetClaimResult result,
+            const LimpetClaim *claim)
+{
+  LimpetClaimController *self = user;
+  char router[LIMPET_NAME_SIZE];
+  LimpetClaimAnswer answer;
+  bool is_remote;
+
+  fill_answer (&answer, entry, result, claim);
+  pthread_mutex_lock (&self->lock);
+  wake_waiter (self, &entry->attempt, &answer);
+  is_remote = take_remote (self->claim_remotes, &entry->attempt, router);
+  pthread_mutex_unlock (&self->lock);
+  if (is_remote)
+    send_reply (self, router, entry, &answer);
+  g_free (answer.outcome.body);
+}
+
+static void
+on_reported (void *user, const LimpetClaimId *key, const LimpetClaimId *attempt)
+{
+  LimpetClaimController *self = user;
+  Limpet__Envelope envelope = LIMPET__ENVELOPE__INIT;
+  Limpet__OutcomeAck ack = LIMPET__OUTCOME_ACK__INIT;
+  char router[LIMPET_NAME_SIZE];
+  bool is_remote;
+
+  pthread_mutex_lock (&self->lock);
+  g_hash_table_remove (self->unreported, attempt);
+  is_remote = take_remote (self->outcome_remotes, attempt, router);
+  pthread_mutex_unlock (&self->lock);
+  if (!is_remote)
+    return;
+  ack.key = pack_id (key);
+  ack.attempt = pack_id (attempt);
+  envelope.body_case = LIMPET__ENVELOPE__BODY_OUTCOME_ACK;
+  envelope.outcome_ack = &ack;
+  limpet_peer_controller_send (self->peers, router, &envelope);
+}
+
+static void
+on_claim_request (LimpetClaimController *self, const Limpet__ClaimRequest *request)
+{
+  LimpetClaimEntry entry = {
+    .request_hash = request->request_hash,
+    .issued_ms = request->issued_ms,
+  };
+
+  if (!unpack_id (&request->key, &entry.key)
+      || !unpack_id (&request->attempt, &entry.attempt))
+    return;
+  pthread_mutex_lock (&self->lock);
+  put_remote (self->claim_remotes, &entry.attempt, request->router);
+  pthread_mutex_unlock (&self->lock);
+  limpet_claim_shard_submit (self->shards[shard_of (&entry.key)], &entry);
+}
+
+static void
+on_claim_reply (LimpetClaimController *self, const Limpet__ClaimReply *reply)
+{
+  LimpetClaimId attempt;
+  LimpetClaimAnswer answer = {
+    .result = reply->result,
+    .offset = reply->offset,
+    .same_request = reply->same_request,
+    .has_outcome = reply->has_outcome,
+    .outcome = {
+      .outcome = reply->outcome,
+      .code = (int32_t)reply->code,
+      .body = reply->has_body ? reply->body : NULL,
+    },
+  };
+
+  if (!unpack_id (&reply->attempt, &attempt) || reply->result >= LIMPET_CLAIM_RESULT_COUNT
+      || reply->outcome >= LIMPET_OUTCOME_COUNT)
+    return;
+  g_strlcpy (answer.outcome.content_type, reply->content_type,
+             sizeof answer.outcome.content_type);
+  pthread_mutex_lock (&self->lock);
+  wake_waiter (self, &attempt, &answer);
+  pthread_mutex_unlock (&self->lock);
+}
+
+static void
+on_outcome_report (LimpetClaimController *self, const Limpet__OutcomeReport *report)
+{
+  LimpetOutcomeEntry entry = {
+    .outcome = {
+      .outcome = report->outcome,
+      .code = (int32_t)report->code,
+      .body = report->has_body ? report->body : NULL,
+    },
+  };
+
+  if (!unpack_id (&report->key, &entry.key)
+      || !unpack_id (&report->attempt, &entry.attempt)
+      || report->outcome >= LIMPET_OUTCOME_COUNT)
+    return;
+  g_strlcpy (entry.outcome.content_type, report->content_type,
+             sizeof entry.outcome.content_type);
+  pthread_mutex_lock (&self->lock);
+  put_remote (self->outcome_remotes, &entry.attempt, report->router);
+  pthread_mutex_unlock (&self->lock);
+  limpet_claim_shard_report (self->shards[shard_of (&entry.key)], &entry);
+}
+
+static void
+on_outcome_ack (LimpetClaimController *self, const Limpet__OutcomeAck *ack)
+{
+  LimpetClaimId attempt;
+
+  if (!unpack_id (&ack->attempt, &attempt))
+    return;
+  pthread_mutex_lock (&self->lock);
+  g_hash_table_remove (self->unreported, &attempt);
+  pthread_mutex_unlock (&self->lock);
+}
+
+static void
+on_message (void *user, const Limpet__Envelope *envelope)
+{
+  LimpetClaimController *self = user;
+
+  switch (envelope->body_case)
+    {
+    case LIMPET__ENVELOPE__BODY_CLAIM_REQUEST:
+      on_claim_request (self, envelope->claim_request);
+      break;
+    case LIMPET__ENVELOPE__BODY_CLAIM_REPLY:
+      on_claim_reply (self, envelope->claim_reply);
+      break;
+    case LIMPET__ENVELOPE__BODY_OUTCOME_REPORT:
+      on_outcome_report (self, envelope->outcome_report);
+      break;
+    case LIMPET__ENVELOPE__BODY_OUTCOME_ACK:
+      on_outcome_ack (self, envelope->outcome_ack);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Returns the router to ask in the sends-th try, this one if none is known. */
+static void
+pick_owner (LimpetClaimController *self,
+            const LimpetClaimId *key,
+            uint32_t sends,
+            char router[LIMPET_NAME_SIZE])
+{
+  uint32_t shard = shard_of (key);
+  uint32_t rank = sends / SENDS_TO_ONE_OWNER;
+
+  if (!limpet_peer_controller_owner (self->peers, shard, rank, router))
+    g_strlcpy (router, self->settings->name, LIMPET_NAME_SIZE);
+}
+
+static void
+ask_owner (LimpetClaimController *self, const LimpetClaimEntry *entry, uint32_t sends)
+{
+  Limpet__Envelope envelope = LIMPET__ENVELOPE__INIT;
+  Limpet__ClaimRequest request = LIMPET__CLAIM_REQUEST__INIT;
+  char router[LIMPET_NAME_SIZE];
+
+  pick_owner (self, &entry->key, sends, router);
+  if (strcmp (router, self->settings->name) == 0)
+    {
+      limpet_claim_shard_submit (self->shards[shard_of (&entry->key)], entry);
+      return;
+    }
+  limpet_count (LIMPET_COUNTER_CLAIM_FORWARDS, 1);
+  request.router = (char *)self->settings->name;
+  request.key = pack_id (&entry->key);
+  request.attempt = pack_id (&entry->attempt);
+  request.request_hash = entry->request_hash;
+  request.issued_ms = entry->issued_ms;
+  envelope.body_case = LIMPET__ENVELOPE__BODY_CLAIM_REQUEST;
+  envelope.claim_request = &request;
+  limpet_peer_controller_send (self->peers, router, &envelope);
+}
+
+static void
+wait_for_decision (LimpetClaimController *self, Waiter *waiter, LimpetMs until_ms)
+{
+  struct timespec until
+      = { .tv_sec = until_ms / 1000, .tv_nsec = until_ms % 1000 * 1000000 };
+
+  while (!waiter->decided && limpet_clock_mono_ms () < until_ms)
+    pthread_cond_timedwait (&waiter->changed, &self->lock, &until);
+}
+
+static void
+init_waiter (Waiter *waiter, const LimpetClaimEntry *entry, LimpetClaimAnswer *answer)
+{
+  pthread_condattr_t attributes;
+
+  *waiter = (Waiter){ .entry = entry, .answer = answer };
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&waiter->changed, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
+LimpetStatus
+limpet_claim_controller_claim (LimpetClaimController *self,
+                               const LimpetClaimEntry *entry,
+                               LimpetMs deadline_ms,
+                               LimpetClaimAnswer *answer,
+                               LimpetError *error)
+{
+  Waiter waiter;
+  uint32_t sends = 0;
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  limpet_count (LIMPET_COUNTER_CLAIMS, 1);
+  init_waiter (&waiter, entry, answer);
+  pthread_mutex_lock (&self->lock);
+  g_hash_table_insert (self->waiters, (gpointer)&entry->attempt, &waiter);
+  while (!waiter.decided && now_ms < deadline_ms)
+    {
+      pthread_mutex_unlock (&self->lock);
+      ask_owner (self, entry, sends++);
+      pthread_mutex_lock (&self->lock);
+      wait_for_decision (self, &waiter, MIN (deadline_ms, now_ms + RESEND_MS));
+      now_ms = limpet_clock_mono_ms ();
+    }
+  g_hash_table_remove (self->waiters, &entry->attempt);
+  pthread_mutex_unlock (&self->lock);
+  pthread_cond_destroy (&waiter.changed);
+  if (!waiter.decided)
+    return limpet_error_set (error, LIMPET_STATUS_TIMEOUT, "claim", "log",
+                             "the claim was not decided within the deadline");
+  if (answer->result != LIMPET_CLAIM_WON)
+    limpet_count (LIMPET_COUNTER_CLAIMS_LOST, 1);
+  return LIMPET_STATUS_OK;
+}
+
+static void
+send_outcome (LimpetClaimController *self,
+              const LimpetOutcomeEntry *entry,
+              uint32_t sends)
+{
+  Limpet__Envelope envelope = LIMPET__ENVELOPE__INIT;
+  Limpet__OutcomeReport report = LIMPET__OUTCOME_REPORT__INIT;
+  char router[LIMPET_NAME_SIZE];
+
+  pick_owner (self, &entry->key, sends, router);
+  if (strcmp (router, self->settings->name) == 0)
+    {
+      limpet_claim_shard_report (self->shards[shard_of (&entry->key)], entry);
+      return;
+    }
+  report.router = (char *)self->settings->name;
+  report.key = pack_id (&entry->key);
+  report.attempt = pack_id (&entry->attempt);
+  report.outcome = entry->outcome.outcome;
+  report.code = (uint32_t)entry->outcome.code;
+  report.content_type = (char *)entry->outcome.content_type;
+  report.has_body = entry->outcome.body != NULL;
+  if (report.has_body)
+    report.body = entry->outcome.body;
+  envelope.body_case = LIMPET__ENVELOPE__BODY_OUTCOME_REPORT;
+  envelope.outcome_report = &report;
+  limpet_peer_controller_send (self->peers, router, &envelope);
+}
+
+static LimpetOutcomeEntry *
+copy_entry (const LimpetOutcomeEntry *entry)
+{
+  LimpetOutcomeEntry *copy = g_memdup2 (entry, sizeof *entry);
+
+  copy->outcome.body = g_strdup (entry->outcome.body);
+  return copy;
+}
+
+void
+limpet_claim_controller_report (LimpetClaimController *self,
+                                const LimpetOutcomeEntry *entry)
+{
+  Unreported *unreported = g_new0 (Unreported, 1);
+
+  unreported->entry = *entry;
+  unreported->entry.outcome.body = g_strdup (entry->outcome.body);
+  unreported->first_ms = unreported->sent_ms = limpet_clock_mono_ms ();
+  unreported->sends = 1;
+  pthread_mutex_lock (&self->lock);
+  if (g_hash_table_size (self->unreported) < MOST_UNREPORTED)
+    g_hash_table_replace (self->unreported, &unreported->entry.attempt, unreported);
+  else
+    free_unreported (unreported);
+  pthread_mutex_unlock (&self->lock);
+  send_outcome (self, entry, 0);
+}
+
+/* Copies the outcomes that are due to be sent again. */
+static GPtrArray *
+collect_due (LimpetClaimController *self, LimpetMs now_ms, GArray *sends)
+{
+  GPtrArray *due = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->unreported);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Unreported *unreported = value;
+
+      if (now_ms - unreported->first_ms > OUTBOX_LIFE_MS)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      if (now_ms - unreported->sent_ms < OUTBOX_RESEND_MS)
+        continue;
+      unreported->sent_ms = now_ms;
+      g_ptr_array_add (due, copy_entry (&unreported->entry));
+      g_array_append_val (sends, unreported->sends);
+      unreported->sends++;
+    }
+  return due;
+}
+
+static gboolean
+remote_is_old (gpointer key, gpointer value, gpointer user)
+{
+  (void)key;
+  return ((const Remote *)value)->time_ms < *(const LimpetMs *)user;
+}
+
+static void
+keep_owned_shards (LimpetClaimController *self)
+{
+  char owner[LIMPET_NAME_SIZE];
+
+  for (uint32_t i = 0; i < SHARDS; i++)
+    if (limpet_peer_controller_owner (self->peers, i, 0, owner)
+        && strcmp (owner, self->settings->name) == 0)
+      limpet_claim_shard_keep (self->shards[i]);
+}
+
+static void
+run_outbox (void *user)
+{
+  LimpetClaimController *self = user;
+  LimpetMs keep_ms = limpet_clock_mono_ms () + KEEP_START_MS;
+
+  while (limpet_worker_wait (&self->outbox_worker, OUTBOX_PERIOD_MS))
+    {
+      GArray *sends = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      LimpetMs now_ms = limpet_clock_mono_ms ();
+      LimpetMs oldest_ms = now_ms - REMOTE_LIFE_MS;
+      GPtrArray *due;
+
+      if (now_ms >= keep_ms)
+        {
+          keep_owned_shards (self);
+          keep_ms = now_ms + KEEP_PERIOD_MS;
+        }
+      pthread_mutex_lock (&self->lock);
+      due = collect_due (self, now_ms, sends);
+      g_hash_table_foreach_remove (self->claim_remotes, remote_is_old, &oldest_ms);
+      g_hash_table_foreach_remove (self->outcome_remotes, remote_is_old, &oldest_ms);
+      pthread_mutex_unlock (&self->lock);
+      for (guint i = 0; i < due->len; i++)
+        {
+          LimpetOutcomeEntry *entry = g_ptr_array_index (due, i);
+
+          send_outcome (self, entry, g_array_index (sends, uint32_t, i));
+          g_free (entry->outcome.body);
+          g_free (entry);
+        }
+      g_ptr_array_free (due, TRUE);
+      g_array_free (sends, TRUE);
+    }
+}
+
+uint32_t
+limpet_claim_controller_unreported (LimpetClaimController *self)
+{
+  uint32_t count;
+
+  pthread_mutex_lock (&self->lock);
+  count = g_hash_table_size (self->unreported);
+  pthread_mutex_unlock (&self->lock);
+  return count;
+}
+
+static void
+start (LimpetController *controller)
+{
+  LimpetClaimController *self = (LimpetClaimController *)controller;
+  LimpetClaimShardObserver observer = {
+    .decided = on_decided,
+    .reported = on_reported,
+    .user = self,
+  };
+
+  for (uint32_t i = 0; i < SHARDS; i++)
+    self->shards[i] = limpet_claim_shard_new (
+        self->settings->log_url, i, self->settings->log_retention_ms, &observer);
+  limpet_peer_controller_set_handler (self->peers, on_message, self);
+  limpet_worker_start (&self->outbox_worker, run_outbox, self);
+}
+
+static void
+stop (LimpetController *controller)
+{
+  LimpetClaimController *self = (LimpetClaimController *)controller;
+
+  limpet_worker_stop (&self->outbox_worker);
+  for (uint32_t i = 0; i < SHARDS; i++)
+    limpet_claim_shard_stop (self->shards[i]);
+}
+
+static void
+dump (LimpetController *controller, json_object *object)
+{
+  LimpetClaimController *self = (LimpetClaimController *)controller;
+  json_object *shards = json_object_new_array ();
+
+  for (uint32_t i = 0; i < SHARDS; i++)
+    limpet_claim_shard_dump (self->shards[i], shards);
+  json_object_object_add (object, "shards", shards);
+  json_object_object_add (
+      object, "unreported",
+      json_object_new_int64 (limpet_claim_controller_unreported (self)));
+}
+
+static void
+free_controller (LimpetController *controller)
+{
+  LimpetClaimController *self = (LimpetClaimController *)controller;
+
+  for (uint32_t i = 0; i < SHARDS; i++)
+    limpet_claim_shard_delete (self->shards[i]);
+  g_hash_table_destroy (self->waiters);
+  g_hash_table_destroy (self->unreported);
+  g_hash_table_destroy (self->claim_remotes);
+  g_hash_table_destroy (self->outcome_remotes);
+  pthread_mutex_destroy (&self->lock);
+  g_free (self);
+}
+
+static const LimpetControllerOps ops = {
+  .name = "claims",
+  .start = start,
+  .stop = stop,
+  .dump = dump,
+  .free = free_controller,
+};
+
+LimpetClaimController *
+limpet_claim_controller_new (const LimpetSettings *settings, LimpetPeerController *peers)
+{
+  LimpetClaimController *self = g_new0 (LimpetClaimController, 1);
+
+  self->parent.ops = &ops;
+  self->settings = settings;
+  self->peers = peers;
+  pthread_mutex_init (&self->lock, NULL);
+  self->waiters = g_hash_table_new (hash_id, ids_are_equal);
+  self->unreported
+      = g_hash_table_new_full (hash_id, ids_are_equal, NULL, free_unreported);
+  self->claim_remotes = g_hash_table_new_full (hash_id, ids_are_equal, g_free, g_free);
+  self->outcome_remotes = g_hash_table_new_full (hash_id, ids_are_equal, g_free, g_free);
+  return self;
+}
--- /dev/null
+++ b/src/liblimpetroad/digest.c
@@ -0,0 +1,214 @@
+#include "private/digest.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define WEIGHT_UNIT 4
+#define NIBBLE_MOST 15
+#define BYTE_MOST 255
+
+static int32_t
+clamp_count (int32_t value)
+{
+  return CLAMP (value, 0, BYTE_MOST);
+}
+
+static size_t
+put_count (uint8_t *out, uint32_t bits, uint32_t index, int32_t value)
+{
+  if (bits == 8)
+    {
+      out[index] = (uint8_t)value;
+      return index + 1;
+    }
+  if (index % 2 == 0)
+    out[index / 2] = (uint8_t)value;
+  else
+    out[index / 2] |= (uint8_t)(value << 4);
+  return index / 2 + 1;
+}
+
+static uint8_t
+get_count (const ProtobufCBinaryData *data, uint32_t bits, uint32_t index)
+{
+  if (data->len == 0)
+    return 0;
+  if (bits == 8)
+    return data->data[index];
+  return (data->data[index / 2] >> (index % 2 * 4)) & NIBBLE_MOST;
+}
+
+static void
+pack_marks (Limpet__Digest *digest,
+            const LimpetTargetView *view,
+            LimpetDigestBuffers *buffers)
+{
+  digest->leaving = buffers->leaving;
+  digest->slow_ids = buffers->slow_ids;
+  digest->slow_weights.data = buffers->slow_weights;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      const LimpetTarget *target = view->targets[i];
+      int32_t weight = atomic_load (&target->own_weight);
+
+      if (atomic_load (&target->leaving))
+        buffers->leaving[digest->n_leaving++] = target->id_hash;
+      if (weight >= LIMPET_WEIGHT_FULL)
+        continue;
+      buffers->slow_ids[digest->n_slow_ids++] = target->id_hash;
+      buffers->slow_weights[digest->slow_weights.len++] = (uint8_t)(weight / WEIGHT_UNIT);
+    }
+}
+
+void
+limpet_digest_pack (Limpet__Digest *digest,
+                    const LimpetTargetView *view,
+                    bool with_ids,
+                    LimpetDigestBuffers *buffers)
+{
+  bool any_long = false;
+  size_t length = 0;
+
+  digest->count_bits = 4;
+  for (uint32_t i = 0; i < view->count; i++)
+    if (atomic_load (&view->targets[i]->own_inflight) > NIBBLE_MOST)
+      digest->count_bits = 8;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      int32_t own = clamp_count (atomic_load (&view->targets[i]->own_inflight));
+      int32_t own_long
+          = MIN (own, clamp_count (atomic_load (&view->targets[i]->own_long)));
+
+      if (digest->count_bits == 4)
+        {
+          own = MIN (own, NIBBLE_MOST);
+          own_long = MIN (own_long, NIBBLE_MOST);
+        }
+      length = put_count (buffers->counts, digest->count_bits, i, own);
+      put_count (buffers->long_counts, digest->count_bits, i, own_long);
+      any_long = any_long || own_long > 0;
+      buffers->ids[i] = view->targets[i]->id_hash;
+    }
+  digest->fingerprint = view->fingerprint;
+  digest->counts = (ProtobufCBinaryData){ .data = buffers->counts, .len = length };
+  if (any_long)
+    digest->long_counts
+        = (ProtobufCBinaryData){ .data = buffers->long_counts, .len = length };
+  if (with_ids)
+    {
+      digest->ids = buffers->ids;
+      digest->n_ids = view->count;
+    }
+  pack_marks (digest, view, buffers);
+}
+
+static void
+set_weight (LimpetPeerCounts *counts, uint32_t id_hash, int32_t weight)
+{
+  for (uint32_t i = 0; i < counts->count; i++)
+    if (counts->counts[i].id_hash == id_hash)
+      counts->counts[i].weight = weight;
+}
+
+static bool
+lengths_fit (const Limpet__Digest *digest, uint32_t count)
+{
+  size_t length = digest->count_bits == 8 ? count : (count + 1) / 2;
+
+  return (digest->count_bits == 4 || digest->count_bits == 8)
+         && digest->counts.len == length
+         && (digest->long_counts.len == 0 || digest->long_counts.len == length)
+         && digest->slow_weights.len == digest->n_slow_ids;
+}
+
+bool
+limpet_digest_unpack (const Limpet__Digest *digest,
+                      const LimpetTargetView *view,
+                      LimpetPeerCounts *counts)
+{
+  bool aligned = digest->n_ids == 0;
+  uint32_t count = (uint32_t)digest->n_ids;
+
+  limpet_digest_clear (counts);
+  if (aligned && digest->fingerprint != view->fingerprint)
+    return true;
+  if (aligned)
+    count = view->count;
+  if (count > LIMPET_MAX_TARGETS || !lengths_fit (digest, count))
+    return false;
+  counts->fingerprint = aligned ? digest->fingerprint : 0;
+  counts->count = count;
+  counts->counts = g_new0 (LimpetPeerCount, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    counts->counts[i] = (LimpetPeerCount){
+      .id_hash = aligned ? view->targets[i]->id_hash : digest->ids[i],
+      .inflight = get_count (&digest->counts, digest->count_bits, i),
+      .long_inflight = get_count (&digest->long_counts, digest->count_bits, i),
+      .weight = LIMPET_WEIGHT_FULL,
+    };
+  for (size_t i = 0; i < digest->n_slow_ids; i++)
+    set_weight (counts, digest->slow_ids[i], digest->slow_weights.data[i] * WEIGHT_UNIT);
+  return true;
+}
+
+void
+limpet_digest_clear (LimpetPeerCounts *counts)
+{
+  g_free (counts->counts);
+  *counts = (LimpetPeerCounts){ .count = 0 };
+}
+
+void
+limpet_digest_mark_leaving (const Limpet__Digest *digest, const LimpetTargetView *view)
+{
+  for (size_t i = 0; i < digest->n_leaving; i++)
+    {
+      LimpetTarget *target = limpet_target_view_find (view, digest->leaving[i]);
+
+      if (target != NULL)
+        limpet_target_mark_leaving (target, digest->router);
+    }
+}
+
+static const LimpetPeerCount *
+find_count (const LimpetPeerCounts *counts, const LimpetTargetView *view, uint32_t index)
+{
+  uint32_t id_hash = view->targets[index]->id_hash;
+
+  if (counts->fingerprint == view->fingerprint && index < counts->count)
+    return &counts->counts[index];
+  for (uint32_t i = 0; i < counts->count; i++)
+    if (counts->counts[i].id_hash == id_hash)
+      return &counts->counts[i];
+  return NULL;
+}
+
+void
+limpet_digest_sum (const LimpetTargetView *view,
+                   const LimpetPeerCounts *const *counts,
+                   uint32_t count,
+                   LimpetMs weight_until_ms)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      LimpetTarget *target = view->targets[i];
+      int32_t inflight = 0;
+      int32_t long_inflight = 0;
+      int32_t weight = LIMPET_WEIGHT_FULL;
+
+      for (uint32_t p = 0; p < count; p++)
+        {
+          const LimpetPeerCount *entry = find_count (counts[p], view, i);
+
+          if (entry == NULL)
+            continue;
+          inflight += entry->inflight;
+          long_inflight += entry->long_inflight;
+          weight = MIN (weight, entry->weight);
+        }
+      atomic_store (&target->peers_inflight, inflight);
+      atomic_store (&target->peers_long, long_inflight);
+      atomic_store (&target->peers_weight, weight);
+      atomic_store (&target->peers_weight_until_ms, weight_until_ms);
+    }
+}
--- a/src/liblimpetroad/policy.c
+++ b/src/liblimpetroad/policy.c
@@ -19,7 +19,7 @@
 double
 limpet_policy_score (const LimpetTarget *target, uint64_t key_hash)
 {
-  uint64_t hash = XXH64 (&key_hash, sizeof key_hash, target->id_hash);
+  uint64_t hash = XXH64 (&key_hash, sizeof key_hash, target->route_hash);
   double uniform = ((double)(hash >> 11) + 0.5) / (double)(UINT64_C (1) << 53);
 
   return -(double)target->vm.slots / log (uniform);
@@ -39,7 +39,8 @@
 {
   return target->vm.kind == request->kind
          && strcmp (target->vm.group, request->group) == 0
-         && limpet_target_is_open (target, now_ms);
+         && (request->ignore_rest ? !atomic_load (&target->leaving)
+                                  : limpet_target_is_open (target, now_ms));
 }
 
 static bool
@@ -258,11 +259,25 @@
   return NULL;
 }
 
+static bool
+has_member (const LimpetRouteRequest *request,
+            const LimpetTargetView *view,
+            LimpetMs now_ms)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    if (is_member (request, view->targets[i], now_ms))
+      return true;
+  return false;
+}
+
 LimpetTarget *
 limpet_policy_choose (const LimpetPolicy *policy,
                       const LimpetRouteRequest *request,
                       const LimpetTargetView *view,
                       LimpetMs now_ms)
 {
-  return policy->ops->choose (policy, request, view, now_ms);
+  LimpetRouteRequest widened = *request;
+
+  widened.ignore_rest = !has_member (request, view, now_ms);
+  return policy->ops->choose (policy, &widened, view, now_ms);
 }
--- a/src/liblimpetroad/private/call.h
+++ b/src/liblimpetroad/private/call.h
@@ -30,6 +30,7 @@
   struct mg_connection *connection;
   const struct mg_request_info *info;
   char request_id[LIMPET_ATTEMPT_ID_SIZE];
+  char attempt_id[LIMPET_ATTEMPT_ID_SIZE]; /* of an order, else empty */
   LimpetMs received_ms;
   LimpetBundle *bundle;
   const LimpetTeam *team;
--- a/src/liblimpetroad/reply.c
+++ b/src/liblimpetroad/reply.c
@@ -29,12 +29,15 @@
                    size_t length)
 {
   bool draining = atomic_load (&call->context->draining);
+  char attempt[64] = "";
 
+  if (call->attempt_id[0] != '\0')
+    g_snprintf (attempt, sizeof attempt, "X-Attempt-Id: %s\r\n", call->attempt_id);
   mg_printf (call->connection,
              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-             "X-Request-Id: %s\r\nX-Outcome: %s\r\n%s%s\r\n",
+             "X-Request-Id: %s\r\nX-Outcome: %s\r\n%s%s%s\r\n",
              code, limpet_reply_reason (code), content_type, length, call->request_id,
-             limpet_outcome_string[call->outcome],
+             limpet_outcome_string[call->outcome], attempt,
              draining ? "Connection: close\r\n" : "", extra_headers);
   mg_write (call->connection, body, length);
 }
--- a/src/liblimpetroad/router.c
+++ b/src/liblimpetroad/router.c
@@ -3,6 +3,7 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
 #include "private/call.h"
+#include "private/peer_controller.h"
 #include "private/target_controller.h"
 
 #include <curl/curl.h>
@@ -26,6 +27,7 @@
   const LimpetSettings *settings;
   LimpetCallContext context;
   LimpetTargetController *target_controller;
+  LimpetPeerController *peer_controller;
   LimpetController *controllers[MOST_CONTROLLERS];
   uint32_t controllers_count;
   struct mg_context *callers;
@@ -61,7 +63,8 @@
 uint32_t
 limpet_router_inflight (LimpetRouter *router)
 {
-  return atomic_load (&router->context.inflight);
+  return atomic_load (&router->context.inflight)
+         + limpet_claim_controller_unreported (router->context.claims);
 }
 
 static int
@@ -274,7 +277,15 @@
   };
   router->target_controller = limpet_target_controller_new (
       router->settings, context->targets, context->bundles);
+  router->peer_controller = limpet_peer_controller_new (
+      router->settings, context->targets, context->bundles, context->chat.admission);
+  context->claims
+      = limpet_claim_controller_new (router->settings, router->peer_controller);
+  limpet_target_controller_observe (
+      router->target_controller, limpet_peer_controller_update, router->peer_controller);
   add_controller (router, (LimpetController *)context->bundles);
+  add_controller (router, (LimpetController *)context->claims);
+  add_controller (router, (LimpetController *)router->peer_controller);
   add_controller (router, (LimpetController *)router->target_controller);
 }
 
@@ -305,6 +316,7 @@
 void
 limpet_router_drain (LimpetRouter *router)
 {
+  limpet_peer_controller_drain (router->peer_controller);
   if (!atomic_exchange (&router->context.draining, true))
     limpet_log (LIMPET_LOG_NOTICE, "router", NULL, "draining, %u requests in flight",
                 limpet_router_inflight (router));
--- /dev/null
+++ b/src/liblimpetroad/service_call.c
@@ -0,0 +1,142 @@
+#include "private/service_call.h"
+
+#include "limpetroad/counters.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+#define MOST_TRIES 4
+#define RETRY_JITTER_MS 20
+
+static LimpetStatus
+acquire (LimpetServiceCall *self)
+{
+  LimpetAdmission *admission = self->call->context->chat.admission;
+  LimpetRouteRequest *route = &self->admission.route;
+  LimpetMs retry_after_ms = 0;
+
+  randombytes_buf (&route->seed, sizeof route->seed);
+  route->key_hash = route->seed;
+  self->request.target = NULL;
+  if (route->excluded_count > 0)
+    self->request.target = limpet_admission_try (admission, &self->admission);
+  if (self->request.target != NULL)
+    return LIMPET_STATUS_OK;
+  route->excluded_count = 0;
+  return limpet_admission_acquire (admission, &self->admission, &self->request.target,
+                                   &retry_after_ms, &self->error);
+}
+
+static void
+note_status (LimpetServiceCall *self, LimpetTarget *target, LimpetStatus status)
+{
+  LimpetRouteRequest *route = &self->admission.route;
+
+  if (status == LIMPET_STATUS_REFUSED && self->answer.answer.leaving)
+    limpet_target_mark_leaving (target, "its own refusal");
+  else if (status != LIMPET_STATUS_REFUSED && status != LIMPET_STATUS_INVALID)
+    limpet_target_note_result (target, status);
+  if (status != LIMPET_STATUS_REFUSED && status != LIMPET_STATUS_UNREACHABLE)
+    self->may_have_run = true;
+  if (route->excluded_count < LIMPET_MAX_EXCLUDED)
+    route->excluded[route->excluded_count++] = target;
+}
+
+static LimpetStatus
+try_once (LimpetServiceCall *self)
+{
+  LimpetTarget *target;
+  LimpetStatus status = acquire (self);
+
+  if (status != LIMPET_STATUS_OK)
+    return status;
+  target = self->request.target;
+  limpet_service_answer_clear (&self->answer);
+  status = limpet_service_exchange (&self->request, &self->answer, &self->error);
+  note_status (self, target, status);
+  limpet_admission_release (self->call->context->chat.admission, target, self->call->team,
+                            false);
+  return status;
+}
+
+static bool
+is_final (LimpetStatus status)
+{
+  return status == LIMPET_STATUS_OK || status == LIMPET_STATUS_INVALID
+         || status == LIMPET_STATUS_OVERLOADED;
+}
+
+static bool
+may_repeat (const LimpetServiceCall *self, LimpetStatus status)
+{
+  if (limpet_clock_mono_ms () >= self->call->deadline_ms)
+    return false;
+  if (status == LIMPET_STATUS_REFUSED || status == LIMPET_STATUS_UNREACHABLE)
+    return true;
+  return self->may_be_repeated && limpet_budget_spend (self->call->context->chat.budget);
+}
+
+LimpetStatus
+limpet_service_call_run (LimpetServiceCall *self)
+{
+  LimpetStatus status = try_once (self);
+
+  for (int tries = 1;
+       tries < MOST_TRIES && !is_final (status) && may_repeat (self, status); tries++)
+    {
+      limpet_count (LIMPET_COUNTER_RETRIES, 1);
+      limpet_clock_sleep_ms (randombytes_uniform (RETRY_JITTER_MS));
+      status = try_once (self);
+    }
+  return status;
+}
+
+void
+limpet_service_call_init (LimpetServiceCall *self, LimpetCall *call)
+{
+  LimpetMs left_ms = call->deadline_ms - limpet_clock_mono_ms ();
+
+  *self = (LimpetServiceCall){
+    .call = call,
+    .may_be_repeated = true,
+    .admission = {
+      .bundle = call->bundle,
+      .team = call->team,
+      .deadline_ms = call->deadline_ms,
+      .route = {
+        .group = call->service->name,
+        .kind = LIMPET_VM_SERVICE,
+        .fleet = &call->bundle->fleet,
+      },
+    },
+    .request = {
+      .method = call->info->request_method,
+      .path = call->service_path,
+      .content_type = limpet_call_header (call, "Content-Type"),
+      .body = call->body_length > 0 ? call->body : NULL,
+      .body_length = call->body_length,
+      .request_id = call->request_id,
+      .timeout_ms = CLAMP (left_ms, 1, call->service->timeout_ms),
+    },
+  };
+}
+
+void
+limpet_service_call_clear (LimpetServiceCall *self)
+{
+  limpet_service_answer_clear (&self->answer);
+}
+
+void
+limpet_service_call_reply (LimpetServiceCall *self, LimpetStatus status)
+{
+  const LimpetServiceAnswer *answer = &self->answer;
+  const char *type = answer->answer.content_type;
+
+  self->call->outcome
+      = status == LIMPET_STATUS_OK ? LIMPET_OUTCOME_DONE : LIMPET_OUTCOME_FAILED;
+  limpet_reply_body (self->call, (int)answer->answer.code,
+                     type[0] != '\0' ? type : "application/octet-stream", "",
+                     answer->body->str, answer->body->len);
+}
--- a/src/liblimpetroad/targets.c
+++ b/src/liblimpetroad/targets.c
@@ -115,7 +115,8 @@
   LimpetTarget *target = g_new0 (LimpetTarget, 1);
 
   target->vm = *vm;
-  target->id_hash = XXH32 (vm->id, strlen (vm->id), 0);
+  target->id_hash = XXH32 (vm->id, strlen (vm->id), (uint32_t)vm->incarnation);
+  target->route_hash = XXH32 (vm->id, strlen (vm->id), 0);
   urcu_ref_init (&target->references);
   pthread_mutex_init (&target->lock, NULL);
   atomic_store (&target->reported_inflight, -1);
--- a/src/limpetfake/service.c
+++ b/src/limpetfake/service.c
@@ -150,6 +150,6 @@
   pthread_mutex_init (&state.lock, NULL);
   state.ledger = g_string_new (NULL);
   mg_set_request_handler (server, "/", handle_call, NULL);
-  mg_set_request_handler (server, "/fake/ledger$", handle_ledger, NULL);
-  mg_set_request_handler (server, "/fake/fault$", handle_fault, NULL);
+  mg_set_request_handler (server, "/fake/ledger", handle_ledger, NULL);
+  mg_set_request_handler (server, "/fake/fault", handle_fault, NULL);
 }
--- /dev/null
+++ b/src/limpetproxy/main.c
@@ -0,0 +1,140 @@
+#include "pump.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A TCP proxy that injects faults. Links are given as NAME:PORT:TARGET_PORT. A fault is
+ * set by POST /fault on the control port: {"link": NAME, FIELD: number, …}, where FIELD
+ * is one of ProxyFault's, or "cut" or "silence" for the connections that are open. Each
+ * is logged. */
+
+#define MOST_LINKS 64
+
+static ProxyLink links[MOST_LINKS];
+static int links_count;
+
+static ProxyLink *
+find_link (const char *name)
+{
+  for (int i = 0; i < links_count; i++)
+    if (name != NULL && strcmp (links[i].name, name) == 0)
+      return &links[i];
+  return NULL;
+}
+
+static void
+read_number (json_object *object, const char *key, int64_t *value)
+{
+  json_object *field = NULL;
+
+  if (json_object_object_get_ex (object, key, &field))
+    *value = json_object_get_int64 (field);
+}
+
+static void
+apply_fault (ProxyLink *link, json_object *object)
+{
+  int64_t cut = 0;
+  int64_t silence = 0;
+
+  pthread_mutex_lock (&link->lock);
+  read_number (object, "refuse", &link->fault.refuse);
+  read_number (object, "delay_ms", &link->fault.delay_ms);
+  read_number (object, "drip_bytes", &link->fault.drip_bytes);
+  read_number (object, "drop_up", &link->fault.drop_up);
+  read_number (object, "drop_down", &link->fault.drop_down);
+  read_number (object, "lose_answers", &link->fault.lose_answers);
+  read_number (object, "duplicate", &link->fault.duplicate);
+  read_number (object, "cut_after", &link->fault.cut_after);
+  pthread_mutex_unlock (&link->lock);
+  read_number (object, "cut", &cut);
+  read_number (object, "silence", &silence);
+  if (cut != 0)
+    proxy_link_cut (link);
+  if (silence != 0)
+    proxy_link_silence (link);
+}
+
+static int
+handle_fault (struct mg_connection *connection, void *user)
+{
+  char body[2048] = "";
+  int length = 0;
+  int got;
+  json_object *object;
+  ProxyLink *link;
+
+  (void)user;
+  while (length < (int)sizeof body - 1
+         && (got = mg_read (connection, body + length, sizeof body - 1 - (size_t)length))
+                > 0)
+    length += got;
+  object = json_tokener_parse (body);
+  link = find_link (json_object_get_string (json_object_object_get (object, "link")));
+  if (link != NULL)
+    apply_fault (link, object);
+  fprintf (stderr, "fault %s\n", body);
+  json_object_put (object);
+  mg_printf (connection, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n",
+             link != NULL ? 200 : 404);
+  return 200;
+}
+
+static bool
+add_link (const char *text)
+{
+  char **parts = g_strsplit (text, ":", 3);
+  ProxyLink *link = &links[links_count];
+  bool good = g_strv_length (parts) == 3 && links_count < MOST_LINKS;
+
+  if (good)
+    {
+      g_strlcpy (link->name, parts[0], sizeof link->name);
+      g_strlcpy (link->address, "127.0.0.1", sizeof link->address);
+      link->port = (int)g_ascii_strtoll (parts[1], NULL, 10);
+      link->target_port = (int)g_ascii_strtoll (parts[2], NULL, 10);
+      good = proxy_link_start (link);
+      links_count++;
+    }
+  g_strfreev (parts);
+  return good;
+}
+
+int
+main (int argc, char **argv)
+{
+  char port[80];
+  const char *options[] = { "listening_ports", port, "num_threads", "4", NULL };
+  struct mg_context *server;
+  sigset_t signals;
+  int number = 0;
+
+  if (argc < 3)
+    {
+      fprintf (stderr, "usage: limpetproxy CONTROL_PORT NAME:PORT:TARGET_PORT…\n");
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  for (int i = 2; i < argc; i++)
+    if (!add_link (argv[i]))
+      {
+        fprintf (stderr, "limpetproxy: %s: want NAME:PORT:TARGET_PORT with a free port\n",
+                 argv[i]);
+        return EXIT_FAILURE;
+      }
+  g_snprintf (port, sizeof port, "127.0.0.1:%s", argv[1]);
+  mg_init_library (0);
+  server = mg_start (NULL, NULL, options);
+  if (server == NULL)
+    return EXIT_FAILURE;
+  mg_set_request_handler (server, "/fault$", handle_fault, NULL);
+  sigwait (&signals, &number);
+  _Exit (EXIT_SUCCESS);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/main.c
@@ -0,0 +1,7 @@
+#include <CUnit/Basic.h>
+
+int
+main (void)
+{
+  return 0;
+}
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -18,14 +19,31 @@
 MODEL = "kit-7b"
 
 
+PORTS = range(12000, 32000)  # below the range that outgoing connections take
+port_lock = threading.Lock()
+next_port = os.getpid() * 769 % len(PORTS)
+
+
+def is_free(port):
+    with socket.socket() as s:
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            s.bind(("127.0.0.1", port))
+            return True
+        except OSError:
+            return False
+
+
 def free_ports(count):
-    """Returns ports that are free now, held open until all are found."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that nothing listens on, each handed out once by this process."""
+    global next_port
+    ports = []
+    with port_lock:
+        while len(ports) < count:
+            port = PORTS[next_port % len(PORTS)]
+            next_port += 1
+            if is_free(port):
+                ports.append(port)
     return ports
 
 
@@ -101,10 +119,11 @@
 
     def __init__(self, routers=3, engines=4, services=1, teams=3, fleet=None, engine_options=None,
                  log_options=None, idempotent=False, retention_ms=3600000, workers=256,
-                 control_bytes_per_s=2500, service_options=None, proxy=None):
+                 control_bytes_per_s=2500, service_options=None, proxied=()):
         self.directory = tempfile.mkdtemp(prefix="limpet-")
         self.processes = []
-        self.proxy_roles = proxy or {}
+        self.proxied = set(proxied)
+        self.proxy_port = None
         self.routers, self.engines, self.services = [], [], []
         self.teams = ["team-%d" % i for i in range(teams)]
         self.fleet_part = fleet or {}
@@ -123,8 +142,42 @@
         self.approver = self.make_key("amina")
         for i in range(routers):
             self.prepare_router("r%02d" % i)
+        self.start_proxy()
         self.push_vms()
 
+    def start_proxy(self):
+        """Puts the proxy before each of "log", "engines", "services", "peers" that is named, and
+        "callers"; the links are "log-R" for router R, or the VM ids."""
+        links = []
+        if "engines" in self.proxied:
+            links += [(e["id"], e, "shown_port", e["port"]) for e in self.engines]
+        if "services" in self.proxied:
+            links += [(s["id"], s, "shown_port", s["port"]) for s in self.services]
+        if "peers" in self.proxied:
+            links += [(r["id"], r, "shown_port", r["peers"]) for r in self.routers]
+        if "callers" in self.proxied:
+            links += [("callers-" + r["id"], r, "proxied_port", r["port"]) for r in self.routers]
+        if "log" in self.proxied:
+            links += [("log-" + r["id"], r, "log_port", self.log_port) for r in self.routers]
+        if not links:
+            return
+        ports = free_ports(len(links) + 1)
+        self.proxy_port = ports[-1]
+        arguments = []
+        for (name, entry, field, target), port in zip(links, ports):
+            entry[field] = port
+            arguments.append("%s:%d:%d" % (name, port, target))
+        self.spawn("proxy", [program("limpetproxy"), self.proxy_port, *arguments])
+        wait_for(lambda: socket.create_connection(("127.0.0.1", self.proxy_port), 1).close()
+                 or True, "proxy")
+        for router in self.routers:
+            self.write_settings(router)
+
+    def proxy(self, link, **fault):
+        """Sets a fault on a link of the proxy."""
+        status = request(self.proxy_port, "POST", "/fault", dict(fault, link=link))[0]
+        assert status == 200, "no proxy link " + link
+
     def spawn(self, name, arguments):
         process = Process([str(a) for a in arguments], os.path.join(self.directory, name + ".log"))
         self.processes.append(process)
@@ -165,7 +218,7 @@
 
     def settings(self, router):
         return {
-            "name": router["id"], "zone": ZONES[len(self.routers) % len(ZONES)],
+            "name": router["id"], "zone": router["zone"],
             "callers": {"address": "127.0.0.1", "port": router["port"]},
             "operators": {"address": "127.0.0.1", "port": router["operators"]},
             "peers": {"address": "127.0.0.1", "port": router["peers"]},
@@ -181,11 +234,15 @@
         router = {"id": vm_id, "port": ports[0], "operators": ports[1], "peers": ports[2],
                   "log_port": self.log_port, "incarnation": 1, "leaving": False,
                   "settings": os.path.join(self.directory, vm_id + ".json")}
+        router["zone"] = ZONES[len(self.routers) % len(ZONES)]
+        self.write_settings(router)
+        self.routers.append(router)
+        return router
+
+    def write_settings(self, router):
         with open(router["settings"], "w") as f:
             f.write("// settings of one router\n")
             json.dump(self.settings(router), f)
-        self.routers.append(router)
-        return router
 
     def start_router(self, router, wait=True):
         router["process"] = self.spawn(router["id"], [program("limpetroadd"), router["settings"]])
@@ -251,6 +308,19 @@
         port = entry_or_port if isinstance(entry_or_port, int) else entry_or_port["port"]
         request(port, "POST", "/fake/fault", fault)
 
+    def runs(self):
+        """Returns the number of runs of each idempotency key, by the services' ledgers."""
+        counts = {}
+        for service in self.services:
+            for run in get_json(service["port"], "/fake/ledger")["runs"]:
+                counts[run["key"]] = counts.get(run["key"], 0) + 1
+        return counts
+
+    def attempts_run(self):
+        """Returns the attempt ids that ran, by the services' ledgers."""
+        return {run["attempt"] for service in self.services
+                for run in get_json(service["port"], "/fake/ledger")["runs"]}
+
     def stats(self, entry):
         return get_json(entry["port"], "/fake/stats")
 
@@ -296,6 +366,30 @@
         return self.complete and self.tokens == ["%s.%d" % (tag, i) for i in range(count)]
 
 
+def order_key(text=""):
+    """Returns a fresh idempotency key; it carries its time of issue."""
+    return "%d-%s" % (time.time() * 1000, (text + os.urandom(6).hex())[:60])
+
+
+class OrderAnswer:
+    """What a caller was told about one order."""
+
+    def __init__(self, status, outcome, body, headers):
+        self.status, self.outcome, self.body, self.headers = status, outcome, body, headers
+
+
+def order(port, team_key, key, body="reserve 10 gloves", deadline_ms=3000, timeout=30):
+    """Sends one order; returns None if the router did not answer."""
+    headers = {"Authorization": "Bearer " + team_key, "Idempotency-Key": key,
+               "X-Deadline-Ms": str(deadline_ms), "Content-Type": "text/plain"}
+    try:
+        status, answer_headers, text = request(port, "POST", "/v1/services/booking/reserve", body,
+                                               headers, timeout)
+    except (OSError, http.client.HTTPException):
+        return None
+    return OrderAnswer(status, answer_headers.get("X-Outcome"), text, answer_headers)
+
+
 def chat_body(tag, max_tokens=16, history="", stream=True):
     messages = [{"role": "system", "content": "You draft loan plans for youth groups. " * 8}]
     if history:
