--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -29,6 +29,8 @@
   GHashTable *team_usage; /* team name → requests in flight here */
   uint64_t next_order;
   uint32_t routers;
+  void (*near_bound) (void *user);
+  void *near_bound_user;
   double release_gap_ms; /* moving average of the time between releases */
   LimpetMs last_release_ms;
 };
@@ -120,6 +122,9 @@
         atomic_fetch_add (&target->own_long, 1);
       if (request->team != NULL)
         add_team_inflight (admission, request->team, 1);
+      if (admission->near_bound != NULL && request->route.kind == LIMPET_VM_ENGINE
+          && limpet_policy_is_near_bound (&request->route, view, target, limpet_clock_mono_ms ()))
+        admission->near_bound (admission->near_bound_user);
     }
   limpet_target_view_release (view);
   return target;
@@ -335,6 +340,14 @@
   pthread_mutex_unlock (&admission->lock);
 }
 
+void
+limpet_admission_set_observer (LimpetAdmission *admission, void (*near_bound) (void *user),
+                               void *user)
+{
+  admission->near_bound_user = user;
+  admission->near_bound = near_bound;
+}
+
 void
 limpet_admission_dump (LimpetAdmission *admission, json_object *object)
 {
--- a/src/liblimpetroad/http.c
+++ b/src/liblimpetroad/http.c
@@ -4,12 +4,14 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 struct LimpetHttp
 {
   CURL *easy;
   GString *body;
+  char etag[LIMPET_NAME_SIZE];
   LimpetCounter sent;
   LimpetCounter received;
 };
@@ -60,6 +62,23 @@
   return size * count;
 }
 
+static size_t
+take_header (char *line, size_t size, size_t count, void *user)
+{
+  LimpetHttp *http = user;
+  size_t length = size * count;
+
+  if (length > 5 && g_ascii_strncasecmp (line, "ETag:", 5) == 0)
+    {
+      size_t used = MIN (length - 5, sizeof http->etag - 1);
+
+      memcpy (http->etag, line + 5, used);
+      http->etag[used] = '\0';
+      g_strstrip (http->etag);
+    }
+  return length;
+}
+
 LimpetHttp *
 limpet_http_new (LimpetCounter sent, LimpetCounter received)
 {
@@ -104,6 +123,8 @@
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, http);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, http);
   if (request->body != NULL)
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body);
@@ -140,12 +161,14 @@
   long request_size = 0;
 
   g_string_truncate (http->body, 0);
+  http->etag[0] = '\0';
   code = curl_easy_perform (http->easy);
   curl_easy_getinfo (http->easy, CURLINFO_REQUEST_SIZE, &request_size);
   count_bytes (http, request_size);
   status = limpet_http_status (code, request_size);
   response->code = 0;
   response->body = http->body;
+  g_strlcpy (response->etag, http->etag, sizeof response->etag);
   if (status == LIMPET_STATUS_OK)
     curl_easy_getinfo (http->easy, CURLINFO_RESPONSE_CODE, &response->code);
   else
--- a/src/liblimpetroad/peer.pb-c.c
+++ b/src/liblimpetroad/peer.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "peer.pb-c.h"
+void   limpet__row__init
+                     (Limpet__Row         *message)
+{
+  static const Limpet__Row init_value = LIMPET__ROW__INIT;
+  *message = init_value;
+}
+size_t limpet__row__get_packed_size
+                     (const Limpet__Row *message)
+{
+  assert(message->base.descriptor == &limpet__row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t limpet__row__pack
+                     (const Limpet__Row *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &limpet__row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t limpet__row__pack_to_buffer
+                     (const Limpet__Row *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &limpet__row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Limpet__Row *
+       limpet__row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Limpet__Row *)
+     protobuf_c_message_unpack (&limpet__row__descriptor,
+                                allocator, len, data);
+}
+void   limpet__row__free_unpacked
+                     (Limpet__Row *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &limpet__row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   limpet__digest__init
                      (Limpet__Digest         *message)
 {
@@ -412,7 +457,7 @@
   assert(message->base.descriptor == &limpet__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor limpet__digest__field_descriptors[14] =
+static const ProtobufCFieldDescriptor limpet__row__field_descriptors[13] =
 {
   {
     "router",
@@ -420,7 +465,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, router),
+    offsetof(Limpet__Row, router),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -432,7 +477,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, incarnation),
+    offsetof(Limpet__Row, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -444,19 +489,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, sequence),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "heard_sequence",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, heard_sequence),
+    offsetof(Limpet__Row, sequence),
     NULL,
     NULL,
     0,             /* flags */
@@ -464,11 +497,11 @@
   },
   {
     "bundle_version",
-    5,
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, bundle_version),
+    offsetof(Limpet__Row, bundle_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -476,11 +509,11 @@
   },
   {
     "draining",
-    6,
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, draining),
+    offsetof(Limpet__Row, draining),
     NULL,
     NULL,
     0,             /* flags */
@@ -488,11 +521,11 @@
   },
   {
     "fingerprint",
-    7,
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, fingerprint),
+    offsetof(Limpet__Row, fingerprint),
     NULL,
     NULL,
     0,             /* flags */
@@ -500,11 +533,11 @@
   },
   {
     "count_bits",
-    8,
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, count_bits),
+    offsetof(Limpet__Row, count_bits),
     NULL,
     NULL,
     0,             /* flags */
@@ -512,11 +545,11 @@
   },
   {
     "counts",
-    9,
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, counts),
+    offsetof(Limpet__Row, counts),
     NULL,
     NULL,
     0,             /* flags */
@@ -524,11 +557,11 @@
   },
   {
     "long_counts",
-    10,
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, long_counts),
+    offsetof(Limpet__Row, long_counts),
     NULL,
     NULL,
     0,             /* flags */
@@ -536,11 +569,11 @@
   },
   {
     "ids",
-    11,
+    10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Limpet__Digest, n_ids),
-    offsetof(Limpet__Digest, ids),
+    offsetof(Limpet__Row, n_ids),
+    offsetof(Limpet__Row, ids),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -548,11 +581,11 @@
   },
   {
     "leaving",
-    12,
+    11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Limpet__Digest, n_leaving),
-    offsetof(Limpet__Digest, leaving),
+    offsetof(Limpet__Row, n_leaving),
+    offsetof(Limpet__Row, leaving),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -560,11 +593,11 @@
   },
   {
     "slow_ids",
-    13,
+    12,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Limpet__Digest, n_slow_ids),
-    offsetof(Limpet__Digest, slow_ids),
+    offsetof(Limpet__Row, n_slow_ids),
+    offsetof(Limpet__Row, slow_ids),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -572,37 +605,100 @@
   },
   {
     "slow_weights",
-    14,
+    13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Limpet__Digest, slow_weights),
+    offsetof(Limpet__Row, slow_weights),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned limpet__digest__field_indices_by_name[] = {
-  4,   /* field[4] = bundle_version */
-  7,   /* field[7] = count_bits */
-  8,   /* field[8] = counts */
-  5,   /* field[5] = draining */
-  6,   /* field[6] = fingerprint */
-  3,   /* field[3] = heard_sequence */
-  10,   /* field[10] = ids */
+static const unsigned limpet__row__field_indices_by_name[] = {
+  3,   /* field[3] = bundle_version */
+  6,   /* field[6] = count_bits */
+  7,   /* field[7] = counts */
+  4,   /* field[4] = draining */
+  5,   /* field[5] = fingerprint */
+  9,   /* field[9] = ids */
   1,   /* field[1] = incarnation */
-  11,   /* field[11] = leaving */
-  9,   /* field[9] = long_counts */
+  10,   /* field[10] = leaving */
+  8,   /* field[8] = long_counts */
   0,   /* field[0] = router */
   2,   /* field[2] = sequence */
-  12,   /* field[12] = slow_ids */
-  13,   /* field[13] = slow_weights */
+  11,   /* field[11] = slow_ids */
+  12,   /* field[12] = slow_weights */
+};
+static const ProtobufCIntRange limpet__row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor limpet__row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "limpet.Row",
+  "Row",
+  "Limpet__Row",
+  "limpet",
+  sizeof(Limpet__Row),
+  13,
+  limpet__row__field_descriptors,
+  limpet__row__field_indices_by_name,
+  1,  limpet__row__number_ranges,
+  (ProtobufCMessageInit) limpet__row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor limpet__digest__field_descriptors[3] =
+{
+  {
+    "router",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Limpet__Digest, router),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Limpet__Digest, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Limpet__Digest, n_rows),
+    offsetof(Limpet__Digest, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned limpet__digest__field_indices_by_name[] = {
+  0,   /* field[0] = router */
+  2,   /* field[2] = rows */
+  1,   /* field[1] = urgent */
 };
 static const ProtobufCIntRange limpet__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor limpet__digest__descriptor =
 {
@@ -612,7 +708,7 @@
   "Limpet__Digest",
   "limpet",
   sizeof(Limpet__Digest),
-  14,
+  3,
   limpet__digest__field_descriptors,
   limpet__digest__field_indices_by_name,
   1,  limpet__digest__number_ranges,
--- a/src/liblimpetroad/peer.pb-c.h
+++ b/src/liblimpetroad/peer.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Limpet__Row Limpet__Row;
 typedef struct Limpet__Digest Limpet__Digest;
 typedef struct Limpet__BundleRequest Limpet__BundleRequest;
 typedef struct Limpet__Part Limpet__Part;
@@ -32,22 +33,18 @@
 /* --- messages --- */
 
 /*
- * State of one router, sent to each peer in turn.
+ * State of one router. Passed on as it is by the others.
  */
-struct  Limpet__Digest
+struct  Limpet__Row
 {
   ProtobufCMessage base;
   char *router;
   uint64_t incarnation;
   uint32_t sequence;
-  /*
-   * last sequence heard from the receiver
-   */
-  uint32_t heard_sequence;
   int64_t bundle_version;
   protobuf_c_boolean draining;
   /*
-   * of the sender's target list
+   * of the router's target list
    */
   uint32_t fingerprint;
   /*
@@ -63,7 +60,7 @@
    */
   ProtobufCBinaryData long_counts;
   /*
-   * the list, when the receiver's differs
+   * the list, while a peer's may differ
    */
   size_t n_ids;
   uint32_t *ids;
@@ -76,9 +73,31 @@
    */
   ProtobufCBinaryData slow_weights;
 };
+#define LIMPET__ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&limpet__row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
+
+
+/*
+ * The newest rows that the sender knows, its own among them.
+ */
+struct  Limpet__Digest
+{
+  ProtobufCMessage base;
+  char *router;
+  /*
+   * pass new rows on at once
+   */
+  protobuf_c_boolean urgent;
+  /*
+   * packed Row messages
+   */
+  size_t n_rows;
+  ProtobufCBinaryData *rows;
+};
 #define LIMPET__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&limpet__digest__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 struct  Limpet__BundleRequest
@@ -215,6 +234,25 @@
     , LIMPET__ENVELOPE__BODY__NOT_SET, {0} }
 
 
+/* Limpet__Row methods */
+void   limpet__row__init
+                     (Limpet__Row         *message);
+size_t limpet__row__get_packed_size
+                     (const Limpet__Row   *message);
+size_t limpet__row__pack
+                     (const Limpet__Row   *message,
+                      uint8_t             *out);
+size_t limpet__row__pack_to_buffer
+                     (const Limpet__Row   *message,
+                      ProtobufCBuffer     *buffer);
+Limpet__Row *
+       limpet__row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   limpet__row__free_unpacked
+                     (Limpet__Row *message,
+                      ProtobufCAllocator *allocator);
 /* Limpet__Digest methods */
 void   limpet__digest__init
                      (Limpet__Digest         *message);
@@ -388,6 +426,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Limpet__Row_Closure)
+                 (const Limpet__Row *message,
+                  void *closure_data);
 typedef void (*Limpet__Digest_Closure)
                  (const Limpet__Digest *message,
                   void *closure_data);
@@ -421,6 +462,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor limpet__row__descriptor;
 extern const ProtobufCMessageDescriptor limpet__digest__descriptor;
 extern const ProtobufCMessageDescriptor limpet__bundle_request__descriptor;
 extern const ProtobufCMessageDescriptor limpet__part__descriptor;
--- a/src/liblimpetroad/peer_controller.c
+++ b/src/liblimpetroad/peer_controller.c
@@ -2,23 +2,29 @@
 
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
-#include "private/digest.h"
+#include "private/peer_row.h"
 #include "private/peer_transport.h"
 #include "private/worker.h"
 
 #include <glib.h>
 #include <inttypes.h>
 #include <sodium.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <xxhash.h>
 
 #define TICK_MS 20
-#define SHORTEST_PERIOD_MS 100
-#define SILENT_PERIODS 6
-#define SILENT_LEAST_MS 2500
-#define LINK_SILENT_MS 4000
+#define URGENT_TICK_MS 2
+#define REGULAR_PERIOD_MS 500
+#define URGENT_PERIOD_MS 8
+/* After a change of the target list, rows carry it for this time. */
+#define CARRY_IDS_MS 3000
+#define MOST_ROW_BYTES 1100
+#define MOST_ROWS 64
+#define SILENT_MS 2500
+#define LINK_LIFE_MS 20000
 #define WEIGHT_LIFE_MS 2000
 /* Time for the log to show a bundle before a peer is asked for it. */
 #define BEHIND_GRACE_MS 400
@@ -33,10 +39,11 @@
   LimpetVm vm;
   LimpetPeerLink *link;
   uint64_t incarnation;
-  uint32_t sent_sequence;
-  uint32_t heard_sequence;  /* last one received */
-  uint32_t echoed_sequence; /* last one of ours that the peer has received */
-  LimpetMs echoed_ms;       /* when that grew */
+  uint32_t row_sequence;
+  uint8_t *row; /* packed, to be passed on */
+  size_t row_length;
+  LimpetMs link_ms;  /* at which the link was made */
+  LimpetMs given_ms; /* at which rows were last sent to the peer */
   LimpetMs heard_ms;        /* 0 if never */
   LimpetMs bundle_reply_ms;
   int64_t bundle_version;
@@ -71,15 +78,19 @@
   GPtrArray *peers;     /* of Peer */
   GQueue *outgoing;     /* of Outgoing */
   bool draining;
-  uint32_t next_peer;
+  _Atomic bool urgent; /* a target is near its bound: send digests out of turn */
+  uint32_t row_sequence;
+  uint32_t fingerprint;    /* of the target list in the last row */
+  LimpetMs list_changed_ms;
+  uint32_t rounds;
   double byte_tokens;
   LimpetMs tokens_ms;
-  LimpetMs round_ms;  /* start of the round of digests that is being sent */
-  LimpetMs period_ms; /* length of the round before */
+  LimpetMs regular_ms; /* time of the last regular digest */
+  LimpetMs urgent_ms;  /* time of the last urgent one */
   LimpetMs behind_ms; /* since when a peer has a newer bundle; 0 if none */
   LimpetMs asked_ms;
   char asked[LIMPET_NAME_SIZE]; /* peer that was asked last */
-  LimpetDigestBuffers buffers;
+  LimpetRowBuffers buffers;
   uint8_t message[LIMPET_MAX_PEER_MESSAGE_BYTES];
 };
 
@@ -89,7 +100,8 @@
   Peer *peer = data;
 
   limpet_peer_link_delete (peer->link);
-  limpet_digest_clear (&peer->counts);
+  g_free (peer->row);
+  limpet_row_clear (&peer->counts);
   g_free (peer);
 }
 
@@ -127,6 +139,12 @@
   return false;
 }
 
+static int
+compare_names (const void *a, const void *b)
+{
+  return strcmp ((*(Peer *const *)a)->vm.id, (*(Peer *const *)b)->vm.id);
+}
+
 static void
 add_listed (LimpetPeerController *self, const LimpetVm *vm)
 {
@@ -137,8 +155,8 @@
     return;
   peer = g_new0 (Peer, 1);
   peer->vm = *vm;
-  peer->echoed_ms = limpet_clock_mono_ms ();
   g_ptr_array_add (self->peers, peer);
+  g_ptr_array_sort (self->peers, compare_names);
   limpet_log (LIMPET_LOG_NOTICE, "peers", vm->id, "listed at %s:%d", vm->address,
               (int)vm->port);
 }
@@ -162,6 +180,17 @@
   pthread_mutex_unlock (&self->lock);
 }
 
+static LimpetPeerLink *
+ensure_link (LimpetPeerController *self, Peer *peer)
+{
+  if (peer->link == NULL)
+    {
+      peer->link = limpet_peer_link_new (self->transport, peer->vm.address, (int)peer->vm.port);
+      peer->link_ms = limpet_clock_mono_ms ();
+    }
+  return peer->link;
+}
+
 static bool
 send_envelope (LimpetPeerController *self,
                Peer *peer,
@@ -172,41 +201,110 @@
   if (*length > sizeof self->message)
     return false;
   limpet__envelope__pack (envelope, self->message);
-  if (peer->link == NULL)
-    peer->link
-        = limpet_peer_link_new (self->transport, peer->vm.address, (int)peer->vm.port);
-  return limpet_peer_link_send (peer->link, self->message, *length);
+  return limpet_peer_link_send (ensure_link (self, peer), self->message, *length);
+}
+
+static bool
+lists_differ (const LimpetPeerController *self)
+{
+  for (guint i = 0; i < self->peers->len; i++)
+    {
+      const Peer *peer = g_ptr_array_index (self->peers, i);
+
+      if (peer->alive && peer->fingerprint != self->fingerprint)
+        return true;
+    }
+  return false;
+}
+
+/* Packs this router's row; the caller frees it with g_free(). */
+static uint8_t *
+pack_own_row (LimpetPeerController *self, LimpetMs now_ms, size_t *length)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (self->targets);
+  Limpet__Row row = LIMPET__ROW__INIT;
+  uint8_t *data;
+
+  if (view->fingerprint != self->fingerprint)
+    {
+      self->fingerprint = view->fingerprint;
+      self->list_changed_ms = now_ms;
+    }
+  row.router = (char *)self->settings->name;
+  row.incarnation = self->incarnation;
+  row.sequence = ++self->row_sequence;
+  row.bundle_version = limpet_bundle_controller_version (self->bundles);
+  row.draining = self->draining;
+  limpet_row_pack (&row, view,
+                   now_ms - self->list_changed_ms < CARRY_IDS_MS || lists_differ (self),
+                   &self->buffers);
+  *length = limpet__row__get_packed_size (&row);
+  data = g_malloc (*length + 1);
+  limpet__row__pack (&row, data);
+  limpet_target_view_release (view);
+  return data;
 }
 
+static int
+compare_heard (const void *a, const void *b)
+{
+  LimpetMs left = (*(Peer *const *)a)->heard_ms;
+  LimpetMs right = (*(Peer *const *)b)->heard_ms;
+
+  return (left < right) - (left > right);
+}
+
+/* Adds the rows that came since the receiver was last sent any, the newest first, within
+ * MOST_ROW_BYTES. */
 static void
-init_digest (LimpetPeerController *self, Peer *peer, Limpet__Digest *digest)
+add_rows (LimpetPeerController *self, Peer *receiver, Limpet__Digest *digest)
 {
-  limpet__digest__init (digest);
-  digest->router = (char *)self->settings->name;
-  digest->incarnation = self->incarnation;
-  digest->sequence = ++peer->sent_sequence;
-  digest->heard_sequence = peer->heard_sequence;
-  digest->bundle_version = limpet_bundle_controller_version (self->bundles);
-  digest->draining = self->draining;
+  GPtrArray *order = g_ptr_array_new ();
+  size_t bytes = digest->rows[0].len;
+
+  for (guint i = 0; i < self->peers->len; i++)
+    {
+      Peer *peer = g_ptr_array_index (self->peers, i);
+
+      if (peer->alive && peer->row != NULL && peer != receiver
+          && peer->heard_ms >= receiver->given_ms)
+        g_ptr_array_add (order, peer);
+    }
+  g_ptr_array_sort (order, compare_heard);
+  for (guint i = 0; i < order->len && digest->n_rows < MOST_ROWS; i++)
+    {
+      const Peer *peer = g_ptr_array_index (order, i);
+
+      bytes += peer->row_length;
+      if (bytes > MOST_ROW_BYTES)
+        break;
+      digest->rows[digest->n_rows++]
+          = (ProtobufCBinaryData){ .data = peer->row, .len = peer->row_length };
+    }
+  g_ptr_array_free (order, TRUE);
+  receiver->given_ms = limpet_clock_mono_ms ();
 }
 
 /* Returns the bytes that the digest takes on the wire. */
 static size_t
-send_digest (LimpetPeerController *self, Peer *peer)
+send_digest (LimpetPeerController *self, Peer *peer, bool urgent, LimpetMs now_ms)
 {
-  LimpetTargetView *view = limpet_targets_snapshot (self->targets);
   Limpet__Envelope envelope = LIMPET__ENVELOPE__INIT;
-  Limpet__Digest digest;
+  Limpet__Digest digest = LIMPET__DIGEST__INIT;
+  ProtobufCBinaryData rows[MOST_ROWS];
   size_t length = 0;
 
-  init_digest (self, peer, &digest);
-  limpet_digest_pack (&digest, view, peer->fingerprint != view->fingerprint,
-                      &self->buffers);
+  digest.router = (char *)self->settings->name;
+  digest.urgent = urgent;
+  digest.rows = rows;
+  rows[0].data = pack_own_row (self, now_ms, &rows[0].len);
+  digest.n_rows = 1;
+  add_rows (self, peer, &digest);
   envelope.body_case = LIMPET__ENVELOPE__BODY_DIGEST;
   envelope.digest = &digest;
   if (send_envelope (self, peer, &envelope, &length))
     limpet_count (LIMPET_COUNTER_DIGESTS_SENT, 1);
-  limpet_target_view_release (view);
+  g_free (rows[0].data);
   return length + OVERHEAD_BYTES;
 }
 
@@ -225,7 +323,7 @@
       if (peer->alive)
         counts[count++] = &peer->counts;
     }
-  limpet_digest_sum (view, counts, count, limpet_clock_mono_ms () + WEIGHT_LIFE_MS);
+  limpet_row_sum (view, counts, count, limpet_clock_mono_ms () + WEIGHT_LIFE_MS);
   limpet_target_view_release (view);
   g_free (counts);
 }
@@ -252,62 +350,84 @@
   peer->alive = alive;
   limpet_log (LIMPET_LOG_NOTICE, "peers", peer->vm.id, alive ? "heard" : "silent");
   if (!alive)
-    limpet_digest_clear (&peer->counts);
+    limpet_row_clear (&peer->counts);
   count_routers_locked (self);
 }
 
-static void
-take_sequence (Peer *peer, const Limpet__Digest *digest, LimpetMs now_ms)
+/* A row of an older incarnation, or one overtaken by a later one, says nothing. */
+static bool
+is_news (const Peer *peer, const Limpet__Row *row)
 {
-  peer->heard_sequence = digest->sequence;
-  peer->heard_ms = now_ms;
-  if (digest->heard_sequence != peer->echoed_sequence)
+  if (row->incarnation != peer->incarnation)
+    return row->incarnation > peer->incarnation;
+  return row->sequence > peer->row_sequence;
+}
+
+static void
+take_row (LimpetPeerController *self, Peer *peer, const Limpet__Row *row,
+          const ProtobufCBinaryData *packed, const LimpetTargetView *view)
+{
+  peer->incarnation = row->incarnation;
+  peer->row_sequence = row->sequence;
+  peer->heard_ms = limpet_clock_mono_ms ();
+  peer->bundle_version = row->bundle_version;
+  peer->fingerprint = row->fingerprint;
+  g_free (peer->row);
+  peer->row = g_memdup2 (packed->data, packed->len);
+  peer->row_length = packed->len;
+  if (peer->draining != (bool)row->draining)
     {
-      peer->echoed_sequence = digest->heard_sequence;
-      peer->echoed_ms = now_ms;
+      peer->draining = row->draining;
+      count_routers_locked (self);
     }
+  set_alive_locked (self, peer, true);
+  if (!limpet_row_unpack (row, view, &peer->counts))
+    limpet_count (LIMPET_COUNTER_PEER_MALFORMED, 1);
+  limpet_row_mark_leaving (row, view);
 }
 
-/* A digest of an older incarnation, or one overtaken by a later one, says nothing. */
+/* Returns whether any row was new. */
 static bool
-is_news (const Peer *peer, const Limpet__Digest *digest)
+take_rows (LimpetPeerController *self, const Limpet__Digest *digest,
+           const LimpetTargetView *view)
 {
-  if (digest->incarnation != peer->incarnation)
-    return digest->incarnation > peer->incarnation;
-  return digest->sequence > peer->heard_sequence;
+  bool news = false;
+
+  for (size_t i = 0; i < digest->n_rows; i++)
+    {
+      Limpet__Row *row = limpet__row__unpack (NULL, digest->rows[i].len, digest->rows[i].data);
+      Peer *peer = row != NULL ? find_peer (self, row->router) : NULL;
+
+      if (row == NULL)
+        limpet_count (LIMPET_COUNTER_PEER_MALFORMED, 1);
+      if (peer != NULL && is_news (peer, row))
+        {
+          take_row (self, peer, row, &digest->rows[i], view);
+          news = true;
+        }
+      if (row != NULL)
+        limpet__row__free_unpacked (row, NULL);
+    }
+  return news;
 }
 
 static void
 on_digest (LimpetPeerController *self, const Limpet__Digest *digest)
 {
   LimpetTargetView *view = limpet_targets_snapshot (self->targets);
-  LimpetMs now_ms = limpet_clock_mono_ms ();
-  Peer *peer;
+  bool news;
 
-  pthread_mutex_lock (&self->lock);
-  peer = find_peer (self, digest->router);
-  if (peer == NULL || !is_news (peer, digest))
-    goto out;
   limpet_count (LIMPET_COUNTER_DIGESTS_RECEIVED, 1);
-  peer->incarnation = digest->incarnation;
-  take_sequence (peer, digest, now_ms);
-  peer->bundle_version = digest->bundle_version;
-  peer->fingerprint = digest->fingerprint;
-  if (peer->draining != (bool)digest->draining)
-    {
-      peer->draining = digest->draining;
-      count_routers_locked (self);
-    }
-  set_alive_locked (self, peer, true);
-  if (!limpet_digest_unpack (digest, view, &peer->counts))
-    limpet_count (LIMPET_COUNTER_PEER_MALFORMED, 1);
-  limpet_digest_mark_leaving (digest, view);
-  sum_peers_locked (self);
-
-out:
+  pthread_mutex_lock (&self->lock);
+  news = take_rows (self, digest, view);
+  if (news)
+    sum_peers_locked (self);
   pthread_mutex_unlock (&self->lock);
   limpet_target_view_release (view);
-  limpet_admission_kick (self->admission);
+  if (news && digest->urgent)
+    atomic_store (&self->urgent, true);
+  if (news)
+    limpet_admission_kick (self->admission);
 }
 
 static Limpet__Part *
@@ -452,10 +572,7 @@
 
       if (peer != NULL)
         {
-          if (peer->link == NULL)
-            peer->link = limpet_peer_link_new (self->transport, peer->vm.address,
-                                               (int)peer->vm.port);
-          limpet_peer_link_send (peer->link, outgoing->data, outgoing->length);
+          limpet_peer_link_send (ensure_link (self, peer), outgoing->data, outgoing->length);
           self->byte_tokens -= (double)(outgoing->length + OVERHEAD_BYTES);
         }
       free_outgoing (outgoing);
@@ -463,22 +580,20 @@
   pthread_mutex_unlock (&self->lock);
 }
 
-/* A link whose messages the peer has not seen for long is replaced: something between the
- * two ends may have lost track of it, while a new connection works. */
+/* Links are replaced now and then: something between the two ends may have lost track of one,
+ * while a new connection works. */
 static void
 check_link (Peer *peer, LimpetMs now_ms)
 {
-  if (peer->link == NULL || now_ms - peer->echoed_ms < LINK_SILENT_MS)
+  if (peer->link == NULL || now_ms - peer->link_ms < LINK_LIFE_MS)
     return;
   limpet_peer_link_delete (peer->link);
   peer->link = NULL;
-  peer->echoed_ms = now_ms;
 }
 
 static void
 check_peers (LimpetPeerController *self, LimpetMs now_ms)
 {
-  LimpetMs silent_ms = MAX (SILENT_LEAST_MS, SILENT_PERIODS * self->period_ms);
   bool changed = false;
 
   pthread_mutex_lock (&self->lock);
@@ -487,7 +602,7 @@
       Peer *peer = g_ptr_array_index (self->peers, i);
 
       check_link (peer, now_ms);
-      if (peer->alive && now_ms - peer->heard_ms > silent_ms)
+      if (peer->alive && now_ms - peer->heard_ms > SILENT_MS)
         {
           set_alive_locked (self, peer, false);
           changed = true;
@@ -498,33 +613,97 @@
   pthread_mutex_unlock (&self->lock);
 }
 
-/* Sends digests to the peers in turn, as fast as the byte limit allows. */
+/* Returns the peer at a distance in the ring of names, or the next one that is alive; any one
+ * if none is. */
+static Peer *
+peer_at_distance (LimpetPeerController *self, uint32_t distance)
+{
+  GPtrArray *ring = g_ptr_array_new ();
+  Peer *chosen;
+  guint self_index = 0;
+
+  for (guint i = 0; i < self->peers->len; i++)
+    {
+      Peer *peer = g_ptr_array_index (self->peers, i);
+
+      if (peer->alive)
+        g_ptr_array_add (ring, peer);
+    }
+  for (guint i = 0; i < ring->len; i++)
+    self_index += strcmp (((Peer *)g_ptr_array_index (ring, i))->vm.id, self->settings->name) < 0;
+  if (ring->len > 0)
+    chosen = g_ptr_array_index (ring, (self_index + distance - 1) % ring->len);
+  else
+    chosen = g_ptr_array_index (self->peers, self->rounds % self->peers->len);
+  g_ptr_array_free (ring, TRUE);
+  return chosen;
+}
+
+/* Peers that are not heard get a digest now and then, so that new and returning ones join. */
+static Peer *
+pick_silent_peer (LimpetPeerController *self)
+{
+  uint32_t seen = 0;
+  Peer *chosen = NULL;
+
+  for (guint i = 0; i < self->peers->len; i++)
+    {
+      Peer *peer = g_ptr_array_index (self->peers, i);
+
+      if (!peer->alive && randombytes_uniform (++seen) == 0)
+        chosen = peer;
+    }
+  return chosen;
+}
+
+/* Regular digests go to the peers at distances 1, 2, 4, … in the ring, so that a row reaches all
+ * in a number of periods that grows with the logarithm of their number. Urgent ones go to the
+ * next peer, which passes new rows on at once. */
+static Peer *
+pick_receiver (LimpetPeerController *self, bool urgent)
+{
+  uint32_t distances = 1;
+  Peer *silent = NULL;
+
+  while ((1U << distances) < self->peers->len + 1)
+    distances++;
+  if (urgent)
+    return peer_at_distance (self, 1);
+  self->rounds++;
+  if (self->rounds % 2 == 0)
+    silent = pick_silent_peer (self);
+  return silent != NULL ? silent : peer_at_distance (self, 1U << (self->rounds % distances));
+}
+
+static void
+send_one_digest (LimpetPeerController *self, bool urgent, LimpetMs now_ms)
+{
+  pthread_mutex_lock (&self->lock);
+  if (self->peers->len > 0)
+    self->byte_tokens -= (double)send_digest (self, pick_receiver (self, urgent), urgent, now_ms);
+  pthread_mutex_unlock (&self->lock);
+}
+
+/* Sends the digests that are due, as far as the byte limit allows. */
 static void
 send_digests (LimpetPeerController *self, LimpetMs now_ms)
 {
   double rate = (double)self->settings->control_bytes_per_s / 1000;
-  size_t length = 0;
 
   self->byte_tokens
       = MIN (rate * 1000, self->byte_tokens + rate * (double)(now_ms - self->tokens_ms));
   self->tokens_ms = now_ms;
-  pthread_mutex_lock (&self->lock);
-  for (guint i = 0; i < self->peers->len && self->byte_tokens > 0; i++)
+  if (self->byte_tokens > 0 && now_ms - self->regular_ms >= REGULAR_PERIOD_MS)
     {
-      Peer *peer = g_ptr_array_index (self->peers, self->next_peer % self->peers->len);
-
-      if (self->next_peer % self->peers->len == 0)
-        {
-          if (now_ms - self->round_ms < SHORTEST_PERIOD_MS)
-            break;
-          self->period_ms = self->round_ms > 0 ? now_ms - self->round_ms : 0;
-          self->round_ms = now_ms;
-        }
-      length = send_digest (self, peer);
-      self->byte_tokens -= (double)length;
-      self->next_peer++;
+      self->regular_ms = now_ms;
+      send_one_digest (self, false, now_ms);
+    }
+  if (self->byte_tokens > 0 && now_ms - self->urgent_ms >= URGENT_PERIOD_MS
+      && atomic_exchange (&self->urgent, false))
+    {
+      self->urgent_ms = now_ms;
+      send_one_digest (self, true, now_ms);
     }
-  pthread_mutex_unlock (&self->lock);
 }
 
 /* Picks a peer with a newer bundle, another one than was asked last if there is one, as
@@ -590,7 +769,8 @@
     {
       LimpetMs now_ms;
 
-      limpet_peer_transport_wait (self->transport, self->wake_fd, TICK_MS);
+      limpet_peer_transport_wait (self->transport, self->wake_fd,
+                                  atomic_load (&self->urgent) ? URGENT_TICK_MS : TICK_MS);
       receive_all (self);
       send_outgoing (self);
       now_ms = limpet_clock_mono_ms ();
@@ -697,6 +877,15 @@
   return found;
 }
 
+static void
+on_near_bound (void *user)
+{
+  LimpetPeerController *self = user;
+
+  if (!atomic_exchange (&self->urgent, true))
+    wake (self);
+}
+
 static void
 start (LimpetController *controller)
 {
@@ -788,5 +977,6 @@
   self->peers = g_ptr_array_new_with_free_func (free_peer);
   self->outgoing = g_queue_new ();
   pthread_mutex_init (&self->lock, NULL);
+  limpet_admission_set_observer (admission, on_near_bound, self);
   return self;
 }
--- a/src/liblimpetroad/digest.c
+++ b/src/liblimpetroad/peer_row.c
@@ -1,4 +1,4 @@
-#include "private/digest.h"
+#include "private/peer_row.h"
 
 #include <glib.h>
 #include <string.h>
@@ -39,67 +39,67 @@
 }
 
 static void
-pack_marks (Limpet__Digest *digest,
+pack_marks (Limpet__Row *row,
             const LimpetTargetView *view,
-            LimpetDigestBuffers *buffers)
+            LimpetRowBuffers *buffers)
 {
-  digest->leaving = buffers->leaving;
-  digest->slow_ids = buffers->slow_ids;
-  digest->slow_weights.data = buffers->slow_weights;
+  row->leaving = buffers->leaving;
+  row->slow_ids = buffers->slow_ids;
+  row->slow_weights.data = buffers->slow_weights;
   for (uint32_t i = 0; i < view->count; i++)
     {
       const LimpetTarget *target = view->targets[i];
       int32_t weight = atomic_load (&target->own_weight);
 
       if (atomic_load (&target->leaving))
-        buffers->leaving[digest->n_leaving++] = target->id_hash;
+        buffers->leaving[row->n_leaving++] = target->id_hash;
       if (weight >= LIMPET_WEIGHT_FULL)
         continue;
-      buffers->slow_ids[digest->n_slow_ids++] = target->id_hash;
-      buffers->slow_weights[digest->slow_weights.len++] = (uint8_t)(weight / WEIGHT_UNIT);
+      buffers->slow_ids[row->n_slow_ids++] = target->id_hash;
+      buffers->slow_weights[row->slow_weights.len++] = (uint8_t)(weight / WEIGHT_UNIT);
     }
 }
 
 void
-limpet_digest_pack (Limpet__Digest *digest,
+limpet_row_pack (Limpet__Row *row,
                     const LimpetTargetView *view,
                     bool with_ids,
-                    LimpetDigestBuffers *buffers)
+                    LimpetRowBuffers *buffers)
 {
   bool any_long = false;
   size_t length = 0;
 
-  digest->count_bits = 4;
+  row->count_bits = 4;
   for (uint32_t i = 0; i < view->count; i++)
     if (atomic_load (&view->targets[i]->own_inflight) > NIBBLE_MOST)
-      digest->count_bits = 8;
+      row->count_bits = 8;
   for (uint32_t i = 0; i < view->count; i++)
     {
       int32_t own = clamp_count (atomic_load (&view->targets[i]->own_inflight));
       int32_t own_long
           = MIN (own, clamp_count (atomic_load (&view->targets[i]->own_long)));
 
-      if (digest->count_bits == 4)
+      if (row->count_bits == 4)
         {
           own = MIN (own, NIBBLE_MOST);
           own_long = MIN (own_long, NIBBLE_MOST);
         }
-      length = put_count (buffers->counts, digest->count_bits, i, own);
-      put_count (buffers->long_counts, digest->count_bits, i, own_long);
+      length = put_count (buffers->counts, row->count_bits, i, own);
+      put_count (buffers->long_counts, row->count_bits, i, own_long);
       any_long = any_long || own_long > 0;
       buffers->ids[i] = view->targets[i]->id_hash;
     }
-  digest->fingerprint = view->fingerprint;
-  digest->counts = (ProtobufCBinaryData){ .data = buffers->counts, .len = length };
+  row->fingerprint = view->fingerprint;
+  row->counts = (ProtobufCBinaryData){ .data = buffers->counts, .len = length };
   if (any_long)
-    digest->long_counts
+    row->long_counts
         = (ProtobufCBinaryData){ .data = buffers->long_counts, .len = length };
   if (with_ids)
     {
-      digest->ids = buffers->ids;
-      digest->n_ids = view->count;
+      row->ids = buffers->ids;
+      row->n_ids = view->count;
     }
-  pack_marks (digest, view, buffers);
+  pack_marks (row, view, buffers);
 }
 
 static void
@@ -111,62 +111,62 @@
 }
 
 static bool
-lengths_fit (const Limpet__Digest *digest, uint32_t count)
+lengths_fit (const Limpet__Row *row, uint32_t count)
 {
-  size_t length = digest->count_bits == 8 ? count : (count + 1) / 2;
+  size_t length = row->count_bits == 8 ? count : (count + 1) / 2;
 
-  return (digest->count_bits == 4 || digest->count_bits == 8)
-         && digest->counts.len == length
-         && (digest->long_counts.len == 0 || digest->long_counts.len == length)
-         && digest->slow_weights.len == digest->n_slow_ids;
+  return (row->count_bits == 4 || row->count_bits == 8)
+         && row->counts.len == length
+         && (row->long_counts.len == 0 || row->long_counts.len == length)
+         && row->slow_weights.len == row->n_slow_ids;
 }
 
 bool
-limpet_digest_unpack (const Limpet__Digest *digest,
+limpet_row_unpack (const Limpet__Row *row,
                       const LimpetTargetView *view,
                       LimpetPeerCounts *counts)
 {
-  bool aligned = digest->n_ids == 0;
-  uint32_t count = (uint32_t)digest->n_ids;
+  bool aligned = row->n_ids == 0;
+  uint32_t count = (uint32_t)row->n_ids;
 
-  limpet_digest_clear (counts);
-  if (aligned && digest->fingerprint != view->fingerprint)
+  if (aligned && row->fingerprint != view->fingerprint)
     return true;
   if (aligned)
     count = view->count;
-  if (count > LIMPET_MAX_TARGETS || !lengths_fit (digest, count))
+  if (count > LIMPET_MAX_TARGETS || !lengths_fit (row, count))
     return false;
-  counts->fingerprint = aligned ? digest->fingerprint : 0;
+  limpet_row_clear (counts);
+  counts->fingerprint = aligned ? row->fingerprint : 0;
   counts->count = count;
   counts->counts = g_new0 (LimpetPeerCount, count + 1);
   for (uint32_t i = 0; i < count; i++)
     counts->counts[i] = (LimpetPeerCount){
-      .id_hash = aligned ? view->targets[i]->id_hash : digest->ids[i],
-      .inflight = get_count (&digest->counts, digest->count_bits, i),
-      .long_inflight = get_count (&digest->long_counts, digest->count_bits, i),
+      .id_hash = aligned ? view->targets[i]->id_hash : row->ids[i],
+      .inflight = get_count (&row->counts, row->count_bits, i),
+      .long_inflight = get_count (&row->long_counts, row->count_bits, i),
       .weight = LIMPET_WEIGHT_FULL,
     };
-  for (size_t i = 0; i < digest->n_slow_ids; i++)
-    set_weight (counts, digest->slow_ids[i], digest->slow_weights.data[i] * WEIGHT_UNIT);
+  for (size_t i = 0; i < row->n_slow_ids; i++)
+    set_weight (counts, row->slow_ids[i], row->slow_weights.data[i] * WEIGHT_UNIT);
   return true;
 }
 
 void
-limpet_digest_clear (LimpetPeerCounts *counts)
+limpet_row_clear (LimpetPeerCounts *counts)
 {
   g_free (counts->counts);
   *counts = (LimpetPeerCounts){ .count = 0 };
 }
 
 void
-limpet_digest_mark_leaving (const Limpet__Digest *digest, const LimpetTargetView *view)
+limpet_row_mark_leaving (const Limpet__Row *row, const LimpetTargetView *view)
 {
-  for (size_t i = 0; i < digest->n_leaving; i++)
+  for (size_t i = 0; i < row->n_leaving; i++)
     {
-      LimpetTarget *target = limpet_target_view_find (view, digest->leaving[i]);
+      LimpetTarget *target = limpet_target_view_find (view, row->leaving[i]);
 
       if (target != NULL)
-        limpet_target_mark_leaving (target, digest->router);
+        limpet_target_mark_leaving (target, row->router);
     }
 }
 
@@ -184,7 +184,7 @@
 }
 
 void
-limpet_digest_sum (const LimpetTargetView *view,
+limpet_row_sum (const LimpetTargetView *view,
                    const LimpetPeerCounts *const *counts,
                    uint32_t count,
                    LimpetMs weight_until_ms)
--- a/src/liblimpetroad/policy.c
+++ b/src/liblimpetroad/policy.c
@@ -7,7 +7,8 @@
 
 /* Part of the bound that one router plans with; the rest covers what the digests do not
  * show yet and the requests that end elsewhere. */
-#define PLANNED_EXCESS_PERCENT 60
+#define PLANNED_EXCESS_PERCENT 45
+#define NEAR_BOUND_PART 0.8
 
 /* Sums over the targets of a group that may get work. */
 typedef struct
@@ -91,20 +92,35 @@
   return load;
 }
 
-/* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the
- * order of rendezvous scores instead of a ring. */
+/* Requests that the target may have in flight before it gets one more. */
+static double
+planned_limit (const LimpetRouteRequest *request, const LimpetTarget *target,
+               const GroupLoad *load)
+{
+  double planned = 1 + (double)(request->fleet->load_bound_percent - 100) * PLANNED_EXCESS_PERCENT
+                           / 10000.0;
+
+  return planned * (double)(load->inflight + 1) * (double)target->vm.slots / (double)load->slots;
+}
+
+/* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the order
+ * of rendezvous scores instead of a ring. */
 static bool
-is_within_bound (const LimpetRouteRequest *request,
-                 const LimpetTarget *target,
+is_within_bound (const LimpetRouteRequest *request, const LimpetTarget *target,
                  const GroupLoad *load)
 {
-  double planned = 1
-                   + (double)(request->fleet->load_bound_percent - 100)
-                         * PLANNED_EXCESS_PERCENT / 10000.0;
-  double mean
-      = (double)(load->inflight + 1) * (double)target->vm.slots / (double)load->slots;
+  return limpet_target_inflight (target) <= (int64_t)planned_limit (request, target, load);
+}
+
+bool
+limpet_policy_is_near_bound (const LimpetRouteRequest *request, const LimpetTargetView *view,
+                             const LimpetTarget *target, LimpetMs now_ms)
+{
+  GroupLoad load = group_load (request, view, now_ms);
 
-  return limpet_target_inflight (target) <= (int64_t)(planned * mean);
+  return load.slots > 0
+         && limpet_target_inflight (target)
+                >= NEAR_BOUND_PART * planned_limit (request, target, &load);
 }
 
 static LimpetTarget *
--- a/src/liblimpetroad/private/http.h
+++ b/src/liblimpetroad/private/http.h
@@ -3,6 +3,7 @@
 
 #include "limpetroad/clock.h"
 #include "limpetroad/counters.h"
+#include "limpetroad/limits.h"
 #include "limpetroad/status.h"
 
 #include <curl/curl.h>
@@ -29,6 +30,7 @@
 {
   long code;
   GString *body; /* owned by the LimpetHttp until the next exchange */
+  char etag[LIMPET_NAME_SIZE]; /* empty if the answer has none */
 } LimpetHttpResponse;
 
 /* sent and received are the counters that the bytes on the wire are added to. */
--- a/src/liblimpetroad/private/digest.h
+++ b/src/liblimpetroad/private/peer_row.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETROAD_PRIVATE_DIGEST_H
-#define LIMPETROAD_PRIVATE_DIGEST_H
+#ifndef LIMPETROAD_PRIVATE_PEER_ROW_H
+#define LIMPETROAD_PRIVATE_PEER_ROW_H
 
 #include "limpetroad/targets.h"
 #include "peer.pb-c.h"
@@ -14,7 +14,7 @@
 } LimpetPeerCount;
 
 /* The last digest of one peer, unpacked. Zeroed is empty; release with
- * limpet_digest_clear(). */
+ * limpet_row_clear(). */
 typedef struct
 {
   uint32_t fingerprint; /* 0 if the counts carry ids */
@@ -32,28 +32,30 @@
   uint32_t leaving[LIMPET_MAX_TARGETS];
   uint32_t slow_ids[LIMPET_MAX_TARGETS];
   uint8_t slow_weights[LIMPET_MAX_TARGETS];
-} LimpetDigestBuffers;
+} LimpetRowBuffers;
 
-void limpet_digest_pack (Limpet__Digest *digest,
+/* Packs the state of the targets into a row whose arrays are borrowed from buffers. With
+ * with_ids the list of targets goes along. */
+void limpet_row_pack (Limpet__Row *row,
                          const LimpetTargetView *view,
                          bool with_ids,
-                         LimpetDigestBuffers *buffers);
+                         LimpetRowBuffers *buffers);
 
 /* Takes the counts out of a digest. Without ids they are those of view, and are dropped
  * if its fingerprint differs. Returns false for a digest whose arrays do not fit
  * together. */
-bool limpet_digest_unpack (const Limpet__Digest *digest,
+bool limpet_row_unpack (const Limpet__Row *row,
                            const LimpetTargetView *view,
                            LimpetPeerCounts *counts);
-void limpet_digest_clear (LimpetPeerCounts *counts);
+void limpet_row_clear (LimpetPeerCounts *counts);
 
-/* Marks the targets that the digest names as leaving. */
-void limpet_digest_mark_leaving (const Limpet__Digest *digest,
+/* Marks the targets that the row names as leaving. */
+void limpet_row_mark_leaving (const Limpet__Row *row,
                                  const LimpetTargetView *view);
 
 /* Sets what the peers have in flight on each target, and their lowest weight, to the sums
  * over counts[0..count). */
-void limpet_digest_sum (const LimpetTargetView *view,
+void limpet_row_sum (const LimpetTargetView *view,
                         const LimpetPeerCounts *const *counts,
                         uint32_t count,
                         LimpetMs weight_until_ms);
--- a/src/liblimpetroad/status.c
+++ b/src/liblimpetroad/status.c
@@ -16,6 +16,7 @@
   [LIMPET_STATUS_TIMEOUT] = "timeout",
   [LIMPET_STATUS_BROKEN] = "broken",
   [LIMPET_STATUS_CANCELLED] = "cancelled",
+  [LIMPET_STATUS_UNCHANGED] = "unchanged",
   [LIMPET_STATUS_INTERNAL] = "internal",
 };
 
--- a/src/liblimpetroad/vm_list.c
+++ b/src/liblimpetroad/vm_list.c
@@ -16,6 +16,7 @@
   LimpetVmListClient parent;
   char *url;
   LimpetHttp *http;
+  char etag[LIMPET_NAME_SIZE]; /* of the last list that was read */
 } LimpetVmListClientHttp;
 
 static const LimpetField vm_fields[] = {
@@ -80,10 +81,13 @@
 {
   LimpetVmListClientHttp *self = (LimpetVmListClientHttp *)client;
   char *url = g_strdup_printf ("%s/vms", self->url);
+  char *condition = g_strdup_printf ("If-None-Match: %s", self->etag);
+  const char *headers[] = { condition, NULL };
   LimpetHttpRequest request = {
     .method = "GET",
     .url = url,
     .timeout_ms = LIMPET_CONTROL_TIMEOUT_MS,
+    .headers = self->etag[0] != '\0' ? headers : NULL,
   };
   LimpetHttpResponse response;
   json_object *root = NULL;
@@ -93,6 +97,11 @@
   status = limpet_http_exchange (self->http, &request, &response, "vm_list", error);
   if (status != LIMPET_STATUS_OK)
     goto out;
+  if (response.code == 304)
+    {
+      status = LIMPET_STATUS_UNCHANGED;
+      goto out;
+    }
   if (response.code != 200)
     {
       status = limpet_error_set (error, LIMPET_STATUS_BROKEN, "vm_list", self->url,
@@ -101,11 +110,14 @@
     }
   root = limpet_schema_parse (response.body->str, response.body->len, self->url, error);
   status = root != NULL ? read_list (root, list, error) : LIMPET_STATUS_INVALID;
+  if (status == LIMPET_STATUS_OK)
+    g_strlcpy (self->etag, response.etag, sizeof self->etag);
 
 out:
   if (status != LIMPET_STATUS_OK)
     limpet_vm_list_clear (list);
   json_object_put (root);
+  g_free (condition);
   g_free (url);
   return status;
 }
--- /dev/null
+++ b/src/limpetbench/load.c
@@ -0,0 +1,365 @@
+#include "bench.h"
+
+#include <curl/curl.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define HISTORY_LIMIT_WORDS 4000
+#define BLOCK_TOKENS 16
+#define WAIT_AFTER_END_S 60
+
+/* A chat that returns, with what has been said so far. */
+typedef struct
+{
+  uint32_t number;
+  uint32_t generation; /* grows when the chat starts anew */
+  uint32_t turn;
+  bool busy;
+  GString *history;       /* user and assistant texts, joined by blanks */
+  int64_t history_words;
+} Chat;
+
+/* One request in flight. */
+typedef struct
+{
+  CURL *easy;
+  struct curl_slist *headers;
+  char *body;
+  Chat *chat;
+  char tag[48];
+  int wanted_tokens;
+  int64_t next_token;
+  bool done;
+  int64_t prompt_tokens;
+  int64_t cached_tokens;
+  double start_ms;
+  double last_ms;
+  GString *line; /* unfinished line of the stream */
+  GString *answer;
+  BenchResult result;
+} Request;
+
+typedef struct
+{
+  const BenchOptions *options;
+  CURLM *multi;
+  GRand *random;
+  Chat *chats;
+  GPtrArray *idle; /* free CURL handles */
+  GArray *results;
+  uint32_t sent;
+  uint32_t running;
+  double start_ms;
+} Load;
+
+static const char *
+system_text (const BenchOptions *options)
+{
+  static char *text;
+
+  if (text == NULL)
+    {
+      GString *words = g_string_new (NULL);
+
+      for (int i = 0; i < options->prompt_words; i++)
+        g_string_append_printf (words, "%sword%d", i > 0 ? " " : "", i);
+      text = g_string_free (words, FALSE);
+    }
+  return text;
+}
+
+static void
+restart_chat (Chat *chat)
+{
+  chat->generation++;
+  chat->turn = 0;
+  chat->history_words = 0;
+  g_string_truncate (chat->history, 0);
+}
+
+static Chat *
+pick_chat (Load *load)
+{
+  int count = load->options->chats;
+
+  for (int tries = 0; tries < 50; tries++)
+    {
+      Chat *chat = &load->chats[g_rand_int_range (load->random, 0, count)];
+
+      if (chat->busy)
+        continue;
+      if ((int)chat->turn >= load->options->turns || chat->history_words > HISTORY_LIMIT_WORDS)
+        restart_chat (chat);
+      return chat;
+    }
+  return NULL;
+}
+
+/* The first message differs between chats, so that only a chat's own engine has its prefix. */
+static char *
+make_body (const Load *load, const Request *request)
+{
+  const Chat *chat = request->chat;
+
+  return g_strdup_printf (
+      "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":%d,\"messages\":[{\"role\":\"system\","
+      "\"content\":\"chat%u.%u.%d %s\"},%s%s%s{\"role\":\"user\",\"content\":\"%s and then\"}]}",
+      load->options->model, request->wanted_tokens, chat->number, chat->generation,
+      load->options->seed, system_text (load->options),
+      chat->history->len > 0 ? "{\"role\":\"assistant\",\"content\":\"" : "", chat->history->str,
+      chat->history->len > 0 ? "\"}," : "", request->tag);
+}
+
+static void
+take_token (Request *request, const char *content)
+{
+  char expected[80];
+  double now_ms = bench_now_ms ();
+
+  g_snprintf (expected, sizeof expected, "%s.%ld ", request->tag, (long)request->next_token);
+  if (strncmp (content, expected, strlen (expected)) != 0)
+    request->result.wrong = true;
+  if (request->next_token == 0)
+    request->result.first_ms = now_ms - request->start_ms;
+  g_string_append (request->answer, expected);
+  request->next_token++;
+  request->last_ms = now_ms;
+}
+
+static void
+take_line (Request *request, const char *line)
+{
+  static const char marker[] = "\"content\":\"";
+  const char *content = strstr (line, marker);
+
+  if (strcmp (line, "data: [DONE]") == 0)
+    request->done = true;
+  else if (g_str_has_prefix (line, "data: ") && content != NULL)
+    take_token (request, content + sizeof marker - 1);
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *user)
+{
+  Request *request = user;
+  char *newline;
+
+  g_string_append_len (request->line, data, (gssize)(size * count));
+  while ((newline = strchr (request->line->str, '\n')) != NULL)
+    {
+      *newline = '\0';
+      take_line (request, request->line->str);
+      g_string_erase (request->line, 0, newline + 1 - request->line->str);
+    }
+  return size * count;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *user)
+{
+  Request *request = user;
+  char line[256];
+  size_t length = MIN (size * count, sizeof line - 1);
+
+  memcpy (line, data, length);
+  line[length] = '\0';
+  if (g_ascii_strncasecmp (line, "X-Prompt-Tokens:", 16) == 0)
+    request->prompt_tokens = g_ascii_strtoll (line + 16, NULL, 10);
+  else if (g_ascii_strncasecmp (line, "X-Cached-Tokens:", 16) == 0)
+    request->cached_tokens = g_ascii_strtoll (line + 16, NULL, 10);
+  else if (g_ascii_strncasecmp (line, "Retry-After:", 12) == 0)
+    request->result.retry_after_s = g_ascii_strtod (line + 12, NULL);
+  else if (g_ascii_strncasecmp (line, "X-Outcome:", 10) == 0)
+    g_strlcpy (request->result.outcome, g_strstrip (line + 10), sizeof request->result.outcome);
+  return size * count;
+}
+
+static CURL *
+take_handle (Load *load)
+{
+  if (load->idle->len > 0)
+    return g_ptr_array_remove_index_fast (load->idle, load->idle->len - 1);
+  return curl_easy_init ();
+}
+
+static void
+set_options (Load *load, Request *request)
+{
+  const BenchOptions *options = load->options;
+  char *url = g_strdup_printf ("http://127.0.0.1:%s/v1/chat/completions",
+                               options->routers[load->sent % g_strv_length (options->routers)]);
+  char header[160];
+
+  curl_easy_reset (request->easy);
+  curl_easy_setopt (request->easy, CURLOPT_URL, url);
+  curl_easy_setopt (request->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (request->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (request->easy, CURLOPT_POSTFIELDS, request->body);
+  curl_easy_setopt (request->easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (request->easy, CURLOPT_WRITEDATA, request);
+  curl_easy_setopt (request->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (request->easy, CURLOPT_HEADERDATA, request);
+  curl_easy_setopt (request->easy, CURLOPT_PRIVATE, request);
+  request->headers = curl_slist_append (NULL, "Content-Type: application/json");
+  request->headers = curl_slist_append (request->headers, "Expect:");
+  g_snprintf (header, sizeof header, "X-Chat-Id: c%d-%u-%u", options->seed, request->chat->number,
+              request->chat->generation);
+  request->headers = curl_slist_append (request->headers, header);
+  g_snprintf (header, sizeof header, "X-Attempt-Id: %032x", load->sent);
+  if (options->direct)
+    request->headers = curl_slist_append (request->headers, header);
+  g_snprintf (header, sizeof header, "Authorization: Bearer %s", options->key);
+  if (options->key != NULL)
+    request->headers = curl_slist_append (request->headers, header);
+  g_snprintf (header, sizeof header, "X-Deadline-Ms: %d", options->deadline_ms);
+  if (options->deadline_ms > 0)
+    request->headers = curl_slist_append (request->headers, header);
+  curl_easy_setopt (request->easy, CURLOPT_HTTPHEADER, request->headers);
+  g_free (url);
+}
+
+static void
+send_request (Load *load)
+{
+  const BenchOptions *options = load->options;
+  Chat *chat = pick_chat (load);
+  Request *request;
+
+  load->sent++;
+  if (chat == NULL)
+    return;
+  chat->busy = true;
+  request = g_new0 (Request, 1);
+  request->chat = chat;
+  request->result.is_long = g_rand_int_range (load->random, 0, 100) < options->long_percent;
+  request->result.returning = chat->turn > 0;
+  request->wanted_tokens = request->result.is_long ? options->long_tokens : options->tokens;
+  request->line = g_string_new (NULL);
+  request->answer = g_string_new (NULL);
+  g_snprintf (request->tag, sizeof request->tag, "q%d-%u", options->seed, load->sent);
+  request->body = make_body (load, request);
+  request->easy = take_handle (load);
+  set_options (load, request);
+  request->start_ms = bench_now_ms ();
+  request->result.sent_s = (request->start_ms - load->start_ms) / 1000;
+  curl_multi_add_handle (load->multi, request->easy);
+  load->running++;
+}
+
+static void
+grow_chat (Request *request)
+{
+  Chat *chat = request->chat;
+
+  if (chat->history->len > 0)
+    g_string_append_c (chat->history, ' ');
+  g_string_append_printf (chat->history, "%s and then %s", request->tag, request->answer->str);
+  g_string_truncate (chat->history, chat->history->len - 1);
+  chat->history_words = request->prompt_tokens + request->next_token;
+  chat->turn++;
+}
+
+static void
+finish_request (Load *load, Request *request, CURLcode code)
+{
+  BenchResult *result = &request->result;
+  double now_ms = bench_now_ms ();
+  int64_t expected = request->chat->history_words / BLOCK_TOKENS * BLOCK_TOKENS;
+
+  curl_easy_getinfo (request->easy, CURLINFO_RESPONSE_CODE, &result->code);
+  result->total_ms = now_ms - request->start_ms;
+  result->whole = code == CURLE_OK && result->code == 200 && request->done && !result->wrong
+                  && request->next_token == request->wanted_tokens;
+  if (result->whole)
+    g_strlcpy (result->outcome, "done", sizeof result->outcome);
+  else if (result->code == 200 || code != CURLE_OK || result->outcome[0] == '\0')
+    g_strlcpy (result->outcome, "cut", sizeof result->outcome);
+  if (request->next_token == 0)
+    result->first_ms = result->total_ms;
+  if (request->next_token > 1)
+    result->gap_ms = (request->last_ms - request->start_ms - result->first_ms)
+                     / (double)(request->next_token - 1);
+  result->met_prefix = result->returning && request->cached_tokens >= expected - BLOCK_TOKENS;
+  if (result->whole)
+    grow_chat (request);
+  g_array_append_val (load->results, *result);
+  request->chat->busy = false;
+  curl_multi_remove_handle (load->multi, request->easy);
+  g_ptr_array_add (load->idle, request->easy);
+  curl_slist_free_all (request->headers);
+  g_string_free (request->line, TRUE);
+  g_string_free (request->answer, TRUE);
+  g_free (request->body);
+  g_free (request);
+  load->running--;
+}
+
+static void
+finish_ended (Load *load)
+{
+  CURLMsg *message;
+  int left = 0;
+
+  while ((message = curl_multi_info_read (load->multi, &left)) != NULL)
+    if (message->msg == CURLMSG_DONE)
+      {
+        Request *request = NULL;
+        CURLcode code = message->data.result;
+
+        curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &request);
+        finish_request (load, request, code);
+      }
+}
+
+static double
+rate_at (const BenchOptions *options, double second)
+{
+  if (options->step_rate > 0 && second >= options->step_at_s && second < options->step_until_s)
+    return options->step_rate;
+  return options->rate;
+}
+
+GArray *
+bench_run (const BenchOptions *options)
+{
+  Load load = { .options = options };
+  double next_ms;
+  double end_ms;
+
+  load.multi = curl_multi_init ();
+  curl_multi_setopt (load.multi, CURLMOPT_MAXCONNECTS, 4000L);
+  load.random = g_rand_new_with_seed ((guint32)options->seed);
+  load.chats = g_new0 (Chat, options->chats);
+  load.idle = g_ptr_array_new ();
+  load.results = g_array_new (FALSE, TRUE, sizeof (BenchResult));
+  for (int i = 0; i < options->chats; i++)
+    {
+      load.chats[i].number = (uint32_t)i;
+      load.chats[i].history = g_string_new (NULL);
+    }
+  load.start_ms = bench_now_ms ();
+  next_ms = load.start_ms;
+  end_ms = load.start_ms + options->seconds * 1000;
+  while (bench_now_ms () < end_ms || load.running > 0)
+    {
+      double now_ms = bench_now_ms ();
+      int running = 0;
+
+      while (next_ms <= now_ms && next_ms < end_ms)
+        {
+          double rate = rate_at (options, (next_ms - load.start_ms) / 1000);
+
+          send_request (&load);
+          next_ms -= log (1 - g_rand_double (load.random)) / rate * 1000;
+        }
+      curl_multi_perform (load.multi, &running);
+      finish_ended (&load);
+      if (now_ms > end_ms + WAIT_AFTER_END_S * 1000)
+        break;
+      curl_multi_poll (load.multi, NULL, 0,
+                       next_ms < end_ms ? (int)CLAMP (next_ms - bench_now_ms (), 0, 20) : 20,
+                       NULL);
+    }
+  return load.results;
+}
--- /dev/null
+++ b/src/limpetbench/main.c
@@ -0,0 +1,79 @@
+#include "bench.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <time.h>
+
+double
+bench_now_ms (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (double)ts.tv_sec * 1000 + (double)ts.tv_nsec / 1000000;
+}
+
+int
+main (int argc, char **argv)
+{
+  BenchOptions options = {
+    .model = "kit-7b",
+    .rate = 10,
+    .seconds = 10,
+    .tokens = 16,
+    .long_tokens = 600,
+    .chats = 200,
+    .turns = 6,
+    .prompt_words = 64,
+    .bound_percent = 125,
+    .warmup_s = 1,
+    .seed = 1,
+  };
+  GOptionEntry entries[] = {
+    { "router", 'r', 0, G_OPTION_ARG_STRING_ARRAY, &options.routers, "Callers' port", "PORT" },
+    { "engine", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &options.engines, "Engine to sample", "PORT" },
+    { "key", 'k', 0, G_OPTION_ARG_STRING, &options.key, "Bearer key of the team", "KEY" },
+    { "model", 0, 0, G_OPTION_ARG_STRING, &options.model, "Model", "NAME" },
+    { "rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.rate, "Requests a second", "N" },
+    { "step-rate", 0, 0, G_OPTION_ARG_DOUBLE, &options.step_rate, "Rate in the step", "N" },
+    { "step-at", 0, 0, G_OPTION_ARG_DOUBLE, &options.step_at_s, "Start of the step", "S" },
+    { "step-until", 0, 0, G_OPTION_ARG_DOUBLE, &options.step_until_s, "End of the step", "S" },
+    { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &options.seconds, "Time of sending", "S" },
+    { "tokens", 0, 0, G_OPTION_ARG_INT, &options.tokens, "Tokens of a short chat", "N" },
+    { "long-percent", 0, 0, G_OPTION_ARG_INT, &options.long_percent, "Part of long work", "N" },
+    { "long-tokens", 0, 0, G_OPTION_ARG_INT, &options.long_tokens, "Tokens of long work", "N" },
+    { "chats", 0, 0, G_OPTION_ARG_INT, &options.chats, "Chats that return", "N" },
+    { "turns", 0, 0, G_OPTION_ARG_INT, &options.turns, "Turns of a chat", "N" },
+    { "prompt-words", 0, 0, G_OPTION_ARG_INT, &options.prompt_words, "First message", "N" },
+    { "deadline-ms", 0, 0, G_OPTION_ARG_INT, &options.deadline_ms, "Deadline sent along", "MS" },
+    { "bound", 0, 0, G_OPTION_ARG_INT, &options.bound_percent, "Load bound to check", "PERCENT" },
+    { "warmup", 0, 0, G_OPTION_ARG_INT, &options.warmup_s, "Left out at the start", "S" },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Seed", "N" },
+    { "direct", 0, 0, G_OPTION_ARG_NONE, &options.direct, "The port is an engine's", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- send chats and measure the answers");
+  GError *error = NULL;
+  BenchLoad load = { .samples = 0 };
+  GArray *results;
+  json_object *report;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || options.routers == NULL
+      || argc != 1)
+    {
+      fprintf (stderr, "limpetbench: %s; see --help\n",
+               error != NULL ? error->message : "give --router and no other argument");
+      return 2;
+    }
+  g_option_context_free (context);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  bench_sampler_start (&options);
+  results = bench_run (&options);
+  bench_sampler_stop (&load);
+  report = bench_report (&options, results, &load);
+  puts (json_object_to_json_string_ext (report, JSON_C_TO_STRING_PRETTY));
+  json_object_put (report);
+  g_array_free (results, TRUE);
+  return 0;
+}
--- /dev/null
+++ b/src/limpetbench/report.c
@@ -0,0 +1,168 @@
+#include "bench.h"
+
+#include <string.h>
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
+
+static void
+add_quantiles (json_object *report, const char *name, GArray *values)
+{
+  static const struct
+  {
+    const char *name;
+    double q;
+  } quantiles[] = { { "p50", 0.5 }, { "p95", 0.95 }, { "p99", 0.99 } };
+  json_object *object = json_object_new_object ();
+
+  qsort (values->data, values->len, sizeof (double), compare_doubles);
+  for (size_t i = 0; i < G_N_ELEMENTS (quantiles) && values->len > 0; i++)
+    {
+      guint index = (guint)(quantiles[i].q * (values->len - 1) + 0.5);
+
+      json_object_object_add (object, quantiles[i].name,
+                              json_object_new_double (g_array_index (values, double, index)));
+    }
+  json_object_object_add (object, "count", json_object_new_int ((int)values->len));
+  json_object_object_add (report, name, object);
+  g_array_free (values, TRUE);
+}
+
+typedef bool (*ResultFilter) (const BenchResult *result);
+
+static bool
+is_short_done (const BenchResult *result)
+{
+  return result->whole && !result->is_long;
+}
+
+static bool
+is_long_done (const BenchResult *result)
+{
+  return result->whole && result->is_long;
+}
+
+static bool
+is_refused (const BenchResult *result)
+{
+  return strcmp (result->outcome, "not_run") == 0;
+}
+
+static double
+get_first (const BenchResult *result)
+{
+  return result->first_ms;
+}
+
+static double
+get_total (const BenchResult *result)
+{
+  return result->total_ms;
+}
+
+static double
+get_gap (const BenchResult *result)
+{
+  return result->gap_ms;
+}
+
+static GArray *
+collect (const BenchOptions *options, const GArray *results, ResultFilter filter,
+         double (*get) (const BenchResult *result))
+{
+  GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
+
+  for (guint i = 0; i < results->len; i++)
+    {
+      const BenchResult *result = &g_array_index (results, BenchResult, i);
+      double value = get (result);
+
+      if (result->sent_s >= options->warmup_s && filter (result))
+        g_array_append_val (values, value);
+    }
+  return values;
+}
+
+static void
+add_count (json_object *report, const char *name, uint32_t count)
+{
+  json_object_object_add (report, name, json_object_new_int64 (count));
+}
+
+static void
+add_counts (json_object *report, const BenchOptions *options, const GArray *results)
+{
+  uint32_t sent = 0, done = 0, refused = 0, unknown = 0, failed = 0, cut = 0, wrong = 0;
+  uint32_t returning = 0, met = 0, in_deadline = 0, late = 0, without_time = 0;
+
+  for (guint i = 0; i < results->len; i++)
+    {
+      const BenchResult *result = &g_array_index (results, BenchResult, i);
+
+      if (result->sent_s < options->warmup_s)
+        continue;
+      sent++;
+      done += result->whole;
+      refused += is_refused (result);
+      without_time += is_refused (result) && result->retry_after_s <= 0;
+      unknown += strcmp (result->outcome, "unknown") == 0;
+      failed += strcmp (result->outcome, "failed") == 0;
+      cut += strcmp (result->outcome, "cut") == 0;
+      wrong += result->wrong;
+      returning += result->returning && result->whole;
+      met += result->met_prefix && result->whole;
+      if (result->whole && options->deadline_ms > 0)
+        {
+          in_deadline += result->first_ms <= options->deadline_ms;
+          late += result->first_ms > options->deadline_ms;
+        }
+    }
+  add_count (report, "sent", sent);
+  add_count (report, "done", done);
+  add_count (report, "refused", refused);
+  add_count (report, "refused_without_retry_after", without_time);
+  add_count (report, "unknown", unknown);
+  add_count (report, "failed", failed);
+  add_count (report, "cut", cut);
+  add_count (report, "wrong", wrong);
+  add_count (report, "returning", returning);
+  add_count (report, "met_prefix", met);
+  add_count (report, "in_deadline", in_deadline);
+  add_count (report, "late", late);
+}
+
+static void
+add_load (json_object *report, const BenchLoad *load)
+{
+  json_object *object = json_object_new_object ();
+
+  add_count (object, "samples", load->samples);
+  add_count (object, "over", load->over);
+  json_object_object_add (object, "highest_ratio", json_object_new_double (load->highest_ratio));
+  json_object_object_add (object, "highest_excess", json_object_new_double (load->highest_excess));
+  json_object_object_add (object, "mean_ratio", json_object_new_double (load->mean_ratio));
+  json_object_object_add (object, "mean_load", json_object_new_double (load->mean_load));
+  json_object_object_add (report, "load", object);
+}
+
+json_object *
+bench_report (const BenchOptions *options, const GArray *results, const BenchLoad *load)
+{
+  json_object *report = json_object_new_object ();
+
+  json_object_object_add (report, "seed", json_object_new_int (options->seed));
+  add_counts (report, options, results);
+  add_quantiles (report, "short_first_ms", collect (options, results, is_short_done, get_first));
+  add_quantiles (report, "short_total_ms", collect (options, results, is_short_done, get_total));
+  add_quantiles (report, "short_gap_ms", collect (options, results, is_short_done, get_gap));
+  add_quantiles (report, "long_first_ms", collect (options, results, is_long_done, get_first));
+  add_quantiles (report, "refused_ms", collect (options, results, is_refused, get_total));
+  add_load (report, load);
+  return report;
+}
--- a/src/limpetfake/vms.c
+++ b/src/limpetfake/vms.c
@@ -22,7 +22,7 @@
 } state;
 
 static char *
-current_text (void)
+current_text (guint *number)
 {
   const char *text = "{\"vms\":[]}";
   LimpetMs now_ms = limpet_clock_mono_ms ();
@@ -32,7 +32,10 @@
       const Version *version = g_ptr_array_index (state.versions, i);
 
       if (version->shown_ms <= now_ms)
-        text = version->text;
+        {
+          text = version->text;
+          *number = i + 1;
+        }
     }
   return g_strdup (text);
 }
@@ -42,7 +45,10 @@
 handle_vms (struct mg_connection *connection, void *user)
 {
   Version *version;
+  const char *condition = mg_get_header (connection, "If-None-Match");
   char *text = NULL;
+  char etag[32];
+  guint number = 0;
   bool down;
   int code;
 
@@ -60,9 +66,16 @@
     }
   pthread_mutex_lock (&state.lock);
   down = state.down;
-  text = current_text ();
+  text = current_text (&number);
   pthread_mutex_unlock (&state.lock);
-  code = fake_reply (connection, down ? 503 : 200, "", json_tokener_parse (text));
+  g_snprintf (etag, sizeof etag, "ETag: \"%u\"\r\n", number);
+  if (!down && condition != NULL && g_str_has_prefix (etag + 6, condition))
+    {
+      mg_printf (connection, "HTTP/1.1 304 Not Modified\r\n\r\n");
+      g_free (text);
+      return 304;
+    }
+  code = fake_reply (connection, down ? 503 : 200, etag, json_tokener_parse (text));
   g_free (text);
   return code;
 }
--- /dev/null
+++ b/test/measure.py
@@ -0,0 +1,240 @@
+"""Makes the figures of docs/MEASURES.md again: one function for each measure.
+
+Usage: measure.py [NAME…]. Every policy runs against the same load and seed."""
+
+import json
+import subprocess
+import sys
+import threading
+import time
+
+import fleet as f
+
+POLICIES = ["bounded", "rendezvous", "least_loaded", "random"]
+ENGINE = ["--slots", "16", "--queue", "4", "--step-ms", "25", "--prefill-tokens", "512"]
+SEED = 11
+
+
+def make_fleet(policy="bounded", routers=6, engines=20, engine=None, **fleet_part):
+    part = dict({"policy": policy}, **fleet_part)
+    return f.Fleet(routers=routers, engines=engines, services=0, teams=4, fleet=part,
+                   engine_options=engine or ENGINE, workers=1024).start()
+
+
+def bench_process(fleet, *options, team="team-0", routers=None):
+    arguments = [f.program("limpetbench"), "--key", fleet.key(team)]
+    for router in routers or fleet.routers:
+        arguments += ["--router", str(router["port"])]
+    for engine in fleet.engines:
+        arguments += ["--engine", str(engine["port"])]
+    return subprocess.Popen(arguments + [str(o) for o in options], stdout=subprocess.PIPE)
+
+
+def bench(fleet, *options, **keywords):
+    out, _ = bench_process(fleet, *options, **keywords).communicate()
+    return json.loads(out)
+
+
+def row(*cells):
+    print("| " + " | ".join(str(c) for c in cells) + " |")
+    sys.stdout.flush()
+
+
+def header(*cells):
+    row(*cells)
+    row(*["---"] * len(cells))
+
+
+def percent(part, whole):
+    return "%.1f %%" % (100.0 * part / whole) if whole else "-"
+
+
+def during(seconds_at, action):
+    """Runs action after some seconds, in a thread of its own."""
+    timer = threading.Timer(seconds_at, action)
+    timer.start()
+    return timer
+
+
+def control_rate(fleet, seconds, before):
+    names = ["peer_sent_bytes_total", "log_sent_bytes_total", "probe_sent_bytes_total",
+             "peer_received_bytes_total", "log_received_bytes_total",
+             "probe_received_bytes_total"]
+    after = {n: fleet.counter(n) for n in names}
+    return {n: (after[n] - before[n]) / seconds / len(fleet.routers) for n in names}
+
+
+def control_start(fleet):
+    return {n: fleet.counter(n) for n in
+            ["peer_sent_bytes_total", "log_sent_bytes_total", "probe_sent_bytes_total",
+             "peer_received_bytes_total", "log_received_bytes_total",
+             "probe_received_bytes_total"]}
+
+
+def measure_bound():
+    """Largest engine load over the mean, sampled at the engines."""
+    header("policy", "routers", "samples", "mean load", "mean of largest ratio",
+           "largest ratio", "largest excess over 1.25 x mean", "samples over + 1",
+           "returning met prefix")
+    runs = [("bounded", n) for n in (1, 3, 6, 9)] + [(p, 6) for p in POLICIES[1:]]
+    for policy, routers in runs:
+        with make_fleet(policy, routers) as fleet:
+            r = bench(fleet, "--rate", 200, "--tokens", 40, "--seconds", 20, "--warmup", 5,
+                      "--chats", 900, "--seed", SEED)
+            load = r["load"]
+            row(policy, routers, load["samples"], "%.1f" % load["mean_load"],
+                "%.2f" % load["mean_ratio"], "%.2f" % load["highest_ratio"],
+                "%.1f" % load["highest_excess"], load["over"],
+                percent(r["met_prefix"], r["returning"]))
+
+
+def measure_crest():
+    """Chats answered inside their deadline while demand steps from 0.5 to 3 times capacity."""
+    capacity = 20 * 16 / (22 * 0.025 * 1.15)
+    header("policy", "sent", "done in deadline", "of capacity's worth", "late", "refused",
+           "p99 refusal ms", "unknown", "cut", "short p99 first ms")
+    for policy in POLICIES:
+        with make_fleet(policy) as fleet:
+            base = bench(fleet, "--rate", capacity * 0.9, "--tokens", 20, "--seconds", 8,
+                         "--warmup", 3, "--chats", 4000, "--seed", SEED, "--deadline-ms", 1000)
+            full = base["done"] / 5.0
+            r = bench(fleet, "--rate", capacity * 0.5, "--step-rate", capacity * 3, "--step-at",
+                      4, "--step-until", 12, "--seconds", 12, "--warmup", 4, "--tokens", 20,
+                      "--chats", 6000, "--seed", SEED + 1, "--deadline-ms", 1000)
+            row(policy, r["sent"], r["in_deadline"],
+                percent(r["in_deadline"], capacity * 8) + " (model %.0f/s, at 0.9 %.0f/s)" %
+                (capacity, full), r["late"], r["refused"],
+                "%.0f" % r["refused_ms"].get("p99", 0), r["unknown"], r["cut"],
+                "%.0f" % r["short_first_ms"].get("p99", 0))
+
+
+def measure_blocking():
+    """p99 time to the first token of short chats with 5 % of very long work, against none."""
+    header("policy", "p99 without long ms", "p99 with 5 % long ms", "ratio", "refused with long",
+           "long done")
+    for policy in POLICIES:
+        with make_fleet(policy) as fleet:
+            options = ["--rate", 150, "--tokens", 20, "--seconds", 20, "--warmup", 5, "--chats",
+                       3000, "--long-tokens", 600, "--seed", SEED]
+            without = bench(fleet, *options)
+            with_long = bench(fleet, *options, "--long-percent", 5)
+            a = without["short_first_ms"]["p99"]
+            b = with_long["short_first_ms"]["p99"]
+            row(policy, "%.0f" % a, "%.0f" % b, "%.2f" % (b / a), with_long["refused"],
+                with_long["long_first_ms"]["count"])
+
+
+def slow_some(fleet, count, seconds):
+    """Slows count engines tenfold for some seconds, others after them."""
+    def run():
+        for first in range(0, 3 * count, count):
+            chosen = [fleet.engines[(first * 3 + i) % len(fleet.engines)] for i in range(count)]
+            for engine in chosen:
+                fleet.fault(engine, slow=10)
+            time.sleep(seconds)
+            for engine in chosen:
+                fleet.fault(engine, slow=1)
+    thread = threading.Thread(target=run)
+    thread.start()
+    return thread
+
+
+def measure_slow():
+    """p99 of short chats while some targets are slowed tenfold for seconds."""
+    header("engines", "slowed", "policy", "p99 first ms, none slowed", "p99 first, slowed",
+           "ratio", "p99 whole answer, none", "p99 whole answer, slowed", "ratio",
+           "hedges, retries and resumes of attempts")
+    for engines, slowed, rate, routers in ((20, 2, 150, 6), (10, 1, 75, 6)):
+        for policy in POLICIES:
+            with make_fleet(policy, routers, engines) as fleet:
+                options = ["--rate", rate, "--tokens", 20, "--seconds", 20, "--warmup", 5,
+                           "--chats", 2000, "--seed", SEED]
+                calm = bench(fleet, *options)
+                extra = [fleet.counter(n) for n in
+                         ("hedges_total", "retries_total", "stream_resumes_total",
+                          "attempts_total")]
+                timer = during(6, lambda: slow_some(fleet, slowed, 4))
+                slow = bench(fleet, *options)
+                timer.join()
+                now = [fleet.counter(n) for n in
+                       ("hedges_total", "retries_total", "stream_resumes_total",
+                        "attempts_total")]
+                more = [n - e for n, e in zip(now, extra)]
+                a, b = calm["short_first_ms"]["p99"], slow["short_first_ms"]["p99"]
+                c, d = calm["short_total_ms"]["p99"], slow["short_total_ms"]["p99"]
+                row(engines, slowed, policy, "%.0f" % a, "%.0f" % b, "%.2f" % (b / a), "%.0f" % c,
+                    "%.0f" % d, "%.2f" % (d / c), percent(sum(more[:3]), more[3]))
+
+
+def measure_surge():
+    """The others' p99 while one team surges to ten times its share."""
+    header("policy", "others' p99 alone ms", "others' p99 in the surge ms", "ratio",
+           "others refused", "surging team refused")
+    for policy in ("bounded",):
+        with make_fleet(policy) as fleet:
+            calm = ["--rate", 90, "--tokens", 20, "--seconds", 16, "--warmup", 4, "--chats", 2000,
+                    "--seed", SEED]
+            alone = bench(fleet, *calm, team="team-1")
+            surging = bench_process(fleet, "--rate", 1300, "--tokens", 20, "--seconds", 16,
+                                    "--chats", 8000, "--seed", SEED + 1, team="team-0")
+            with_surge = bench(fleet, *calm, team="team-1")
+            surge = json.loads(surging.communicate()[0])
+            a, b = alone["short_first_ms"]["p99"], with_surge["short_first_ms"]["p99"]
+            row(policy, "%.0f" % a, "%.0f" % b, "%.2f" % (b / a), with_surge["refused"],
+                surge["refused"])
+
+
+def measure_reuse():
+    """Returning chats that meet their cached prefix while one engine joins and one leaves."""
+    header("policy", "returning", "met prefix", "possible", "of what is possible",
+           "largest load ratio", "control bytes sent a second and node",
+           "control bytes received")
+    for policy in POLICIES:
+        with make_fleet(policy, engines=22) as fleet:
+            spare = fleet.engines[20:]
+            fleet.engines = fleet.engines[:20]
+            fleet.push_vms()
+            time.sleep(2.5)
+            changed = [0]
+
+            def churn():
+                for i in range(2):
+                    leaving = fleet.engines[i]
+                    leaving["leaving"] = True
+                    fleet.push_vms()
+                    fleet.engines.append(spare[i])
+                    fleet.push_vms()
+                    changed[0] += 2
+                    time.sleep(10)
+            before = control_start(fleet)
+            timer = during(5, lambda: threading.Thread(target=churn).start())
+            r = bench(fleet, "--rate", 150, "--tokens", 30, "--seconds", 25, "--warmup", 4,
+                      "--chats", 700, "--turns", 12, "--seed", SEED)
+            timer.join()
+            rate = control_rate(fleet, 25, before)
+            # Each change moves one of 20 engines' chats; a chat misses once.
+            possible = 1 - changed[0] / 20.0 * 700 / max(1, r["returning"])
+            met = r["met_prefix"] / max(1, r["returning"])
+            row(policy, r["returning"], percent(r["met_prefix"], r["returning"]),
+                "%.1f %%" % (100 * possible), "%.1f %%" % (100 * met / possible),
+                "%.2f" % r["load"]["highest_ratio"],
+                "%.0f" % sum(v for n, v in rate.items() if "sent" in n),
+                "%.0f" % sum(v for n, v in rate.items() if "received" in n))
+
+
+def measure_names():
+    return {n[len("measure_"):]: v for n, v in globals().items() if n.startswith("measure_")
+            and n != "measure_names"}
+
+
+def main():
+    names = measure_names()
+    for name in sys.argv[1:] or names:
+        print("\n## %s\n\n%s Seed %d.\n" % (name, names[name].__doc__, SEED))
+        start = time.monotonic()
+        names[name]()
+        print("\n(%.0f s)" % (time.monotonic() - start))
+
+
+if __name__ == "__main__":
+    main()
