--- a/include/limpetroad/admission.h
+++ b/include/limpetroad/admission.h
@@ -58,9 +58,10 @@
 /** Sets the number of live routers that share the load, this one included. */
 void limpet_admission_set_routers (LimpetAdmission *admission, uint32_t count);
 
-/** Sets a function that is called when a target comes near its load bound. It must not call the
- *  admission. */
-void limpet_admission_set_observer (LimpetAdmission *admission, void (*near_bound) (void *user),
+/** Sets a function that is called when a target comes near its load bound. It must not
+ * call the admission. */
+void limpet_admission_set_observer (LimpetAdmission *admission,
+                                    void (*near_bound) (void *user),
                                     void *user);
 
 /** Adds the state for a dump. */
--- a/include/limpetroad/attempt.h
+++ b/include/limpetroad/attempt.h
@@ -86,6 +86,9 @@
  *  not start; INVALID that it answered with a client error. */
 LimpetStatus limpet_attempt_status (const LimpetAttempt *attempt, LimpetError *error);
 
+/** Returns whether a pooled connection was used and nothing came over it. */
+bool limpet_attempt_is_stale (const LimpetAttempt *attempt);
+
 /** Frees the attempt. The connection is kept for later only after a clean end. */
 void limpet_attempt_delete (LimpetAttempt *attempt);
 
--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -54,10 +54,12 @@
                                     const LimpetTargetView *view,
                                     LimpetMs now_ms);
 
-/** Returns whether the load of \p target comes near what the bound allows, so that the other
- *  routers need to hear of it soon. */
-bool limpet_policy_is_near_bound (const LimpetRouteRequest *request, const LimpetTargetView *view,
-                                  const LimpetTarget *target, LimpetMs now_ms);
+/** Returns whether the load of \p target comes near what the bound allows, so that the
+ * other routers need to hear of it soon. */
+bool limpet_policy_is_near_bound (const LimpetRouteRequest *request,
+                                  const LimpetTargetView *view,
+                                  const LimpetTarget *target,
+                                  LimpetMs now_ms);
 
 /** Rendezvous score of a target for a key, weighted by its slots (highest random weight;
  *  Thaler and Ravishankar 1998, weights by the logarithm method). */
--- a/include/limpetroad/status.h
+++ b/include/limpetroad/status.h
@@ -23,7 +23,7 @@
   LIMPET_STATUS_TIMEOUT,      /**< no answer in time; the peer may have acted */
   LIMPET_STATUS_BROKEN,       /**< the exchange broke off; the peer may have acted */
   LIMPET_STATUS_CANCELLED,    /**< the caller left, or another attempt won */
-  LIMPET_STATUS_UNCHANGED,   /**< the same as the last time */
+  LIMPET_STATUS_UNCHANGED,    /**< the same as the last time */
   LIMPET_STATUS_INTERNAL,     /**< a library failed */
   LIMPET_STATUS_COUNT
 } LimpetStatus;
--- a/include/limpetroad/vm_list.h
+++ b/include/limpetroad/vm_list.h
@@ -51,8 +51,8 @@
 /** Behaviour of a VM list client. */
 typedef struct
 {
-  /** Fetches the list. UNCHANGED: it has not changed since the last fetch, and list is empty.
-   *  An entry that cannot be read refuses the whole answer. */
+  /** Fetches the list. UNCHANGED: it has not changed since the last fetch, and list is
+   * empty. An entry that cannot be read refuses the whole answer. */
   LimpetStatus (*fetch) (LimpetVmListClient *client,
                          LimpetVmList *list,
                          LimpetError *error);
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -123,7 +123,8 @@
       if (request->team != NULL)
         add_team_inflight (admission, request->team, 1);
       if (admission->near_bound != NULL && request->route.kind == LIMPET_VM_ENGINE
-          && limpet_policy_is_near_bound (&request->route, view, target, limpet_clock_mono_ms ()))
+          && limpet_policy_is_near_bound (&request->route, view, target,
+                                          limpet_clock_mono_ms ()))
         admission->near_bound (admission->near_bound_user);
     }
   limpet_target_view_release (view);
@@ -341,7 +342,8 @@
 }
 
 void
-limpet_admission_set_observer (LimpetAdmission *admission, void (*near_bound) (void *user),
+limpet_admission_set_observer (LimpetAdmission *admission,
+                               void (*near_bound) (void *user),
                                void *user)
 {
   admission->near_bound_user = user;
--- a/src/liblimpetroad/attempt.c
+++ b/src/liblimpetroad/attempt.c
@@ -392,6 +392,12 @@
   return LIMPET_STATUS_OK;
 }
 
+bool
+limpet_attempt_is_stale (const LimpetAttempt *attempt)
+{
+  return attempt->link != NULL && attempt->link->reused && attempt->answer.code == 0;
+}
+
 void
 limpet_attempt_delete (LimpetAttempt *attempt)
 {
@@ -408,7 +414,11 @@
       if (clean)
         limpet_link_release (attempt->target, attempt->link);
       else
-        limpet_link_delete (attempt->link);
+        {
+          if (limpet_attempt_is_stale (attempt))
+            limpet_link_clear_pool (attempt->target);
+          limpet_link_delete (attempt->link);
+        }
     }
   if (attempt->error_body != NULL)
     g_string_free (attempt->error_body, TRUE);
--- a/src/liblimpetroad/chat.c
+++ b/src/liblimpetroad/chat.c
@@ -36,6 +36,7 @@
   LimpetMs token_ms; /* last token */
   int64_t expected;  /* offset of the next token */
   uint32_t batch_tokens;
+  bool has_unsent; /* events that the sink has not sent yet */
 } Lane;
 
 struct Chat
@@ -53,6 +54,7 @@
   bool ended;
   bool may_have_run;
   bool hedged;
+  bool used_stale_retry;
   uint32_t retries;
   uint32_t resumes;
   bool is_long;
@@ -166,6 +168,7 @@
       chat->caller_left = true;
       return false;
     }
+  lane->has_unsent = true;
   if (is_end_marker (event))
     {
       chat->complete = true;
@@ -274,26 +277,37 @@
   start_lane (chat, &chat->lanes[0], target, false);
 }
 
+/* A pooled connection may have gone silent while the target is well; such a failure is
+ * not charged to the budget, once for each chat. */
 static bool
-may_retry (Chat *chat, LimpetStatus status)
+is_free_retry (Chat *chat, LimpetStatus status, bool stale_link)
 {
-  bool not_started
-      = status == LIMPET_STATUS_REFUSED || status == LIMPET_STATUS_UNREACHABLE;
+  if (status == LIMPET_STATUS_REFUSED || status == LIMPET_STATUS_UNREACHABLE)
+    return true;
+  if (!stale_link || chat->used_stale_retry)
+    return false;
+  chat->used_stale_retry = true;
+  return true;
+}
 
+static bool
+may_retry (Chat *chat, LimpetStatus status, bool stale_link)
+{
   if (chat->delivered > 0)
     return chat->resumes++ < MOST_RESUMES;
   if (limpet_clock_mono_ms () >= chat->request->deadline_ms
       || chat->retries++ >= MOST_RETRIES)
     return false;
-  return not_started || limpet_budget_spend (chat->context->budget);
+  return is_free_retry (chat, status, stale_link)
+         || limpet_budget_spend (chat->context->budget);
 }
 
 static void
-start_again (Chat *chat, Lane *lane, LimpetStatus status)
+start_again (Chat *chat, Lane *lane, LimpetStatus status, bool stale_link)
 {
   LimpetTarget *target = NULL;
 
-  if (!may_retry (chat, status))
+  if (!may_retry (chat, status, stale_link))
     {
       give_up (chat);
       return;
@@ -335,6 +349,7 @@
 on_lane_failed (Chat *chat, Lane *lane, LimpetStatus status)
 {
   bool other_runs = other_lane (chat, lane)->attempt != NULL;
+  bool stale_link = limpet_attempt_is_stale (lane->attempt);
 
   if (status == LIMPET_STATUS_OK)
     status = limpet_error_set (&chat->result->error, LIMPET_STATUS_BROKEN, "stream",
@@ -354,7 +369,7 @@
   exclude (chat, lane->target);
   close_lane (chat, lane);
   if (!other_runs)
-    start_again (chat, lane, status);
+    start_again (chat, lane, status, stale_link);
 }
 
 static LimpetMs
@@ -505,9 +520,10 @@
     {
       limpet_count (LIMPET_COUNTER_TOKENS, lane->batch_tokens);
       note_token_times (chat, lane, now_ms);
-      if (!chat->caller_left && !chat->sink->ops->flush (chat->sink))
-        chat->caller_left = true;
     }
+  if (lane->has_unsent && !chat->caller_left && !chat->sink->ops->flush (chat->sink))
+    chat->caller_left = true;
+  lane->has_unsent = false;
   if (chat->complete || chat->caller_left)
     return;
   if (state == LIMPET_ATTEMPT_ENDED)
--- a/src/liblimpetroad/peer_controller.c
+++ b/src/liblimpetroad/peer_controller.c
@@ -44,7 +44,7 @@
   size_t row_length;
   LimpetMs link_ms;  /* at which the link was made */
   LimpetMs given_ms; /* at which rows were last sent to the peer */
-  LimpetMs heard_ms;        /* 0 if never */
+  LimpetMs heard_ms; /* 0 if never */
   LimpetMs bundle_reply_ms;
   int64_t bundle_version;
   uint32_t fingerprint; /* of the peer's target list */
@@ -80,14 +80,14 @@
   bool draining;
   _Atomic bool urgent; /* a target is near its bound: send digests out of turn */
   uint32_t row_sequence;
-  uint32_t fingerprint;    /* of the target list in the last row */
+  uint32_t fingerprint; /* of the target list in the last row */
   LimpetMs list_changed_ms;
   uint32_t rounds;
   double byte_tokens;
   LimpetMs tokens_ms;
   LimpetMs regular_ms; /* time of the last regular digest */
   LimpetMs urgent_ms;  /* time of the last urgent one */
-  LimpetMs behind_ms; /* since when a peer has a newer bundle; 0 if none */
+  LimpetMs behind_ms;  /* since when a peer has a newer bundle; 0 if none */
   LimpetMs asked_ms;
   char asked[LIMPET_NAME_SIZE]; /* peer that was asked last */
   LimpetRowBuffers buffers;
@@ -185,7 +185,8 @@
 {
   if (peer->link == NULL)
     {
-      peer->link = limpet_peer_link_new (self->transport, peer->vm.address, (int)peer->vm.port);
+      peer->link
+          = limpet_peer_link_new (self->transport, peer->vm.address, (int)peer->vm.port);
       peer->link_ms = limpet_clock_mono_ms ();
     }
   return peer->link;
@@ -364,8 +365,11 @@
 }
 
 static void
-take_row (LimpetPeerController *self, Peer *peer, const Limpet__Row *row,
-          const ProtobufCBinaryData *packed, const LimpetTargetView *view)
+take_row (LimpetPeerController *self,
+          Peer *peer,
+          const Limpet__Row *row,
+          const ProtobufCBinaryData *packed,
+          const LimpetTargetView *view)
 {
   peer->incarnation = row->incarnation;
   peer->row_sequence = row->sequence;
@@ -388,14 +392,16 @@
 
 /* Returns whether any row was new. */
 static bool
-take_rows (LimpetPeerController *self, const Limpet__Digest *digest,
+take_rows (LimpetPeerController *self,
+           const Limpet__Digest *digest,
            const LimpetTargetView *view)
 {
   bool news = false;
 
   for (size_t i = 0; i < digest->n_rows; i++)
     {
-      Limpet__Row *row = limpet__row__unpack (NULL, digest->rows[i].len, digest->rows[i].data);
+      Limpet__Row *row
+          = limpet__row__unpack (NULL, digest->rows[i].len, digest->rows[i].data);
       Peer *peer = row != NULL ? find_peer (self, row->router) : NULL;
 
       if (row == NULL)
@@ -572,7 +578,8 @@
 
       if (peer != NULL)
         {
-          limpet_peer_link_send (ensure_link (self, peer), outgoing->data, outgoing->length);
+          limpet_peer_link_send (ensure_link (self, peer), outgoing->data,
+                                 outgoing->length);
           self->byte_tokens -= (double)(outgoing->length + OVERHEAD_BYTES);
         }
       free_outgoing (outgoing);
@@ -580,8 +587,8 @@
   pthread_mutex_unlock (&self->lock);
 }
 
-/* Links are replaced now and then: something between the two ends may have lost track of one,
- * while a new connection works. */
+/* Links are replaced now and then: something between the two ends may have lost track of
+ * one, while a new connection works. */
 static void
 check_link (Peer *peer, LimpetMs now_ms)
 {
@@ -613,8 +620,8 @@
   pthread_mutex_unlock (&self->lock);
 }
 
-/* Returns the peer at a distance in the ring of names, or the next one that is alive; any one
- * if none is. */
+/* Returns the peer at a distance in the ring of names, or the next one that is alive; any
+ * one if none is. */
 static Peer *
 peer_at_distance (LimpetPeerController *self, uint32_t distance)
 {
@@ -630,7 +637,9 @@
         g_ptr_array_add (ring, peer);
     }
   for (guint i = 0; i < ring->len; i++)
-    self_index += strcmp (((Peer *)g_ptr_array_index (ring, i))->vm.id, self->settings->name) < 0;
+    self_index
+        += strcmp (((Peer *)g_ptr_array_index (ring, i))->vm.id, self->settings->name)
+           < 0;
   if (ring->len > 0)
     chosen = g_ptr_array_index (ring, (self_index + distance - 1) % ring->len);
   else
@@ -639,7 +648,8 @@
   return chosen;
 }
 
-/* Peers that are not heard get a digest now and then, so that new and returning ones join. */
+/* Peers that are not heard get a digest now and then, so that new and returning ones
+ * join. */
 static Peer *
 pick_silent_peer (LimpetPeerController *self)
 {
@@ -656,9 +666,9 @@
   return chosen;
 }
 
-/* Regular digests go to the peers at distances 1, 2, 4, … in the ring, so that a row reaches all
- * in a number of periods that grows with the logarithm of their number. Urgent ones go to the
- * next peer, which passes new rows on at once. */
+/* Regular digests go to the peers at distances 1, 2, 4, … in the ring, so that a row
+ * reaches all in a number of periods that grows with the logarithm of their number.
+ * Urgent ones go to the next peer, which passes new rows on at once. */
 static Peer *
 pick_receiver (LimpetPeerController *self, bool urgent)
 {
@@ -672,7 +682,8 @@
   self->rounds++;
   if (self->rounds % 2 == 0)
     silent = pick_silent_peer (self);
-  return silent != NULL ? silent : peer_at_distance (self, 1U << (self->rounds % distances));
+  return silent != NULL ? silent
+                        : peer_at_distance (self, 1U << (self->rounds % distances));
 }
 
 static void
@@ -680,7 +691,8 @@
 {
   pthread_mutex_lock (&self->lock);
   if (self->peers->len > 0)
-    self->byte_tokens -= (double)send_digest (self, pick_receiver (self, urgent), urgent, now_ms);
+    self->byte_tokens
+        -= (double)send_digest (self, pick_receiver (self, urgent), urgent, now_ms);
   pthread_mutex_unlock (&self->lock);
 }
 
--- a/src/liblimpetroad/peer_row.c
+++ b/src/liblimpetroad/peer_row.c
@@ -39,9 +39,7 @@
 }
 
 static void
-pack_marks (Limpet__Row *row,
-            const LimpetTargetView *view,
-            LimpetRowBuffers *buffers)
+pack_marks (Limpet__Row *row, const LimpetTargetView *view, LimpetRowBuffers *buffers)
 {
   row->leaving = buffers->leaving;
   row->slow_ids = buffers->slow_ids;
@@ -62,9 +60,9 @@
 
 void
 limpet_row_pack (Limpet__Row *row,
-                    const LimpetTargetView *view,
-                    bool with_ids,
-                    LimpetRowBuffers *buffers)
+                 const LimpetTargetView *view,
+                 bool with_ids,
+                 LimpetRowBuffers *buffers)
 {
   bool any_long = false;
   size_t length = 0;
@@ -115,16 +113,15 @@
 {
   size_t length = row->count_bits == 8 ? count : (count + 1) / 2;
 
-  return (row->count_bits == 4 || row->count_bits == 8)
-         && row->counts.len == length
+  return (row->count_bits == 4 || row->count_bits == 8) && row->counts.len == length
          && (row->long_counts.len == 0 || row->long_counts.len == length)
          && row->slow_weights.len == row->n_slow_ids;
 }
 
 bool
 limpet_row_unpack (const Limpet__Row *row,
-                      const LimpetTargetView *view,
-                      LimpetPeerCounts *counts)
+                   const LimpetTargetView *view,
+                   LimpetPeerCounts *counts)
 {
   bool aligned = row->n_ids == 0;
   uint32_t count = (uint32_t)row->n_ids;
@@ -185,9 +182,9 @@
 
 void
 limpet_row_sum (const LimpetTargetView *view,
-                   const LimpetPeerCounts *const *counts,
-                   uint32_t count,
-                   LimpetMs weight_until_ms)
+                const LimpetPeerCounts *const *counts,
+                uint32_t count,
+                LimpetMs weight_until_ms)
 {
   for (uint32_t i = 0; i < view->count; i++)
     {
--- a/src/liblimpetroad/policy.c
+++ b/src/liblimpetroad/policy.c
@@ -94,27 +94,34 @@
 
 /* Requests that the target may have in flight before it gets one more. */
 static double
-planned_limit (const LimpetRouteRequest *request, const LimpetTarget *target,
+planned_limit (const LimpetRouteRequest *request,
+               const LimpetTarget *target,
                const GroupLoad *load)
 {
-  double planned = 1 + (double)(request->fleet->load_bound_percent - 100) * PLANNED_EXCESS_PERCENT
-                           / 10000.0;
+  double planned = 1
+                   + (double)(request->fleet->load_bound_percent - 100)
+                         * PLANNED_EXCESS_PERCENT / 10000.0;
 
-  return planned * (double)(load->inflight + 1) * (double)target->vm.slots / (double)load->slots;
+  return planned * (double)(load->inflight + 1) * (double)target->vm.slots
+         / (double)load->slots;
 }
 
-/* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the order
- * of rendezvous scores instead of a ring. */
+/* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the
+ * order of rendezvous scores instead of a ring. */
 static bool
-is_within_bound (const LimpetRouteRequest *request, const LimpetTarget *target,
+is_within_bound (const LimpetRouteRequest *request,
+                 const LimpetTarget *target,
                  const GroupLoad *load)
 {
-  return limpet_target_inflight (target) <= (int64_t)planned_limit (request, target, load);
+  return limpet_target_inflight (target)
+         <= (int64_t)planned_limit (request, target, load);
 }
 
 bool
-limpet_policy_is_near_bound (const LimpetRouteRequest *request, const LimpetTargetView *view,
-                             const LimpetTarget *target, LimpetMs now_ms)
+limpet_policy_is_near_bound (const LimpetRouteRequest *request,
+                             const LimpetTargetView *view,
+                             const LimpetTarget *target,
+                             LimpetMs now_ms)
 {
   GroupLoad load = group_load (request, view, now_ms);
 
--- a/src/liblimpetroad/private/http.h
+++ b/src/liblimpetroad/private/http.h
@@ -29,7 +29,7 @@
 typedef struct
 {
   long code;
-  GString *body; /* owned by the LimpetHttp until the next exchange */
+  GString *body;               /* owned by the LimpetHttp until the next exchange */
   char etag[LIMPET_NAME_SIZE]; /* empty if the answer has none */
 } LimpetHttpResponse;
 
--- a/src/liblimpetroad/private/peer_row.h
+++ b/src/liblimpetroad/private/peer_row.h
@@ -37,27 +37,26 @@
 /* Packs the state of the targets into a row whose arrays are borrowed from buffers. With
  * with_ids the list of targets goes along. */
 void limpet_row_pack (Limpet__Row *row,
-                         const LimpetTargetView *view,
-                         bool with_ids,
-                         LimpetRowBuffers *buffers);
+                      const LimpetTargetView *view,
+                      bool with_ids,
+                      LimpetRowBuffers *buffers);
 
 /* Takes the counts out of a digest. Without ids they are those of view, and are dropped
  * if its fingerprint differs. Returns false for a digest whose arrays do not fit
  * together. */
 bool limpet_row_unpack (const Limpet__Row *row,
-                           const LimpetTargetView *view,
-                           LimpetPeerCounts *counts);
+                        const LimpetTargetView *view,
+                        LimpetPeerCounts *counts);
 void limpet_row_clear (LimpetPeerCounts *counts);
 
 /* Marks the targets that the row names as leaving. */
-void limpet_row_mark_leaving (const Limpet__Row *row,
-                                 const LimpetTargetView *view);
+void limpet_row_mark_leaving (const Limpet__Row *row, const LimpetTargetView *view);
 
 /* Sets what the peers have in flight on each target, and their lowest weight, to the sums
  * over counts[0..count). */
 void limpet_row_sum (const LimpetTargetView *view,
-                        const LimpetPeerCounts *const *counts,
-                        uint32_t count,
-                        LimpetMs weight_until_ms);
+                     const LimpetPeerCounts *const *counts,
+                     uint32_t count,
+                     LimpetMs weight_until_ms);
 
 #endif
--- a/src/liblimpetroad/target_controller.c
+++ b/src/liblimpetroad/target_controller.c
@@ -48,8 +48,8 @@
       LimpetError error;
       LimpetStatus status = client->ops->fetch (client, &list, &error);
 
-      set_list_state (self, status == LIMPET_STATUS_OK || status == LIMPET_STATUS_UNCHANGED,
-                      &error);
+      set_list_state (
+          self, status == LIMPET_STATUS_OK || status == LIMPET_STATUS_UNCHANGED, &error);
       if (status != LIMPET_STATUS_OK)
         continue;
       limpet_targets_update (self->targets, &list);
--- a/src/limpetbench/bench.h
+++ b/src/limpetbench/bench.h
@@ -6,7 +6,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Sends chats at given rates, independent of the answers, and measures what callers get. */
+/* Sends chats at given rates, independent of the answers, and measures what callers get.
+ */
 
 typedef struct
 {
@@ -14,38 +15,38 @@
   char **engines; /* ports of stand-in engines whose load is sampled */
   char *key;
   char *model;
-  double rate;        /* requests a second */
-  double step_rate;   /* from step_at_s to step_until_s; 0 for no step */
+  double rate;      /* requests a second */
+  double step_rate; /* from step_at_s to step_until_s; 0 for no step */
   double step_at_s;
   double step_until_s;
   double seconds;
-  int tokens;         /* of a short chat */
-  int long_percent;   /* of the requests */
+  int tokens;       /* of a short chat */
+  int long_percent; /* of the requests */
   int long_tokens;
-  int chats;          /* chats that return */
-  int turns;          /* after which a chat starts anew */
-  int prompt_words;   /* of the first message */
-  int deadline_ms;    /* sent along; 0 for none */
-  int bound_percent;  /* the bound that samples of the load are held against */
-  int warmup_s;       /* left out of the results */
+  int chats;         /* chats that return */
+  int turns;         /* after which a chat starts anew */
+  int prompt_words;  /* of the first message */
+  int deadline_ms;   /* sent along; 0 for none */
+  int bound_percent; /* the bound that samples of the load are held against */
+  int warmup_s;      /* left out of the results */
   int seed;
-  gboolean direct;    /* the port is an engine's */
+  gboolean direct; /* the port is an engine's */
 } BenchOptions;
 
 /* What became of one request. Times in ms. */
 typedef struct
 {
-  double sent_s;     /* after the start */
+  double sent_s; /* after the start */
   bool is_long;
   bool returning;
   bool met_prefix;
   long code;
-  char outcome[16];  /* of an answer that is not whole, else "done" */
-  bool whole;        /* every token, in order, of this request */
-  bool wrong;        /* a token that is not this request's, or out of order */
-  double first_ms;   /* time to the first token, or to the refusal */
+  char outcome[16]; /* of an answer that is not whole, else "done" */
+  bool whole;       /* every token, in order, of this request */
+  bool wrong;       /* a token that is not this request's, or out of order */
+  double first_ms;  /* time to the first token, or to the refusal */
   double total_ms;
-  double gap_ms;     /* mean time between tokens */
+  double gap_ms; /* mean time between tokens */
   double retry_after_s;
 } BenchResult;
 
@@ -67,8 +68,8 @@
 void bench_sampler_start (const BenchOptions *options);
 void bench_sampler_stop (BenchLoad *load);
 
-json_object *bench_report (const BenchOptions *options, const GArray *results,
-                           const BenchLoad *load);
+json_object *
+bench_report (const BenchOptions *options, const GArray *results, const BenchLoad *load);
 
 /* Monotonic time in ms, with fractions. */
 double bench_now_ms (void);
--- a/src/limpetbench/load.c
+++ b/src/limpetbench/load.c
@@ -16,7 +16,7 @@
   uint32_t generation; /* grows when the chat starts anew */
   uint32_t turn;
   bool busy;
-  GString *history;       /* user and assistant texts, joined by blanks */
+  GString *history; /* user and assistant texts, joined by blanks */
   int64_t history_words;
 } Chat;
 
@@ -89,26 +89,30 @@
 
       if (chat->busy)
         continue;
-      if ((int)chat->turn >= load->options->turns || chat->history_words > HISTORY_LIMIT_WORDS)
+      if ((int)chat->turn >= load->options->turns
+          || chat->history_words > HISTORY_LIMIT_WORDS)
         restart_chat (chat);
       return chat;
     }
   return NULL;
 }
 
-/* The first message differs between chats, so that only a chat's own engine has its prefix. */
+/* The first message differs between chats, so that only a chat's own engine has its
+ * prefix. */
 static char *
 make_body (const Load *load, const Request *request)
 {
   const Chat *chat = request->chat;
 
   return g_strdup_printf (
-      "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":%d,\"messages\":[{\"role\":\"system\","
-      "\"content\":\"chat%u.%u.%d %s\"},%s%s%s{\"role\":\"user\",\"content\":\"%s and then\"}]}",
+      "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":%d,\"messages\":[{\"role\":"
+      "\"system\","
+      "\"content\":\"chat%u.%u.%d %s\"},%s%s%s{\"role\":\"user\",\"content\":\"%s and "
+      "then\"}]}",
       load->options->model, request->wanted_tokens, chat->number, chat->generation,
       load->options->seed, system_text (load->options),
-      chat->history->len > 0 ? "{\"role\":\"assistant\",\"content\":\"" : "", chat->history->str,
-      chat->history->len > 0 ? "\"}," : "", request->tag);
+      chat->history->len > 0 ? "{\"role\":\"assistant\",\"content\":\"" : "",
+      chat->history->str, chat->history->len > 0 ? "\"}," : "", request->tag);
 }
 
 static void
@@ -117,7 +121,8 @@
   char expected[80];
   double now_ms = bench_now_ms ();
 
-  g_snprintf (expected, sizeof expected, "%s.%ld ", request->tag, (long)request->next_token);
+  g_snprintf (expected, sizeof expected, "%s.%ld ", request->tag,
+              (long)request->next_token);
   if (strncmp (content, expected, strlen (expected)) != 0)
     request->result.wrong = true;
   if (request->next_token == 0)
@@ -171,7 +176,8 @@
   else if (g_ascii_strncasecmp (line, "Retry-After:", 12) == 0)
     request->result.retry_after_s = g_ascii_strtod (line + 12, NULL);
   else if (g_ascii_strncasecmp (line, "X-Outcome:", 10) == 0)
-    g_strlcpy (request->result.outcome, g_strstrip (line + 10), sizeof request->result.outcome);
+    g_strlcpy (request->result.outcome, g_strstrip (line + 10),
+               sizeof request->result.outcome);
   return size * count;
 }
 
@@ -187,8 +193,9 @@
 set_options (Load *load, Request *request)
 {
   const BenchOptions *options = load->options;
-  char *url = g_strdup_printf ("http://127.0.0.1:%s/v1/chat/completions",
-                               options->routers[load->sent % g_strv_length (options->routers)]);
+  char *url
+      = g_strdup_printf ("http://127.0.0.1:%s/v1/chat/completions",
+                         options->routers[load->sent % g_strv_length (options->routers)]);
   char header[160];
 
   curl_easy_reset (request->easy);
@@ -203,8 +210,8 @@
   curl_easy_setopt (request->easy, CURLOPT_PRIVATE, request);
   request->headers = curl_slist_append (NULL, "Content-Type: application/json");
   request->headers = curl_slist_append (request->headers, "Expect:");
-  g_snprintf (header, sizeof header, "X-Chat-Id: c%d-%u-%u", options->seed, request->chat->number,
-              request->chat->generation);
+  g_snprintf (header, sizeof header, "X-Chat-Id: c%d-%u-%u", options->seed,
+              request->chat->number, request->chat->generation);
   request->headers = curl_slist_append (request->headers, header);
   g_snprintf (header, sizeof header, "X-Attempt-Id: %032x", load->sent);
   if (options->direct)
@@ -232,9 +239,11 @@
   chat->busy = true;
   request = g_new0 (Request, 1);
   request->chat = chat;
-  request->result.is_long = g_rand_int_range (load->random, 0, 100) < options->long_percent;
+  request->result.is_long
+      = g_rand_int_range (load->random, 0, 100) < options->long_percent;
   request->result.returning = chat->turn > 0;
-  request->wanted_tokens = request->result.is_long ? options->long_tokens : options->tokens;
+  request->wanted_tokens
+      = request->result.is_long ? options->long_tokens : options->tokens;
   request->line = g_string_new (NULL);
   request->answer = g_string_new (NULL);
   g_snprintf (request->tag, sizeof request->tag, "q%d-%u", options->seed, load->sent);
@@ -254,7 +263,8 @@
 
   if (chat->history->len > 0)
     g_string_append_c (chat->history, ' ');
-  g_string_append_printf (chat->history, "%s and then %s", request->tag, request->answer->str);
+  g_string_append_printf (chat->history, "%s and then %s", request->tag,
+                          request->answer->str);
   g_string_truncate (chat->history, chat->history->len - 1);
   chat->history_words = request->prompt_tokens + request->next_token;
   chat->turn++;
@@ -269,8 +279,8 @@
 
   curl_easy_getinfo (request->easy, CURLINFO_RESPONSE_CODE, &result->code);
   result->total_ms = now_ms - request->start_ms;
-  result->whole = code == CURLE_OK && result->code == 200 && request->done && !result->wrong
-                  && request->next_token == request->wanted_tokens;
+  result->whole = code == CURLE_OK && result->code == 200 && request->done
+                  && !result->wrong && request->next_token == request->wanted_tokens;
   if (result->whole)
     g_strlcpy (result->outcome, "done", sizeof result->outcome);
   else if (result->code == 200 || code != CURLE_OK || result->outcome[0] == '\0')
@@ -280,7 +290,8 @@
   if (request->next_token > 1)
     result->gap_ms = (request->last_ms - request->start_ms - result->first_ms)
                      / (double)(request->next_token - 1);
-  result->met_prefix = result->returning && request->cached_tokens >= expected - BLOCK_TOKENS;
+  result->met_prefix
+      = result->returning && request->cached_tokens >= expected - BLOCK_TOKENS;
   if (result->whole)
     grow_chat (request);
   g_array_append_val (load->results, *result);
@@ -315,7 +326,8 @@
 static double
 rate_at (const BenchOptions *options, double second)
 {
-  if (options->step_rate > 0 && second >= options->step_at_s && second < options->step_until_s)
+  if (options->step_rate > 0 && second >= options->step_at_s
+      && second < options->step_until_s)
     return options->step_rate;
   return options->rate;
 }
@@ -357,9 +369,9 @@
       finish_ended (&load);
       if (now_ms > end_ms + WAIT_AFTER_END_S * 1000)
         break;
-      curl_multi_poll (load.multi, NULL, 0,
-                       next_ms < end_ms ? (int)CLAMP (next_ms - bench_now_ms (), 0, 20) : 20,
-                       NULL);
+      curl_multi_poll (
+          load.multi, NULL, 0,
+          next_ms < end_ms ? (int)CLAMP (next_ms - bench_now_ms (), 0, 20) : 20, NULL);
     }
   return load.results;
 }
--- a/src/limpetbench/report.c
+++ b/src/limpetbench/report.c
@@ -26,8 +26,9 @@
     {
       guint index = (guint)(quantiles[i].q * (values->len - 1) + 0.5);
 
-      json_object_object_add (object, quantiles[i].name,
-                              json_object_new_double (g_array_index (values, double, index)));
+      json_object_object_add (
+          object, quantiles[i].name,
+          json_object_new_double (g_array_index (values, double, index)));
     }
   json_object_object_add (object, "count", json_object_new_int ((int)values->len));
   json_object_object_add (report, name, object);
@@ -73,7 +74,9 @@
 }
 
 static GArray *
-collect (const BenchOptions *options, const GArray *results, ResultFilter filter,
+collect (const BenchOptions *options,
+         const GArray *results,
+         ResultFilter filter,
          double (*get) (const BenchResult *result))
 {
   GArray *values = g_array_new (FALSE, FALSE, sizeof (double));
@@ -144,9 +147,12 @@
 
   add_count (object, "samples", load->samples);
   add_count (object, "over", load->over);
-  json_object_object_add (object, "highest_ratio", json_object_new_double (load->highest_ratio));
-  json_object_object_add (object, "highest_excess", json_object_new_double (load->highest_excess));
-  json_object_object_add (object, "mean_ratio", json_object_new_double (load->mean_ratio));
+  json_object_object_add (object, "highest_ratio",
+                          json_object_new_double (load->highest_ratio));
+  json_object_object_add (object, "highest_excess",
+                          json_object_new_double (load->highest_excess));
+  json_object_object_add (object, "mean_ratio",
+                          json_object_new_double (load->mean_ratio));
   json_object_object_add (object, "mean_load", json_object_new_double (load->mean_load));
   json_object_object_add (report, "load", object);
 }
@@ -158,10 +164,14 @@
 
   json_object_object_add (report, "seed", json_object_new_int (options->seed));
   add_counts (report, options, results);
-  add_quantiles (report, "short_first_ms", collect (options, results, is_short_done, get_first));
-  add_quantiles (report, "short_total_ms", collect (options, results, is_short_done, get_total));
-  add_quantiles (report, "short_gap_ms", collect (options, results, is_short_done, get_gap));
-  add_quantiles (report, "long_first_ms", collect (options, results, is_long_done, get_first));
+  add_quantiles (report, "short_first_ms",
+                 collect (options, results, is_short_done, get_first));
+  add_quantiles (report, "short_total_ms",
+                 collect (options, results, is_short_done, get_total));
+  add_quantiles (report, "short_gap_ms",
+                 collect (options, results, is_short_done, get_gap));
+  add_quantiles (report, "long_first_ms",
+                 collect (options, results, is_long_done, get_first));
   add_quantiles (report, "refused_ms", collect (options, results, is_refused, get_total));
   add_load (report, load);
   return report;
--- /dev/null
+++ b/src/test_liblimpetroad/bundle_tests.c
@@ -0,0 +1,221 @@
+#include "tests.h"
+
+#include "limpetroad/bundle_history.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+
+/* A history with one approver whose key is known. */
+typedef struct
+{
+  LimpetSettings settings;
+  LimpetBundleHistory *history;
+  char secret[2 * crypto_sign_SECRETKEYBYTES + 1];
+} Fixture;
+
+static void
+set_up (Fixture *fixture)
+{
+  uint8_t public_key[crypto_sign_PUBLICKEYBYTES];
+  uint8_t secret_key[crypto_sign_SECRETKEYBYTES];
+
+  *fixture = (Fixture){ .settings = { .approvers_count = 1 } };
+  crypto_sign_keypair (public_key, secret_key);
+  sodium_bin2hex (fixture->secret, sizeof fixture->secret, secret_key, sizeof secret_key);
+  g_strlcpy (fixture->settings.approvers[0].name, "amina", LIMPET_NAME_SIZE);
+  sodium_bin2hex (fixture->settings.approvers[0].public_key, LIMPET_HASH_HEX_SIZE,
+                  public_key, sizeof public_key);
+  fixture->history = limpet_bundle_history_new (&fixture->settings);
+}
+
+static LimpetBundle *
+make_bundle (const LimpetBundle *base, int share)
+{
+  char hash[LIMPET_HASH_HEX_SIZE];
+  char *team;
+  LimpetBundle *bundle;
+
+  limpet_hash_text ("key", hash);
+  team = g_strdup_printf ("{\"key_hash\":\"%s\",\"share\":%d}", hash, share);
+  LimpetPart changes[] = {
+    { .name = (char *)"fleet", .text = (char *)"{}" },
+    { .name = (char *)"team/a", .text = team },
+  };
+
+  bundle = limpet_bundle_new_changed (base, changes, G_N_ELEMENTS (changes));
+  g_free (team);
+  return bundle;
+}
+
+static LimpetBundleEvent
+apply (Fixture *fixture, int64_t offset, char *record)
+{
+  LimpetBundleEvent event = limpet_bundle_history_apply (fixture->history, offset, 1,
+                                                         record, strlen (record), NULL);
+
+  g_free (record);
+  return event;
+}
+
+static void
+draft_and_approve (Fixture *fixture,
+                   int64_t offset,
+                   int share,
+                   char id[LIMPET_HASH_HEX_SIZE])
+{
+  LimpetBundle *base = limpet_bundle_history_current (fixture->history);
+  LimpetBundle *bundle = make_bundle (base, share);
+  char signature[LIMPET_SIGNATURE_HEX_SIZE];
+
+  CU_ASSERT_EQUAL (
+      apply (fixture, offset, limpet_record_draft (base, bundle, "baraka", "", id)),
+      LIMPET_BUNDLE_EVENT_DRAFTED);
+  limpet_draft_sign (id, fixture->secret, signature, NULL);
+  CU_ASSERT_EQUAL (
+      apply (fixture, offset + 1, limpet_record_approval (id, "amina", signature)),
+      LIMPET_BUNDLE_EVENT_APPROVED);
+  limpet_bundle_unref (bundle);
+}
+
+static int64_t
+version_of (const Fixture *fixture)
+{
+  return limpet_bundle_history_current (fixture->history)->version;
+}
+
+static void
+test_first_roll_of_a_parent_wins (void)
+{
+  Fixture fixture;
+  char first[LIMPET_HASH_HEX_SIZE];
+  char second[LIMPET_HASH_HEX_SIZE];
+
+  set_up (&fixture);
+  draft_and_approve (&fixture, 1, 10, first);
+  draft_and_approve (&fixture, 3, 20, second);
+  CU_ASSERT_EQUAL (apply (&fixture, 5, limpet_record_roll (second, "b")),
+                   LIMPET_BUNDLE_EVENT_ROLLED);
+  CU_ASSERT_EQUAL (apply (&fixture, 6, limpet_record_roll (first, "a")),
+                   LIMPET_BUNDLE_EVENT_REJECTED);
+  CU_ASSERT_EQUAL (apply (&fixture, 5, limpet_record_roll (second, "b")),
+                   LIMPET_BUNDLE_EVENT_NONE);
+  CU_ASSERT_EQUAL (version_of (&fixture), 5);
+  limpet_bundle_history_delete (fixture.history);
+}
+
+static void
+roll (Fixture *fixture, int64_t offset, int share)
+{
+  char id[LIMPET_HASH_HEX_SIZE];
+
+  draft_and_approve (fixture, offset, share, id);
+  CU_ASSERT_EQUAL (apply (fixture, offset + 2, limpet_record_roll (id, "b")),
+                   LIMPET_BUNDLE_EVENT_ROLLED);
+}
+
+static void
+test_differences_lead_another_holder_on (void)
+{
+  Fixture fixture;
+  LimpetBundleHistory *behind;
+  LimpetPart *changes = NULL;
+  uint32_t count = 0;
+  int64_t base;
+
+  set_up (&fixture);
+  roll (&fixture, 1, 10);
+  behind = limpet_bundle_history_new (&fixture.settings);
+  base = limpet_bundle_history_changes_since (fixture.history, 0, &changes, &count);
+  CU_ASSERT_EQUAL (base, 0);
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_adopt (behind, limpet_bundle_history_proof (fixture.history),
+                                   base, changes, count, NULL),
+      LIMPET_STATUS_OK);
+  limpet_parts_free (changes, count);
+  roll (&fixture, 4, 20);
+  roll (&fixture, 7, 30);
+  base = limpet_bundle_history_changes_since (fixture.history, 3, &changes, &count);
+  CU_ASSERT_EQUAL (base, 3);
+  CU_ASSERT_EQUAL (count, 1);
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_adopt (behind, limpet_bundle_history_proof (fixture.history),
+                                   base, changes, count, NULL),
+      LIMPET_STATUS_OK);
+  CU_ASSERT_EQUAL (limpet_bundle_history_current (behind)->version, 9);
+  CU_ASSERT_STRING_EQUAL (limpet_bundle_history_current (behind)->root,
+                          limpet_bundle_history_current (fixture.history)->root);
+  limpet_parts_free (changes, count);
+  limpet_bundle_history_delete (behind);
+  limpet_bundle_history_delete (fixture.history);
+}
+
+static void
+test_an_old_bundle_under_a_raised_version_is_refused (void)
+{
+  Fixture fixture;
+  LimpetBundleProof old;
+  LimpetPart *changes = NULL;
+  uint32_t count = 0;
+
+  set_up (&fixture);
+  roll (&fixture, 1, 10);
+  old = *limpet_bundle_history_proof (fixture.history);
+  limpet_bundle_history_changes_since (fixture.history, 0, &changes, &count);
+  roll (&fixture, 4, 20);
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_adopt (fixture.history, &old, 0, changes, count, NULL),
+      LIMPET_STATUS_EXPIRED);
+  old.version = 1000;
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_adopt (fixture.history, &old, 0, changes, count, NULL),
+      LIMPET_STATUS_EXPIRED);
+  old.parent = 7;
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_adopt (fixture.history, &old, 0, changes, count, NULL),
+      LIMPET_STATUS_UNAUTHORIZED);
+  CU_ASSERT_EQUAL (version_of (&fixture), 6);
+  limpet_parts_free (changes, count);
+  limpet_bundle_history_delete (fixture.history);
+}
+
+static void
+test_a_missing_parent_is_a_gap_and_a_checkpoint_fills_it (void)
+{
+  Fixture fixture;
+  LimpetBundleHistory *other;
+  char *checkpoint;
+  char id[LIMPET_HASH_HEX_SIZE];
+  char *draft;
+
+  set_up (&fixture);
+  roll (&fixture, 1, 10);
+  checkpoint = limpet_record_checkpoint (fixture.history);
+  draft_and_approve (&fixture, 4, 20, id);
+  other = limpet_bundle_history_new (&fixture.settings);
+  draft = g_strdup_printf ("{\"type\":\"roll\",\"draft\":\"%s\",\"by\":\"b\"}", id);
+  CU_ASSERT_EQUAL (limpet_bundle_history_apply (other, 6, 1, draft, strlen (draft), NULL),
+                   LIMPET_BUNDLE_EVENT_REJECTED);
+  CU_ASSERT_EQUAL (
+      limpet_bundle_history_apply (other, 7, 1, checkpoint, strlen (checkpoint), NULL),
+      LIMPET_BUNDLE_EVENT_CHECKPOINT);
+  CU_ASSERT_EQUAL (limpet_bundle_history_current (other)->version, 3);
+  g_free (draft);
+  g_free (checkpoint);
+  limpet_bundle_history_delete (other);
+  limpet_bundle_history_delete (fixture.history);
+}
+
+void
+add_bundle_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("bundle history", NULL, NULL);
+
+  CU_add_test (suite, "first roll of a parent wins", test_first_roll_of_a_parent_wins);
+  CU_add_test (suite, "differences lead another holder on",
+               test_differences_lead_another_holder_on);
+  CU_add_test (suite, "an old bundle under a raised version is refused",
+               test_an_old_bundle_under_a_raised_version_is_refused);
+  CU_add_test (suite, "a checkpoint fills a gap",
+               test_a_missing_parent_is_a_gap_and_a_checkpoint_fills_it);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/claim_tests.c
@@ -0,0 +1,147 @@
+#include "tests.h"
+
+#include "private/claim_index.h"
+#include "private/claim_record.h"
+#include "private/order.h"
+
+#include <string.h>
+
+static LimpetClaim
+claim_of (uint8_t key, uint8_t attempt, int64_t offset)
+{
+  LimpetClaim claim = { .offset = offset, .time_ms = offset };
+
+  claim.key.bytes[0] = key;
+  claim.attempt.bytes[0] = attempt;
+  return claim;
+}
+
+static void
+end (LimpetClaimIndex *index, const LimpetClaim *claim, LimpetOutcome outcome)
+{
+  LimpetClaimOutcome end_outcome = { .outcome = outcome };
+
+  limpet_claim_index_end (index, &claim->key, &claim->attempt, &end_outcome,
+                          claim->offset);
+}
+
+static void
+test_the_first_claim_wins (void)
+{
+  LimpetClaimIndex *index = limpet_claim_index_new ();
+  LimpetClaim first = claim_of (1, 1, 10);
+  LimpetClaim second = claim_of (1, 2, 11);
+
+  CU_ASSERT_TRUE (limpet_claim_index_add (index, &first));
+  CU_ASSERT_FALSE (limpet_claim_index_add (index, &second));
+  CU_ASSERT_TRUE (limpet_claim_index_add (index, &first));
+  end (index, &second, LIMPET_OUTCOME_DONE);
+  CU_ASSERT_FALSE (limpet_claim_index_find (index, &first.key)->has_outcome);
+  end (index, &first, LIMPET_OUTCOME_DONE);
+  CU_ASSERT_TRUE (limpet_claim_index_find (index, &first.key)->has_outcome);
+  limpet_claim_index_delete (index);
+}
+
+static void
+test_a_promise_not_to_run_frees_the_key (void)
+{
+  LimpetClaimIndex *index = limpet_claim_index_new ();
+  LimpetClaim first = claim_of (1, 1, 10);
+  LimpetClaim second = claim_of (1, 2, 12);
+
+  limpet_claim_index_add (index, &first);
+  end (index, &first, LIMPET_OUTCOME_NOT_RUN);
+  CU_ASSERT_FALSE (limpet_claim_index_add (index, &first));
+  CU_ASSERT_TRUE (limpet_claim_index_add (index, &second));
+  CU_ASSERT_FALSE (limpet_claim_index_add (index, &first));
+  limpet_claim_index_delete (index);
+}
+
+static void
+test_a_promise_before_the_claim_holds_too (void)
+{
+  LimpetClaimIndex *index = limpet_claim_index_new ();
+  LimpetClaim late = claim_of (1, 1, 10);
+
+  end (index, &late, LIMPET_OUTCOME_NOT_RUN);
+  CU_ASSERT_FALSE (limpet_claim_index_add (index, &late));
+  CU_ASSERT_PTR_NULL (limpet_claim_index_find (index, &late.key));
+  limpet_claim_index_delete (index);
+}
+
+static void
+test_a_run_cannot_be_taken_back (void)
+{
+  LimpetClaimIndex *index = limpet_claim_index_new ();
+  LimpetClaim claim = claim_of (1, 1, 10);
+  LimpetClaim other = claim_of (1, 2, 11);
+
+  limpet_claim_index_add (index, &claim);
+  end (index, &claim, LIMPET_OUTCOME_UNKNOWN);
+  end (index, &claim, LIMPET_OUTCOME_NOT_RUN);
+  CU_ASSERT_FALSE (limpet_claim_index_add (index, &other));
+  limpet_claim_index_delete (index);
+}
+
+static void
+test_records_survive_formatting (void)
+{
+  LimpetClaimRecord *record = limpet_claim_record_new ();
+  LimpetClaimRecord *again;
+  LimpetClaimEntry claim = { .request_hash = UINT64_MAX - 5, .issued_ms = 1764800000000 };
+  LimpetOutcomeEntry outcome
+      = { .outcome = { .outcome = LIMPET_OUTCOME_DONE, .code = 201 } };
+  char *text;
+
+  memset (claim.key.bytes, 7, sizeof claim.key.bytes);
+  outcome.outcome.body = g_strdup ("\"kept\" \xc3\xa9");
+  g_array_append_val (record->claims, claim);
+  g_array_append_val (record->outcomes, outcome);
+  record->previous_offset = 41;
+  text = limpet_claim_record_format (record);
+  again = limpet_claim_record_parse (text, strlen (text));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (again);
+  CU_ASSERT_EQUAL (g_array_index (again->claims, LimpetClaimEntry, 0).request_hash,
+                   claim.request_hash);
+  CU_ASSERT_STRING_EQUAL (
+      g_array_index (again->outcomes, LimpetOutcomeEntry, 0).outcome.body,
+      "\"kept\" \xc3\xa9");
+  CU_ASSERT_EQUAL (again->previous_offset, 41);
+  limpet_claim_record_delete (again);
+  limpet_claim_record_delete (record);
+  g_free (text);
+}
+
+static void
+test_keys (void)
+{
+  static const struct
+  {
+    const char *key;
+    bool good;
+  } keys[] = {
+    { "1764800000000-abcdefgh", true },   { "1764800000000-abc_DEF-9", true },
+    { "1764800000000-abcdefg", false },   { "1764800000000", false },
+    { "-1-abcdefghij", false },           { "17648000000000000-abcdefgh", false },
+    { "1764800000000-abc defgh", false }, { "", false },
+  };
+  LimpetMs issued_ms;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    CU_ASSERT_EQUAL (limpet_order_parse_key (keys[i].key, &issued_ms), keys[i].good);
+}
+
+void
+add_claim_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("claims", NULL, NULL);
+
+  CU_add_test (suite, "the first claim wins", test_the_first_claim_wins);
+  CU_add_test (suite, "a promise not to run frees the key",
+               test_a_promise_not_to_run_frees_the_key);
+  CU_add_test (suite, "a promise before the claim holds too",
+               test_a_promise_before_the_claim_holds_too);
+  CU_add_test (suite, "a run cannot be taken back", test_a_run_cannot_be_taken_back);
+  CU_add_test (suite, "records survive formatting", test_records_survive_formatting);
+  CU_add_test (suite, "keys", test_keys);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/fuzz_tests.c
@@ -0,0 +1,148 @@
+#include "tests.h"
+
+#include "limpetroad/bundle_history.h"
+#include "peer.pb-c.h"
+#include "private/claim_record.h"
+#include "private/peer_row.h"
+#include "private/schema.h"
+#include "private/sse.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define ROUNDS 20000
+#define SEED 4711
+
+/* Texts that the readers take, to be spoilt. */
+static const char *const texts[] = {
+  "{\"type\":\"draft\",\"parent\":0,\"root\":\"00\",\"author\":\"a\",\"note\":\"\","
+  "\"changes\":"
+  "[{\"name\":\"fleet\",\"text\":\"{}\"}]}",
+  "{\"type\":\"checkpoint\",\"version\":9,\"parent\":1,\"root\":\"0\",\"author\":\"a\","
+  "\"approver\":\"b\",\"signature\":\"c\",\"changes\":[]}",
+  "{\"claims\":[{\"k\":\"00\",\"a\":\"00\",\"h\":\"0\",\"i\":1}],\"outcomes\":[{\"k\":"
+  "\"0\"}],"
+  "\"p\":1,\"pt\":2}",
+  "id: 3\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n: c\n\nid: 4\ndata: "
+  "[DONE]\n\n",
+};
+
+static char *
+spoil (GRand *random, const char *text, size_t *length)
+{
+  char *copy;
+
+  *length = strlen (text);
+  copy = g_strdup (text);
+  for (int i = g_rand_int_range (random, 1, 6); i > 0; i--)
+    {
+      size_t place = (size_t)g_rand_int_range (random, 0, (gint32)*length);
+
+      switch (g_rand_int_range (random, 0, 3))
+        {
+        case 0:
+          copy[place] = (char)g_rand_int_range (random, 1, 256);
+          break;
+        case 1:
+          copy[place] = "{}[]\",:0"[g_rand_int_range (random, 0, 8)];
+          break;
+        default:
+          *length = MAX (1, place);
+          copy[*length] = '\0';
+          break;
+        }
+    }
+  return copy;
+}
+
+static bool
+ignore_event (void *user, const LimpetSseEvent *event)
+{
+  (void)user;
+  return event->raw_length > 0;
+}
+
+static void
+test_spoilt_texts_do_no_harm (void)
+{
+  LimpetSettings settings = { .approvers_count = 0 };
+  LimpetBundleHistory *history = limpet_bundle_history_new (&settings);
+  GRand *random = g_rand_new_with_seed (SEED);
+
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      size_t length;
+      char *text = spoil (random, texts[i % (int)G_N_ELEMENTS (texts)], &length);
+      LimpetError error;
+      LimpetSse *sse = limpet_sse_new (ignore_event, NULL);
+
+      limpet_bundle_history_apply (history, i + 1, i, text, length, &error);
+      limpet_claim_record_delete (limpet_claim_record_parse (text, length));
+      limpet_sse_feed (sse, text, length);
+      limpet_sse_delete (sse);
+      g_free (text);
+    }
+  CU_ASSERT_EQUAL (limpet_bundle_history_current (history)->version, 0);
+  limpet_bundle_history_delete (history);
+  g_rand_free (random);
+}
+
+/* Packs a row of two targets. */
+static size_t
+pack_row (uint8_t *out)
+{
+  Limpet__Row row = LIMPET__ROW__INIT;
+  uint8_t counts[] = { 0x21 };
+  uint32_t ids[] = { 1, 2 };
+  uint8_t weights[] = { 9 };
+
+  row.router = (char *)"r1";
+  row.count_bits = 4;
+  row.counts = (ProtobufCBinaryData){ .data = counts, .len = 1 };
+  row.ids = ids;
+  row.n_ids = 2;
+  row.slow_ids = ids;
+  row.n_slow_ids = 1;
+  row.slow_weights = (ProtobufCBinaryData){ .data = weights, .len = 1 };
+  return limpet__row__pack (&row, out);
+}
+
+static void
+test_spoilt_rows_do_no_harm (void)
+{
+  LimpetTargets *targets = limpet_targets_new ();
+  LimpetTargetView *view = limpet_targets_snapshot (targets);
+  LimpetPeerCounts counts = { .count = 0 };
+  GRand *random = g_rand_new_with_seed (SEED);
+  uint8_t good[256];
+  size_t length = pack_row (good);
+  int taken = 0;
+
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      uint8_t bytes[256];
+      Limpet__Row *row;
+
+      memcpy (bytes, good, length);
+      bytes[g_rand_int_range (random, 0, (gint32)length)] = (uint8_t)g_rand_int (random);
+      row = limpet__row__unpack (NULL, length, bytes);
+      if (row == NULL)
+        continue;
+      taken += limpet_row_unpack (row, view, &counts);
+      limpet__row__free_unpacked (row, NULL);
+    }
+  CU_ASSERT (taken > 0 && taken < ROUNDS);
+  limpet_row_clear (&counts);
+  limpet_target_view_release (view);
+  limpet_targets_delete (targets);
+  g_rand_free (random);
+}
+
+void
+add_fuzz_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("fuzz", NULL, NULL);
+
+  CU_add_test (suite, "spoilt texts do no harm", test_spoilt_texts_do_no_harm);
+  CU_add_test (suite, "spoilt rows do no harm", test_spoilt_rows_do_no_harm);
+}
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -1,7 +1,23 @@
-#include <CUnit/Basic.h>
+#include "tests.h"
+
+#include <sodium.h>
 
 int
 main (void)
 {
-  return 0;
+  unsigned failures;
+
+  if (sodium_init () < 0 || CU_initialize_registry () != CUE_SUCCESS)
+    return 2;
+  add_settings_tests ();
+  add_bundle_tests ();
+  add_claim_tests ();
+  add_policy_tests ();
+  add_stream_tests ();
+  add_fuzz_tests ();
+  CU_basic_set_mode (CU_BRM_NORMAL);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures > 0 ? 1 : 0;
 }
--- /dev/null
+++ b/src/test_liblimpetroad/policy_tests.c
@@ -0,0 +1,164 @@
+#include "tests.h"
+
+#include "limpetroad/policy.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define ENGINES 20
+#define CHATS 4000
+
+static LimpetTargets *
+make_targets (uint32_t count)
+{
+  LimpetTargets *targets = limpet_targets_new ();
+  LimpetVm vms[ENGINES + 1];
+  LimpetVmList list = { .vms = vms, .count = count };
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      vms[i] = (LimpetVm){ .kind = LIMPET_VM_ENGINE, .slots = 16, .incarnation = 1 };
+      g_snprintf (vms[i].id, sizeof vms[i].id, "e%u", i);
+      g_strlcpy (vms[i].group, "m", sizeof vms[i].group);
+    }
+  limpet_targets_update (targets, &list);
+  return targets;
+}
+
+static LimpetTarget *
+choose (const char *policy,
+        LimpetTargetView *view,
+        const LimpetFleetPart *fleet,
+        uint64_t key)
+{
+  LimpetRouteRequest request = {
+    .group = "m",
+    .kind = LIMPET_VM_ENGINE,
+    .key_hash = key * 0x9e3779b97f4a7c15ULL,
+    .seed = key,
+    .fleet = fleet,
+  };
+
+  return limpet_policy_choose (limpet_policy_by_name (policy), &request, view,
+                               limpet_clock_mono_ms ());
+}
+
+static const LimpetFleetPart fleet
+    = { .load_bound_percent = 125, .long_share_percent = 25 };
+
+static void
+test_the_bound_holds_as_load_grows (void)
+{
+  LimpetTargets *targets = make_targets (ENGINES);
+  LimpetTargetView *view = limpet_targets_snapshot (targets);
+
+  for (int placed = 1; placed <= ENGINES * 14; placed++)
+    {
+      LimpetTarget *target = choose ("bounded", view, &fleet, (uint64_t)placed);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (target);
+      atomic_fetch_add (&target->own_inflight, 1);
+      for (uint32_t i = 0; i < view->count; i++)
+        CU_ASSERT (atomic_load (&view->targets[i]->own_inflight)
+                   <= 1.25 * placed / ENGINES + 1);
+    }
+  limpet_target_view_release (view);
+  limpet_targets_delete (targets);
+}
+
+static void
+test_one_leaving_engine_moves_only_its_chats (void)
+{
+  LimpetTargets *targets = make_targets (ENGINES);
+  LimpetTargetView *view = limpet_targets_snapshot (targets);
+  LimpetTarget *before[CHATS];
+
+  for (uint64_t i = 0; i < CHATS; i++)
+    before[i] = choose ("rendezvous", view, &fleet, i);
+  limpet_target_mark_leaving (view->targets[3], "test");
+  for (uint64_t i = 0; i < CHATS; i++)
+    {
+      LimpetTarget *after = choose ("rendezvous", view, &fleet, i);
+
+      CU_ASSERT (after == before[i] || before[i] == view->targets[3]);
+      CU_ASSERT (after != view->targets[3]);
+    }
+  limpet_target_view_release (view);
+  limpet_targets_delete (targets);
+}
+
+static void
+test_long_work_keeps_to_its_share (void)
+{
+  LimpetTargets *targets = make_targets (2);
+  LimpetTargetView *view = limpet_targets_snapshot (targets);
+  LimpetRouteRequest request = {
+    .group = "m",
+    .kind = LIMPET_VM_ENGINE,
+    .is_long = true,
+    .fleet = &fleet,
+  };
+  int placed = 0;
+  LimpetTarget *target;
+
+  while ((target
+          = limpet_policy_choose (limpet_policy_by_name ("bounded"), &request, view, 0))
+         != NULL)
+    {
+      atomic_fetch_add (&target->own_inflight, 1);
+      atomic_fetch_add (&target->own_long, 1);
+      placed++;
+    }
+  CU_ASSERT_EQUAL (placed, 2 * 4);
+  CU_ASSERT_PTR_NOT_NULL (choose ("bounded", view, &fleet, 1));
+  limpet_target_view_release (view);
+  limpet_targets_delete (targets);
+}
+
+static void
+test_a_slow_target_is_set_aside_and_comes_back (void)
+{
+  LimpetTargets *targets = make_targets (10);
+  LimpetTargetView *view = limpet_targets_snapshot (targets);
+  LimpetFleetPart part = { .slow_ratio_percent = 250, .set_aside_percent = 30 };
+  int lowered = 0;
+
+  for (int tick = 0; tick < 6; tick++)
+    {
+      for (uint32_t i = 0; i < view->count; i++)
+        limpet_target_note_gap (view->targets[i], i < 5 ? 200 : 20);
+      limpet_health_tick (view, &part, limpet_clock_mono_ms ());
+    }
+  for (uint32_t i = 0; i < view->count; i++)
+    lowered += limpet_target_weight (view->targets[i], 0) < LIMPET_WEIGHT_FULL;
+  CU_ASSERT_EQUAL (lowered, 0);
+  for (int tick = 0; tick < 12; tick++)
+    {
+      for (uint32_t i = 0; i < view->count; i++)
+        limpet_target_note_gap (view->targets[i], i < 1 ? 200 : 20);
+      limpet_health_tick (view, &part, limpet_clock_mono_ms ());
+    }
+  CU_ASSERT (limpet_target_weight (view->targets[0], 0) < 100);
+  for (int tick = 0; tick < 40; tick++)
+    {
+      limpet_target_note_gap (view->targets[0], 20);
+      limpet_health_tick (view, &part, limpet_clock_mono_ms ());
+    }
+  CU_ASSERT_EQUAL (limpet_target_weight (view->targets[0], 0), LIMPET_WEIGHT_FULL);
+  limpet_target_view_release (view);
+  limpet_targets_delete (targets);
+}
+
+void
+add_policy_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("policy", NULL, NULL);
+
+  CU_add_test (suite, "the bound holds as load grows",
+               test_the_bound_holds_as_load_grows);
+  CU_add_test (suite, "one leaving engine moves only its chats",
+               test_one_leaving_engine_moves_only_its_chats);
+  CU_add_test (suite, "long work keeps to its share", test_long_work_keeps_to_its_share);
+  CU_add_test (suite, "a slow target is set aside and comes back",
+               test_a_slow_target_is_set_aside_and_comes_back);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/stream_tests.c
@@ -0,0 +1,94 @@
+#include "tests.h"
+
+#include "limpetroad/budget.h"
+#include "limpetroad/latency.h"
+#include "limpetroad/limits.h"
+#include "private/sse.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const char stream[]
+    = "id: 0\ndata: a\n\n: waiting\n\nid: 1\ndata: bb\n\nid: 2\ndata: [DONE]\n\n";
+
+static bool
+collect (void *user, const LimpetSseEvent *event)
+{
+  if (event->data != NULL)
+    g_string_append_printf (user, "%d=%.*s;", (int)event->id, (int)event->data_length,
+                            event->data);
+  return true;
+}
+
+static void
+test_events_at_every_split (void)
+{
+  for (size_t split = 0; split < strlen (stream); split++)
+    {
+      GString *seen = g_string_new (NULL);
+      LimpetSse *sse = limpet_sse_new (collect, seen);
+
+      CU_ASSERT_TRUE (limpet_sse_feed (sse, stream, split));
+      CU_ASSERT_TRUE (limpet_sse_feed (sse, stream + split, strlen (stream) - split));
+      CU_ASSERT_STRING_EQUAL (seen->str, "0=a;1=bb;2=[DONE];");
+      limpet_sse_delete (sse);
+      g_string_free (seen, TRUE);
+    }
+}
+
+static void
+test_an_endless_event_is_refused (void)
+{
+  GString *seen = g_string_new (NULL);
+  LimpetSse *sse = limpet_sse_new (collect, seen);
+  char *text = g_strnfill (LIMPET_MAX_EVENT_BYTES + 1, 'x');
+
+  CU_ASSERT_FALSE (limpet_sse_feed (sse, text, LIMPET_MAX_EVENT_BYTES + 1));
+  limpet_sse_delete (sse);
+  g_string_free (seen, TRUE);
+  g_free (text);
+}
+
+static void
+test_the_budget_is_a_part_of_the_attempts (void)
+{
+  LimpetBudget *budget = limpet_budget_new ();
+  int spent = 0;
+
+  while (limpet_budget_spend (budget))
+    CU_ASSERT_FATAL (++spent < 100);
+  spent = 0;
+  for (int i = 0; i < 1000; i++)
+    {
+      limpet_budget_earn (budget, 5);
+      spent += limpet_budget_spend (budget);
+    }
+  CU_ASSERT_EQUAL (spent, 50);
+  limpet_budget_delete (budget);
+}
+
+static void
+test_quantiles (void)
+{
+  LimpetLatency *latency = limpet_latency_new ();
+  double p95;
+
+  CU_ASSERT_DOUBLE_EQUAL (limpet_latency_quantile (latency, 0.5, 7), 7, 0.001);
+  for (int i = 1; i <= 1000; i++)
+    limpet_latency_add (latency, i);
+  p95 = limpet_latency_quantile (latency, 0.95, 0);
+  CU_ASSERT (p95 > 950 * 0.9 && p95 < 950 * 1.15);
+  limpet_latency_delete (latency);
+}
+
+void
+add_stream_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("streams", NULL, NULL);
+
+  CU_add_test (suite, "events at every split", test_events_at_every_split);
+  CU_add_test (suite, "an endless event is refused", test_an_endless_event_is_refused);
+  CU_add_test (suite, "the budget is a part of the attempts",
+               test_the_budget_is_a_part_of_the_attempts);
+  CU_add_test (suite, "quantiles", test_quantiles);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/tests.h
@@ -0,0 +1,14 @@
+#ifndef TEST_LIBLIMPETROAD_TESTS_H
+#define TEST_LIBLIMPETROAD_TESTS_H
+
+#include <CUnit/Basic.h>
+
+/* Each adds its suite to the registry. */
+void add_settings_tests (void);
+void add_bundle_tests (void);
+void add_claim_tests (void);
+void add_policy_tests (void);
+void add_stream_tests (void);
+void add_fuzz_tests (void);
+
+#endif
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -281,7 +281,7 @@
     def bundle(self):
         hashes = {t: self.run([program("limpetctl"), "hash", self.key(t)]).strip()
                   for t in self.teams}
-        return {"fleet": self.fleet_part, "models": {MODEL: {}},
+        return {"fleet": dict(self.fleet_part), "models": {MODEL: {}},
                 "teams": {t: {"key_hash": hashes[t], "share": 10} for t in self.teams},
                 "services": {"booking": {"idempotent": self.idempotent}}}
 
