Refusals at once, no queueing behind what cannot be served, streams moved off slow engines

Cause: a request waited behind others that could not be served (long work, a team above its share), since whoever came while any request waited had to queue; refusals came after the queue's time limit; a running stream stayed on a slowed engine to its end. Change: every request goes through the ranks at once and is refused when its place means too long a wait; teams above their share are held against this router's part of the slots; a stream without a token for 5 usual gaps is continued on a second engine from the offset that the caller has, and the first to deliver goes on.

--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -50,6 +50,7 @@
   _Atomic int32_t peers_weight;      /**< lowest weight in the peers' digests */
   _Atomic LimpetMs peers_weight_until_ms;
   _Atomic LimpetMs joined_ms; /**< start of the return in steps; 0 for a full start */
+  _Atomic double peers_gap_ms; /**< median time between tokens of its group; 0 if unknown */
   pthread_mutex_t lock;
   LimpetTargetTimes times;
   LimpetLink *idle_links; /**< pooled connections, guarded by lock */
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -6,7 +6,12 @@
 #include <string.h>
 
 #define RATE_ALPHA 0.05
-#define MOST_FAILED_TRIES 8
+#define MOST_FAILED_KINDS 16
+/* The wait grows while others with a smaller share come in between. */
+#define WAIT_SAFETY 2
+/* Below this part of the slots in use, a router with more than its part of the requests may
+ * serve teams above their share. */
+#define UNEVEN_PERCENT 50
 #define RETRY_AFTER_LEAST_MS 1000
 #define RETRY_AFTER_MOST_MS 30000
 #define WAKE_PERIOD_MS 50
@@ -78,29 +83,52 @@
     g_hash_table_remove (admission->team_usage, team->name);
 }
 
-/* Above the reserve, slots go only to teams that are within their share. */
+/* Slots and requests of all engines. */
+typedef struct
+{
+  int64_t slots;
+  int64_t own_inflight;
+  int64_t inflight;
+} EngineLoad;
+
+static EngineLoad
+sum_engines (const LimpetTargetView *view)
+{
+  EngineLoad load = { .slots = 0 };
+
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      const LimpetTarget *target = view->targets[i];
+
+      if (target->vm.kind != LIMPET_VM_ENGINE || atomic_load (&target->leaving))
+        continue;
+      load.slots += target->vm.slots;
+      load.own_inflight += atomic_load (&target->own_inflight);
+      load.inflight += limpet_target_inflight (target);
+    }
+  return load;
+}
+
+/* A team within its share may use any slot. Above it, a reserve stays free. This router's own
+ * requests are held against its part of the slots, since those of the others are known too late
+ * when demand rises in an instant. */
 static bool
 share_allows (const LimpetAdmission *admission,
               const LimpetAdmissionRequest *request,
               const LimpetTargetView *view)
 {
   const LimpetBundle *bundle = request->bundle;
-  int64_t slots = 0;
-  int64_t inflight = 0;
-  double team_slots;
+  EngineLoad load = sum_engines (view);
+  double part = (double)load.slots / admission->routers;
+  double share = (double)request->team->share / (double)bundle->shares_total;
+  double open = (double)(100 - bundle->fleet.reserve_percent) / 100;
 
-  for (uint32_t i = 0; i < view->count; i++)
-    if (view->targets[i]->vm.kind == LIMPET_VM_ENGINE
-        && !atomic_load (&view->targets[i]->leaving))
-      {
-        slots += view->targets[i]->vm.slots;
-        inflight += limpet_target_inflight (view->targets[i]);
-      }
-  if (inflight * 100 < slots * (100 - bundle->fleet.reserve_percent))
+  if (team_inflight (admission, request->team) < MAX (1.0, part * share))
     return true;
-  team_slots = (double)slots * (double)request->team->share / (double)bundle->shares_total
-               / admission->routers;
-  return team_inflight (admission, request->team) < MAX (1.0, team_slots);
+  if ((double)load.inflight >= (double)load.slots * open)
+    return false;
+  return (double)load.own_inflight < part * open
+         || load.inflight * 100 < load.slots * UNEVEN_PERCENT;
 }
 
 static LimpetTarget *
@@ -147,29 +175,63 @@
   return left->order < right->order ? -1 : 1;
 }
 
-static void
-serve_waiters_locked (LimpetAdmission *admission)
+/* Requests that differ in none of these get the same answer at one moment. */
+typedef struct
+{
+  const LimpetTeam *team;
+  const char *group;
+  bool is_long;
+} WaiterKind;
+
+static bool
+has_failed (const Waiter *waiter, const WaiterKind *failed, uint32_t count)
 {
-  uint32_t failed = 0;
+  for (uint32_t i = 0; i < count; i++)
+    if (failed[i].team == waiter->request->team
+        && failed[i].is_long == waiter->request->route.is_long
+        && strcmp (failed[i].group, waiter->request->route.group) == 0)
+      return true;
+  return false;
+}
 
+static void
+rank_waiters (LimpetAdmission *admission)
+{
   for (guint i = 0; i < admission->waiters->len; i++)
     {
       Waiter *waiter = g_ptr_array_index (admission->waiters, i);
       const LimpetTeam *team = waiter->request->team;
 
       if (team != NULL)
-        waiter->used_share
-            = (double)team_inflight (admission, team) / (double)team->share;
+        waiter->used_share = (double)team_inflight (admission, team) / (double)team->share;
     }
   g_ptr_array_sort (admission->waiters, compare_waiters);
-  for (guint i = 0; i < admission->waiters->len && failed < MOST_FAILED_TRIES;)
+}
+
+static void
+serve_waiters_locked (LimpetAdmission *admission)
+{
+  WaiterKind failed[MOST_FAILED_KINDS];
+  uint32_t failed_count = 0;
+
+  rank_waiters (admission);
+  for (guint i = 0; i < admission->waiters->len && failed_count < MOST_FAILED_KINDS;)
     {
       Waiter *waiter = g_ptr_array_index (admission->waiters, i);
 
+      if (has_failed (waiter, failed, failed_count))
+        {
+          i++;
+          continue;
+        }
       waiter->target = choose_locked (admission, waiter->request);
       if (waiter->target == NULL)
         {
-          failed++;
+          failed[failed_count++] = (WaiterKind){
+            .team = waiter->request->team,
+            .group = waiter->request->route.group,
+            .is_long = waiter->request->route.is_long,
+          };
           i++;
           continue;
         }
@@ -179,15 +241,16 @@
 }
 
 static LimpetMs
-expected_wait_ms (const LimpetAdmission *admission)
+expected_wait_ms (const LimpetAdmission *admission, guint position)
 {
-  return (LimpetMs)((admission->waiters->len + 1) * admission->release_gap_ms);
+  return (LimpetMs)((position + 1) * admission->release_gap_ms);
 }
 
 static LimpetMs
 retry_after_ms_locked (LimpetAdmission *admission)
 {
-  LimpetMs wait_ms = 2 * expected_wait_ms (admission);
+  LimpetMs wait_ms
+      = WAIT_SAFETY * expected_wait_ms (admission, admission->waiters->len);
 
   return CLAMP (wait_ms, RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS);
 }
@@ -223,41 +286,42 @@
   pthread_condattr_destroy (&attributes);
 }
 
+/* Returns whether a ranked request can expect a slot before it is too late. */
+static bool
+is_worth_waiting (const LimpetAdmission *admission, const Waiter *waiter, LimpetMs longest_ms)
+{
+  guint position = 0;
+
+  if ((int64_t)admission->waiters->len > waiter->request->bundle->fleet.queue_limit)
+    return false;
+  g_ptr_array_find (admission->waiters, waiter, &position);
+  return WAIT_SAFETY * expected_wait_ms (admission, position) <= longest_ms;
+}
+
+/* Every request goes through the ranks, so none that could be served waits behind one that
+ * cannot. */
 static LimpetTarget *
-wait_for_slot (LimpetAdmission *admission,
-               const LimpetAdmissionRequest *request,
-               LimpetMs until_ms)
+acquire_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
 {
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+  LimpetMs longest_ms
+      = MIN (request->bundle->fleet.queue_wait_ms, request->deadline_ms - now_ms);
   Waiter waiter;
 
-  limpet_count (LIMPET_COUNTER_QUEUED, 1);
   init_waiter (admission, &waiter, request);
   g_ptr_array_add (admission->waiters, &waiter);
-  wait_until (admission, &waiter, until_ms);
+  serve_waiters_locked (admission);
+  if (waiter.target == NULL && is_worth_waiting (admission, &waiter, longest_ms))
+    {
+      limpet_count (LIMPET_COUNTER_QUEUED, 1);
+      wait_until (admission, &waiter, now_ms + longest_ms);
+    }
   if (waiter.target == NULL)
     g_ptr_array_remove (admission->waiters, &waiter);
   pthread_cond_destroy (&waiter.served);
   return waiter.target;
 }
 
-static LimpetTarget *
-acquire_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
-{
-  const LimpetFleetPart *fleet = &request->bundle->fleet;
-  LimpetMs now_ms = limpet_clock_mono_ms ();
-  LimpetMs longest_ms = MIN (fleet->queue_wait_ms, request->deadline_ms - now_ms);
-  LimpetTarget *target = NULL;
-
-  if (admission->waiters->len == 0)
-    target = choose_locked (admission, request);
-  if (target != NULL)
-    return target;
-  if ((int64_t)admission->waiters->len >= fleet->queue_limit
-      || expected_wait_ms (admission) > longest_ms)
-    return NULL;
-  return wait_for_slot (admission, request, now_ms + longest_ms);
-}
-
 LimpetStatus
 limpet_admission_acquire (LimpetAdmission *admission,
                           const LimpetAdmissionRequest *request,
--- a/src/liblimpetroad/chat.c
+++ b/src/liblimpetroad/chat.c
@@ -13,7 +13,10 @@
 #define MOST_RETRIES 3
 #define MOST_RESUMES 6
 #define HEDGE_QUANTILE 0.95
+#define SLOW_HEDGE_QUANTILE 0.5
 #define HEDGE_DEFAULT_MS 400.0
+#define MOVE_GAP_FACTOR 5.0
+#define MOST_HEDGES 3
 #define HEDGE_LEAST_MS 30.0
 #define SLOW_NOTE_FACTOR 3.0
 #define RETRY_JITTER_MS 20
@@ -53,7 +56,7 @@
   bool caller_left;
   bool ended;
   bool may_have_run;
-  bool hedged;
+  uint32_t hedges;
   bool used_stale_retry;
   uint32_t retries;
   uint32_t resumes;
@@ -106,18 +109,20 @@
   lane->token_ms = now_ms;
 }
 
+/* Makes the lane the one whose tokens go to the caller; the other one is closed. */
 static bool
 win (Chat *chat, Lane *lane)
 {
   if (chat->winner == lane)
     return true;
-  if (chat->winner != NULL)
-    return false;
   chat->winner = lane;
   if (lane->is_hedge)
     limpet_count (LIMPET_COUNTER_HEDGES_WON, 1);
+  if (lane->is_hedge && chat->delivered > 0)
+    limpet_count (LIMPET_COUNTER_RESUMES, 1);
   close_lane (chat, other_lane (chat, lane));
-  if (chat->delivered > 0 || chat->result->began)
+  chat->winner = lane;
+  if (chat->result->began)
     return true;
   chat->result->began = true;
   if (!chat->sink->ops->begin (chat->sink, limpet_attempt_answer (lane->attempt)))
@@ -161,6 +166,13 @@
       limpet_count (LIMPET_COUNTER_OFFSET_MISMATCH, 1);
       return false;
     }
+  if (!is_end_marker (event))
+    {
+      lane->expected++;
+      lane->batch_tokens++;
+    }
+  if (event->id < chat->delivered)
+    return true;
   if (!win (chat, lane))
     return false;
   if (!chat->sink->ops->event (chat->sink, event))
@@ -174,8 +186,6 @@
       chat->complete = true;
       return true;
     }
-  lane->expected++;
-  lane->batch_tokens++;
   chat->delivered = lane->expected;
   note_long (chat, lane);
   return true;
@@ -421,38 +431,63 @@
   on_lane_failed (chat, lane, LIMPET_STATUS_TIMEOUT);
 }
 
+/* Time without a token after which a second engine is asked: before the first token a quantile
+ * of its usual time, in a stream a multiple of the time between tokens of the engine's peers. A
+ * target known to be slow is not waited for as long. */
 static LimpetMs
-hedge_delay_ms (const Chat *chat)
+hedge_delay_ms (const Chat *chat, const Lane *lane)
 {
-  double delay_ms = limpet_latency_quantile (chat->context->first_token, HEDGE_QUANTILE,
-                                             HEDGE_DEFAULT_MS);
+  bool is_slow = limpet_target_weight (lane->target, limpet_clock_mono_ms ()) < LIMPET_WEIGHT_FULL;
+  double delay_ms;
 
+  if (chat->delivered == 0)
+    delay_ms = limpet_latency_quantile (chat->context->first_token,
+                                        is_slow ? SLOW_HEDGE_QUANTILE : HEDGE_QUANTILE,
+                                        HEDGE_DEFAULT_MS);
+  else
+    delay_ms = MOVE_GAP_FACTOR * atomic_load (&lane->target->peers_gap_ms);
   return (LimpetMs)MAX (HEDGE_LEAST_MS, delay_ms);
 }
 
-static bool
-may_hedge (const Chat *chat)
+/* Returns the lane that a second one may be started beside, or NULL. */
+static Lane *
+hedgeable_lane (Chat *chat)
 {
-  return !chat->hedged && !chat->is_long && chat->winner == NULL && chat->delivered == 0
-         && chat->lanes[0].attempt != NULL && chat->lanes[1].attempt == NULL
-         && chat->request->bundle->fleet.retry_percent > 0;
+  Lane *lane = chat->lanes[0].attempt != NULL ? &chat->lanes[0] : &chat->lanes[1];
+
+  if (lane->attempt == NULL || other_lane (chat, lane)->attempt != NULL
+      || chat->request->bundle->fleet.retry_percent == 0 || chat->hedges >= MOST_HEDGES)
+    return NULL;
+  if (chat->delivered == 0)
+    return chat->is_long || chat->hedges > 0 ? NULL : lane;
+  return atomic_load (&lane->target->peers_gap_ms) > 0 ? lane : NULL;
 }
 
+/* Starts a second lane: a hedge before the first token, else the stream's continuation on
+ * another engine from the offset that the caller has. The lane that is first goes on. */
 static void
-start_hedge (Chat *chat)
+start_hedge (Chat *chat, Lane *lane)
 {
+  Lane *second = other_lane (chat, lane);
   LimpetTarget *target;
 
-  chat->hedged = true;
+  chat->hedges++;
   if (!limpet_budget_spend (chat->context->budget))
     return;
-  exclude (chat, chat->lanes[0].target);
+  exclude (chat, lane->target);
+  chat->admission.route.is_long = chat->is_long;
   target = limpet_admission_try (chat->context->admission, &chat->admission);
   if (target == NULL)
     return;
   limpet_count (LIMPET_COUNTER_HEDGES, 1);
-  start_lane (chat, &chat->lanes[1], target, false);
-  chat->lanes[1].is_hedge = true;
+  start_lane (chat, second, target, false);
+  second->is_hedge = true;
+}
+
+static LimpetMs
+hedge_due_ms (const Chat *chat, const Lane *lane)
+{
+  return lane->token_ms + hedge_delay_ms (chat, lane);
 }
 
 static void
@@ -471,21 +506,23 @@
 check_timers (Chat *chat)
 {
   LimpetMs now_ms = limpet_clock_mono_ms ();
+  Lane *lane;
 
   for (int i = 0; i < MOST_LANES && !chat->ended; i++)
     check_silence (chat, &chat->lanes[i], now_ms);
   if (chat->ended)
     return;
   check_deadline (chat, now_ms);
-  if (!chat->ended && may_hedge (chat)
-      && now_ms - chat->lanes[0].started_ms >= hedge_delay_ms (chat))
-    start_hedge (chat);
+  lane = chat->ended ? NULL : hedgeable_lane (chat);
+  if (lane != NULL && now_ms >= hedge_due_ms (chat, lane))
+    start_hedge (chat, lane);
 }
 
 static LimpetMs
 poll_timeout_ms (Chat *chat, struct pollfd *fds, LimpetMs now_ms)
 {
   LimpetMs timeout_ms = LIMPET_STALL_TIMEOUT_MS;
+  const Lane *hedgeable = hedgeable_lane (chat);
 
   for (int i = 0; i < MOST_LANES; i++)
     {
@@ -500,9 +537,8 @@
     }
   if (chat->delivered == 0)
     timeout_ms = MIN (timeout_ms, MAX (0, chat->request->deadline_ms - now_ms));
-  if (may_hedge (chat))
-    timeout_ms = MIN (
-        timeout_ms, MAX (0, chat->lanes[0].started_ms + hedge_delay_ms (chat) - now_ms));
+  if (hedgeable != NULL)
+    timeout_ms = MIN (timeout_ms, MAX (0, hedge_due_ms (chat, hedgeable) - now_ms));
   return timeout_ms;
 }
 
--- a/src/liblimpetroad/health.c
+++ b/src/liblimpetroad/health.c
@@ -125,6 +125,7 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
+      atomic_store (&samples[i].target->peers_gap_ms, median_ms);
       if (!samples[i].fresh)
         forget_times (samples[i].target, median_ms);
       if (median_ms > 0 && samples[i].gap_ms > median_ms + SLOW_FLOOR_MS)
--- a/test/measure.py
+++ b/test/measure.py
@@ -3,6 +3,7 @@
 Usage: measure.py [NAME…]. Every policy runs against the same load and seed."""
 
 import json
+import os
 import subprocess
 import sys
 import threading
@@ -10,7 +11,7 @@
 
 import fleet as f
 
-POLICIES = ["bounded", "rendezvous", "least_loaded", "random"]
+POLICIES = os.environ.get("LIMPET_POLICIES", "bounded rendezvous least_loaded random").split()
 ENGINE = ["--slots", "16", "--queue", "4", "--step-ms", "25", "--prefill-tokens", "512"]
 SEED = 11
 
@@ -162,6 +163,9 @@
                 more = [n - e for n, e in zip(now, extra)]
                 a, b = calm["short_first_ms"]["p99"], slow["short_first_ms"]["p99"]
                 c, d = calm["short_total_ms"]["p99"], slow["short_total_ms"]["p99"]
+                print("<!-- hedges, retries, resumes, attempts: %s; exhausted %d, marks %d -->" %
+                      (more, fleet.counter("retry_budget_exhausted_total"),
+                       fleet.counter("slow_marks_total")))
                 row(engines, slowed, policy, "%.0f" % a, "%.0f" % b, "%.2f" % (b / a), "%.0f" % c,
                     "%.0f" % d, "%.2f" % (d / c), percent(sum(more[:3]), more[3]))
 
