Hedges that come in time, slow marks by evidence, room for teams within their share

Cause: the delay of a hedge stood at its default, since no first-token time was ever recorded (it was recorded after the offset had grown); a slow target came back to full weight within half a second without having been tried; requests above a team's share filled engines to the last slot. Change: hedge at twice the median; a late token counts as a sample at once and slow marks are sent at once; without samples a lowered weight grows slowly; requests above the share use a part of each engine's slots and queue last there; where the bound leaves no target, the less loaded of two drawn.

--- a/include/limpetroad/admission.h
+++ b/include/limpetroad/admission.h
@@ -24,6 +24,7 @@
   const LimpetTeam *team;
   LimpetRouteRequest route;
   LimpetMs deadline_ms; /**< monotonic time by which work has to start */
+  bool above_share;     /**< set with a slot: the team uses more than its share */
 } LimpetAdmissionRequest;
 
 /** Returns an admission over \p targets, which outlives it. */
@@ -34,14 +35,14 @@
  *  back by limpet_admission_release(). OVERLOADED: refused, and \p retry_after_ms says
  * when a new try is worth while. */
 LimpetStatus limpet_admission_acquire (LimpetAdmission *admission,
-                                       const LimpetAdmissionRequest *request,
+                                       LimpetAdmissionRequest *request,
                                        LimpetTarget **target,
                                        LimpetMs *retry_after_ms,
                                        LimpetError *error);
 
 /** Like limpet_admission_acquire() without waiting; returns NULL if there is no slot. */
 LimpetTarget *limpet_admission_try (LimpetAdmission *admission,
-                                    const LimpetAdmissionRequest *request);
+                                    LimpetAdmissionRequest *request);
 
 /** Gives a slot back. */
 void limpet_admission_release (LimpetAdmission *admission,
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -103,17 +103,19 @@
 /** Records samples of the time to the first token and between tokens, in ms. */
 void limpet_target_note_first (LimpetTarget *target, double first_ms);
 void limpet_target_note_gap (LimpetTarget *target, double gap_ms);
+/** Records that a token has been waited for so long, in ms; the average is at least that. */
+void limpet_target_note_overdue (LimpetTarget *target, double waited_ms);
 /** Returns the moving average of the time between tokens, in ms; 0 without samples. */
 double limpet_target_gap_ms (LimpetTarget *target);
 /** Records how an exchange ended. After failures the target rests for growing times. */
 void limpet_target_note_result (LimpetTarget *target, LimpetStatus status);
 
 /** Compares the targets of each group with their peers and moves their weights by a step.
- *  Call it every LIMPET_HEALTH_PERIOD_MS. */
-void limpet_health_tick (LimpetTargetView *view,
+ *  Returns whether a target became slow. Call it every LIMPET_HEALTH_PERIOD_MS. */
+bool limpet_health_tick (LimpetTargetView *view,
                          const LimpetFleetPart *fleet,
                          LimpetMs now_ms);
 
-#define LIMPET_HEALTH_PERIOD_MS 100
+#define LIMPET_HEALTH_PERIOD_MS 50
 
 #endif
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -19,7 +19,7 @@
 /* A request that waits for a slot. Lives on the stack of its thread. */
 typedef struct
 {
-  const LimpetAdmissionRequest *request;
+  LimpetAdmissionRequest *request;
   LimpetTarget *target; /* set when served */
   pthread_cond_t served;
   uint64_t order;
@@ -109,35 +109,47 @@
   return load;
 }
 
-/* A team within its share may use any slot. Above it, a reserve stays free. This router's own
- * requests are held against its part of the slots, since those of the others are known too late
- * when demand rises in an instant. */
+static bool
+is_above_share (const LimpetAdmission *admission,
+                const LimpetAdmissionRequest *request,
+                const EngineLoad *load)
+{
+  double part = (double)load->slots / admission->routers;
+  double share = (double)request->team->share / (double)request->bundle->shares_total;
+
+  return team_inflight (admission, request->team) >= MAX (1.0, part * share);
+}
+
+/* A team within its share may use any slot. Above it, a reserve stays free, in the fleet and on
+ * each engine. This router's own requests are held against its part of the slots, since those
+ * of the others are known too late when demand rises in an instant. */
 static bool
 share_allows (const LimpetAdmission *admission,
-              const LimpetAdmissionRequest *request,
+              LimpetAdmissionRequest *request,
               const LimpetTargetView *view)
 {
-  const LimpetBundle *bundle = request->bundle;
   EngineLoad load = sum_engines (view);
   double part = (double)load.slots / admission->routers;
-  double share = (double)request->team->share / (double)bundle->shares_total;
-  double open = (double)(100 - bundle->fleet.reserve_percent) / 100;
+  int64_t open_percent = 100 - request->bundle->fleet.reserve_percent;
 
-  if (team_inflight (admission, request->team) < MAX (1.0, part * share))
+  request->above_share = is_above_share (admission, request, &load);
+  request->route.open_percent = request->above_share ? open_percent : 100;
+  if (!request->above_share)
     return true;
-  if ((double)load.inflight >= (double)load.slots * open)
+  if (load.inflight * 100 >= load.slots * open_percent)
     return false;
-  return (double)load.own_inflight < part * open
+  return (double)load.own_inflight * 100 < part * (double)open_percent
          || load.inflight * 100 < load.slots * UNEVEN_PERCENT;
 }
 
 static LimpetTarget *
-choose_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+choose_locked (LimpetAdmission *admission, LimpetAdmissionRequest *request)
 {
   const LimpetPolicy *policy = limpet_policy_by_name (request->bundle->fleet.policy);
   LimpetTargetView *view = limpet_targets_snapshot (admission->targets);
   LimpetTarget *target = NULL;
 
+  request->route.open_percent = 100;
   if (request->team == NULL || request->route.kind != LIMPET_VM_ENGINE
       || share_allows (admission, request, view))
     target
@@ -275,7 +287,7 @@
 static void
 init_waiter (LimpetAdmission *admission,
              Waiter *waiter,
-             const LimpetAdmissionRequest *request)
+             LimpetAdmissionRequest *request)
 {
   pthread_condattr_t attributes;
 
@@ -301,7 +313,7 @@
 /* Every request goes through the ranks, so none that could be served waits behind one that
  * cannot. */
 static LimpetTarget *
-acquire_locked (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+acquire_locked (LimpetAdmission *admission, LimpetAdmissionRequest *request)
 {
   LimpetMs now_ms = limpet_clock_mono_ms ();
   LimpetMs longest_ms
@@ -324,7 +336,7 @@
 
 LimpetStatus
 limpet_admission_acquire (LimpetAdmission *admission,
-                          const LimpetAdmissionRequest *request,
+                          LimpetAdmissionRequest *request,
                           LimpetTarget **target,
                           LimpetMs *retry_after_ms,
                           LimpetError *error)
@@ -341,7 +353,7 @@
 }
 
 LimpetTarget *
-limpet_admission_try (LimpetAdmission *admission, const LimpetAdmissionRequest *request)
+limpet_admission_try (LimpetAdmission *admission, LimpetAdmissionRequest *request)
 {
   LimpetTarget *target;
 
--- a/src/liblimpetroad/chat.c
+++ b/src/liblimpetroad/chat.c
@@ -12,10 +12,11 @@
 #define MOST_LANES 2
 #define MOST_RETRIES 3
 #define MOST_RESUMES 6
-#define HEDGE_QUANTILE 0.95
-#define SLOW_HEDGE_QUANTILE 0.5
+/* Multiples of the median: unlike a high quantile it does not move when some targets slow down. */
+#define HEDGE_FACTOR 2.0
+#define SLOW_HEDGE_FACTOR 1.0
 #define HEDGE_DEFAULT_MS 400.0
-#define MOVE_GAP_FACTOR 5.0
+#define MOVE_GAP_FACTOR 4.0
 #define MOST_HEDGES 3
 #define HEDGE_LEAST_MS 30.0
 #define SLOW_NOTE_FACTOR 3.0
@@ -33,6 +34,7 @@
   bool counted_long;
   bool is_hedge;
   bool got_token;
+  bool from_start; /* asked for the first token, not for a continuation */
   bool noted_slow;
   LimpetMs started_ms;
   LimpetMs heard_ms; /* last bytes of any kind */
@@ -98,7 +100,7 @@
       double first_ms = (double)(now_ms - lane->started_ms);
 
       limpet_target_note_first (lane->target, first_ms);
-      if (!chat->is_long && chat->delivered == 0)
+      if (!chat->is_long && lane->from_start)
         limpet_latency_add (chat->context->first_token, first_ms);
     }
   else
@@ -199,6 +201,13 @@
   return limpet_sse_feed (lane->sse, data, length);
 }
 
+/* Above long work, by the team's priority; within one, teams above their share come last. */
+static int
+engine_priority (const Chat *chat)
+{
+  return 1 + 2 * (int)chat->request->team->priority + !chat->admission.above_share;
+}
+
 static void
 start_lane (Chat *chat, Lane *lane, LimpetTarget *target, bool fresh)
 {
@@ -215,13 +224,14 @@
     .heard_ms = now_ms,
     .token_ms = now_ms,
     .expected = chat->delivered,
+    .from_start = chat->delivered == 0,
   };
   limpet_attempt_set_request (lane->attempt, "POST", CHAT_PATH, request->body,
                               request->body_length);
   limpet_attempt_add_header (lane->attempt, "Content-Type: application/json");
   limpet_attempt_add_header (lane->attempt, "X-Request-Id: %s", request->request_id);
   limpet_attempt_add_header (lane->attempt, "X-Priority: %d",
-                             chat->is_long ? 0 : (int)request->team->priority);
+                             chat->is_long ? 0 : engine_priority (chat));
   if (chat->delivered > 0)
     limpet_attempt_add_header (lane->attempt, "Last-Event-ID: %" PRId64,
                                chat->delivered - 1);
@@ -400,7 +410,7 @@
   if (!lane->got_token || lane->noted_slow || gap_ms <= 0
       || (double)(now_ms - lane->token_ms) < SLOW_NOTE_FACTOR * gap_ms)
     return;
-  limpet_target_note_gap (lane->target, (double)(now_ms - lane->token_ms));
+  limpet_target_note_overdue (lane->target, (double)(now_ms - lane->token_ms));
   lane->noted_slow = true;
 }
 
@@ -431,7 +441,7 @@
   on_lane_failed (chat, lane, LIMPET_STATUS_TIMEOUT);
 }
 
-/* Time without a token after which a second engine is asked: before the first token a quantile
+/* Time without a token after which a second engine is asked: before the first token a multiple
  * of its usual time, in a stream a multiple of the time between tokens of the engine's peers. A
  * target known to be slow is not waited for as long. */
 static LimpetMs
@@ -441,9 +451,9 @@
   double delay_ms;
 
   if (chat->delivered == 0)
-    delay_ms = limpet_latency_quantile (chat->context->first_token,
-                                        is_slow ? SLOW_HEDGE_QUANTILE : HEDGE_QUANTILE,
-                                        HEDGE_DEFAULT_MS);
+    delay_ms
+        = (is_slow ? SLOW_HEDGE_FACTOR : HEDGE_FACTOR)
+          * limpet_latency_quantile (chat->context->first_token, 0.5, HEDGE_DEFAULT_MS);
   else
     delay_ms = MOVE_GAP_FACTOR * atomic_load (&lane->target->peers_gap_ms);
   return (LimpetMs)MAX (HEDGE_LEAST_MS, delay_ms);
--- a/src/liblimpetroad/health.c
+++ b/src/liblimpetroad/health.c
@@ -6,10 +6,12 @@
 #include <glib.h>
 #include <string.h>
 
-#define TRICKLE_WEIGHT 62
+#define TRICKLE_WEIGHT 30
 #define SAMPLE_LIFE_MS 1500
 #define SLOW_FLOOR_MS 8.0
-#define FORGET_ALPHA 0.2
+/* Growth of a lowered weight in one tick: with samples that are good, and without samples. */
+#define GROWTH_SEEN 1.5
+#define GROWTH_UNSEEN 1.015
 #define LEAST_PEERS 3
 
 /* Times of one target at one tick. */
@@ -84,22 +86,13 @@
   return median;
 }
 
-/* Without samples the average drifts to the median, so that the target is tried again. */
-static void
-forget_times (LimpetTarget *target, double median_ms)
-{
-  pthread_mutex_lock (&target->lock);
-  if (target->times.gap_ms > 0)
-    target->times.gap_ms += FORGET_ALPHA * (median_ms - target->times.gap_ms);
-  pthread_mutex_unlock (&target->lock);
-}
-
-static void
-move_weight (LimpetTarget *target, bool slow)
+/* Returns whether the target became slow. */
+static bool
+move_weight (LimpetTarget *target, bool slow, bool fresh)
 {
   int32_t old = atomic_load (&target->own_weight);
-  int32_t weight
-      = slow ? MAX (TRICKLE_WEIGHT, old / 4) : MIN (LIMPET_WEIGHT_FULL, old * 3 / 2 + 1);
+  double grown = old * (fresh ? GROWTH_SEEN : GROWTH_UNSEEN) + 1;
+  int32_t weight = slow ? MAX (TRICKLE_WEIGHT, old / 4) : (int32_t)MIN (LIMPET_WEIGHT_FULL, grown);
 
   atomic_store (&target->own_weight, weight);
   if (slow && old == LIMPET_WEIGHT_FULL)
@@ -109,9 +102,10 @@
     }
   if (!slow && old < LIMPET_WEIGHT_FULL && weight == LIMPET_WEIGHT_FULL)
     limpet_log (LIMPET_LOG_NOTICE, "health", target->vm.id, "back at full weight");
+  return slow && old == LIMPET_WEIGHT_FULL;
 }
 
-static void
+static bool
 tick_group (LimpetTargetView *view,
             const char *group,
             const LimpetFleetPart *fleet,
@@ -120,15 +114,14 @@
   Sample *samples = g_new0 (Sample, view->count);
   uint32_t count = collect_group (view, group, now_ms, samples);
   uint32_t fresh_count = 0;
+  bool marked = false;
   double median_ms = median_gap (samples, count, &fresh_count);
   uint32_t allowed = (uint32_t)(count * (uint64_t)fleet->set_aside_percent / 100);
 
   for (uint32_t i = 0; i < count; i++)
     {
       atomic_store (&samples[i].target->peers_gap_ms, median_ms);
-      if (!samples[i].fresh)
-        forget_times (samples[i].target, median_ms);
-      if (median_ms > 0 && samples[i].gap_ms > median_ms + SLOW_FLOOR_MS)
+      if (samples[i].fresh && median_ms > 0 && samples[i].gap_ms > median_ms + SLOW_FLOOR_MS)
         samples[i].ratio = samples[i].gap_ms / median_ms;
     }
   qsort (samples, count, sizeof *samples, compare_ratios_descending);
@@ -137,22 +130,25 @@
       bool slow = fresh_count >= LEAST_PEERS && i < allowed
                   && samples[i].ratio * 100 > (double)fleet->slow_ratio_percent;
 
-      move_weight (samples[i].target, slow);
+      marked = move_weight (samples[i].target, slow, samples[i].fresh) || marked;
     }
   g_free (samples);
+  return marked;
 }
 
-void
+bool
 limpet_health_tick (LimpetTargetView *view, const LimpetFleetPart *fleet, LimpetMs now_ms)
 {
   GHashTable *groups = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer group;
+  bool marked = false;
 
   for (uint32_t i = 0; i < view->count; i++)
     g_hash_table_add (groups, view->targets[i]->vm.group);
   g_hash_table_iter_init (&iter, groups);
   while (g_hash_table_iter_next (&iter, &group, NULL))
-    tick_group (view, group, fleet, now_ms);
+    marked = tick_group (view, group, fleet, now_ms) || marked;
   g_hash_table_destroy (groups);
+  return marked;
 }
--- a/src/liblimpetroad/peer_controller.c
+++ b/src/liblimpetroad/peer_controller.c
@@ -889,10 +889,10 @@
   return found;
 }
 
-static void
-on_near_bound (void *user)
+void
+limpet_peer_controller_hurry (void *controller)
 {
-  LimpetPeerController *self = user;
+  LimpetPeerController *self = controller;
 
   if (!atomic_exchange (&self->urgent, true))
     wake (self);
@@ -989,6 +989,6 @@
   self->peers = g_ptr_array_new_with_free_func (free_peer);
   self->outgoing = g_queue_new ();
   pthread_mutex_init (&self->lock, NULL);
-  limpet_admission_set_observer (admission, on_near_bound, self);
+  limpet_admission_set_observer (admission, limpet_peer_controller_hurry, self);
   return self;
 }
--- a/src/liblimpetroad/policy.c
+++ b/src/liblimpetroad/policy.c
@@ -52,7 +52,7 @@
 
   if (target->vm.kind != LIMPET_VM_ENGINE)
     return true;
-  if (limpet_target_inflight (target) >= target->vm.slots)
+  if (limpet_target_inflight (target) * 100 >= target->vm.slots * request->open_percent)
     return false;
   return !request->is_long || limpet_target_long_inflight (target) < long_slots;
 }
@@ -130,30 +130,49 @@
                 >= NEAR_BOUND_PART * planned_limit (request, target, &load);
 }
 
+/* A candidate with the place that the request's seed gives it. */
+typedef struct
+{
+  LimpetTarget *target;
+  uint64_t draw;
+} DrawnTarget;
+
+static double
+relative_load (const LimpetTarget *target, LimpetMs now_ms)
+{
+  return ((double)limpet_target_inflight (target) + 1) / (double)target->vm.slots
+         * LIMPET_WEIGHT_FULL / limpet_target_weight (target, now_ms);
+}
+
+/* The less loaded of two candidates drawn by the seed (Mitzenmacher 2001). The least loaded of
+ * all would draw all routers to the one that last looked idle. */
 static LimpetTarget *
-least_relative_load (const LimpetRouteRequest *request,
-                     const LimpetTargetView *view,
-                     LimpetMs now_ms)
+less_loaded_of_two (const LimpetRouteRequest *request,
+                    const LimpetTargetView *view,
+                    LimpetMs now_ms)
 {
-  LimpetTarget *best = NULL;
-  double best_load = 0;
+  DrawnTarget first = { .target = NULL };
+  DrawnTarget second = { .target = NULL };
 
   for (uint32_t i = 0; i < view->count; i++)
     {
-      LimpetTarget *target = view->targets[i];
-      double load;
+      DrawnTarget drawn = { .target = view->targets[i] };
 
-      if (!is_candidate (request, target, now_ms))
+      if (!is_candidate (request, drawn.target, now_ms))
         continue;
-      load = ((double)limpet_target_inflight (target) + 1) / (double)target->vm.slots
-             * LIMPET_WEIGHT_FULL / limpet_target_weight (target, now_ms);
-      if (best == NULL || load < best_load)
+      drawn.draw = XXH64 (&request->seed, sizeof request->seed, ~drawn.target->id_hash);
+      if (first.target == NULL || drawn.draw > first.draw)
         {
-          best = target;
-          best_load = load;
+          second = first;
+          first = drawn;
         }
+      else if (second.target == NULL || drawn.draw > second.draw)
+        second = drawn;
     }
-  return best;
+  if (second.target == NULL
+      || relative_load (first.target, now_ms) <= relative_load (second.target, now_ms))
+    return first.target;
+  return second.target;
 }
 
 static LimpetTarget *
@@ -183,7 +202,7 @@
           best_score = score;
         }
     }
-  return best != NULL ? best : least_relative_load (request, view, now_ms);
+  return best != NULL ? best : less_loaded_of_two (request, view, now_ms);
 }
 
 static LimpetTarget *
--- a/src/liblimpetroad/private/peer_controller.h
+++ b/src/liblimpetroad/private/peer_controller.h
@@ -28,6 +28,9 @@
 /* Takes over the routers of a VM list; fits LimpetVmListObserver. */
 void limpet_peer_controller_update (void *controller, const LimpetVmList *list);
 
+/* Sends this router's state to the peers at once. */
+void limpet_peer_controller_hurry (void *controller);
+
 /* Tells the peers that this router is stopping. */
 void limpet_peer_controller_drain (LimpetPeerController *controller);
 
--- a/src/liblimpetroad/private/target_controller.h
+++ b/src/liblimpetroad/private/target_controller.h
@@ -15,8 +15,10 @@
 LimpetTargetController *limpet_target_controller_new (const LimpetSettings *settings,
                                                       LimpetTargets *targets,
                                                       LimpetBundleController *bundles);
+/* Sets the observers of the VM list and of new slow marks. */
 void limpet_target_controller_observe (LimpetTargetController *controller,
                                        LimpetVmListObserver observer,
+                                       void (*on_slow) (void *user),
                                        void *user);
 
 /* Returns whether a VM list has been read. */
--- a/src/liblimpetroad/router.c
+++ b/src/liblimpetroad/router.c
@@ -282,7 +282,9 @@
   context->claims
       = limpet_claim_controller_new (router->settings, router->peer_controller);
   limpet_target_controller_observe (
-      router->target_controller, limpet_peer_controller_update, router->peer_controller);
+      router->target_controller, limpet_peer_controller_update,
+                                    limpet_peer_controller_hurry,
+                                    router->peer_controller);
   add_controller (router, (LimpetController *)context->bundles);
   add_controller (router, (LimpetController *)context->claims);
   add_controller (router, (LimpetController *)router->peer_controller);
--- a/src/liblimpetroad/target_controller.c
+++ b/src/liblimpetroad/target_controller.c
@@ -18,6 +18,7 @@
   LimpetTargets *targets;
   LimpetBundleController *bundles;
   LimpetVmListObserver observer;
+  void (*on_slow) (void *user);
   void *observer_user;
   LimpetWorker list_worker;
   LimpetWorker report_worker;
@@ -135,7 +136,9 @@
       if (bundle == NULL)
         continue;
       view = limpet_targets_snapshot (self->targets);
-      limpet_health_tick (view, &bundle->fleet, limpet_clock_mono_ms ());
+      if (limpet_health_tick (view, &bundle->fleet, limpet_clock_mono_ms ())
+          && self->on_slow != NULL)
+        self->on_slow (self->observer_user);
       limpet_target_view_release (view);
       limpet_bundle_unref (bundle);
     }
@@ -242,9 +245,11 @@
 void
 limpet_target_controller_observe (LimpetTargetController *self,
                                   LimpetVmListObserver observer,
+                                  void (*on_slow) (void *user),
                                   void *user)
 {
   self->observer = observer;
+  self->on_slow = on_slow;
   self->observer_user = user;
 }
 
--- a/src/liblimpetroad/targets.c
+++ b/src/liblimpetroad/targets.c
@@ -308,6 +308,15 @@
   pthread_mutex_unlock (&target->lock);
 }
 
+void
+limpet_target_note_overdue (LimpetTarget *target, double waited_ms)
+{
+  pthread_mutex_lock (&target->lock);
+  target->times.gap_ms = MAX (target->times.gap_ms, waited_ms);
+  target->times.sampled_ms = limpet_clock_mono_ms ();
+  pthread_mutex_unlock (&target->lock);
+}
+
 double
 limpet_target_gap_ms (LimpetTarget *target)
 {
--- a/src/limpetbench/bench.h
+++ b/src/limpetbench/bench.h
@@ -28,6 +28,7 @@
   int prompt_words;  /* of the first message */
   int deadline_ms;   /* sent along; 0 for none */
   int bound_percent; /* the bound that samples of the load are held against */
+  int outlier_ms;    /* list chats whose first token came later; 0 for no list */
   int warmup_s;      /* left out of the results */
   int seed;
   gboolean direct; /* the port is an engine's */
--- a/src/limpetbench/main.c
+++ b/src/limpetbench/main.c
@@ -58,6 +58,8 @@
     { "bound", 0, 0, G_OPTION_ARG_INT, &options.bound_percent, "Load bound to check",
       "PERCENT" },
     { "warmup", 0, 0, G_OPTION_ARG_INT, &options.warmup_s, "Left out at the start", "S" },
+    { "outliers", 0, 0, G_OPTION_ARG_INT, &options.outlier_ms, "List chats with a later first token",
+      "MS" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Seed", "N" },
     { "direct", 0, 0, G_OPTION_ARG_NONE, &options.direct, "The port is an engine's",
       NULL },
--- a/src/limpetbench/report.c
+++ b/src/limpetbench/report.c
@@ -140,6 +140,29 @@
   add_count (report, "late", late);
 }
 
+/* Lists the short chats whose first token came late: when they were sent, and the delay. */
+static void
+add_outliers (json_object *report, const BenchOptions *options, const GArray *results)
+{
+  json_object *array = json_object_new_array ();
+
+  for (guint i = 0; i < results->len; i++)
+    {
+      const BenchResult *result = &g_array_index (results, BenchResult, i);
+      json_object *entry;
+
+      if (result->is_long || !result->whole || result->first_ms < options->outlier_ms
+          || result->sent_s < options->warmup_s)
+        continue;
+      entry = json_object_new_object ();
+      json_object_object_add (entry, "sent_s", json_object_new_double (result->sent_s));
+      json_object_object_add (entry, "first_ms", json_object_new_double (result->first_ms));
+      json_object_object_add (entry, "total_ms", json_object_new_double (result->total_ms));
+      json_object_array_add (array, entry);
+    }
+  json_object_object_add (report, "outliers", array);
+}
+
 static void
 add_load (json_object *report, const BenchLoad *load)
 {
@@ -174,5 +197,7 @@
                  collect (options, results, is_long_done, get_first));
   add_quantiles (report, "refused_ms", collect (options, results, is_refused, get_total));
   add_load (report, load);
+  if (options->outlier_ms > 0)
+    add_outliers (report, options, results);
   return report;
 }
--- a/src/test_liblimpetroad/policy_tests.c
+++ b/src/test_liblimpetroad/policy_tests.c
@@ -36,6 +36,7 @@
     .kind = LIMPET_VM_ENGINE,
     .key_hash = key * 0x9e3779b97f4a7c15ULL,
     .seed = key,
+    .open_percent = 100,
     .fleet = fleet,
   };
 
@@ -95,7 +96,7 @@
   LimpetRouteRequest request = {
     .group = "m",
     .kind = LIMPET_VM_ENGINE,
-    .is_long = true,
+    .is_long = true, .open_percent = 100,
     .fleet = &fleet,
   };
   int placed = 0;
--- a/test/measure.py
+++ b/test/measure.py
@@ -183,6 +183,9 @@
                                     "--chats", 8000, "--seed", SEED + 1, team="team-0")
             with_surge = bench(fleet, *calm, team="team-1")
             surge = json.loads(surging.communicate()[0])
+            print("<!-- queued %d, target refusals %d, retries %d, hedges %d -->" % tuple(
+                fleet.counter(n) for n in ("admission_queued_total", "target_refusals_total",
+                                           "retries_total", "hedges_total")))
             a, b = alone["short_first_ms"]["p99"], with_surge["short_first_ms"]["p99"]
             row(policy, "%.0f" % a, "%.0f" % b, "%.2f" % (b / a), with_surge["refused"],
                 surge["refused"])
