Requests above a team's share fill only this router's part of each engine

Change: from half of the slots in use on, such requests are held against this router's part of each engine, rounded up on some engines and down on others, differently by each router.

--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -21,8 +21,10 @@
   uint64_t key_hash; /**< of the team and the chat */
   uint64_t seed;     /**< differs between requests of one chat */
   bool is_long;
-  int64_t open_percent;  /**< part of each engine's slots that the request may use */
-  bool ignore_rest; /**< also choose targets that rest after failures */
+  int64_t open_percent; /**< part of each engine's slots that the request may use */
+  double own_part;      /**< of those slots, the part that this router may fill itself */
+  uint64_t own_salt;    /**< of this router: spreads how the part is rounded */
+  bool ignore_rest;     /**< also choose targets that rest after failures */
   const LimpetFleetPart *fleet;
   const LimpetTarget *excluded[LIMPET_MAX_EXCLUDED]; /**< already tried */
   uint32_t excluded_count;
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -50,7 +50,8 @@
   _Atomic int32_t peers_weight;      /**< lowest weight in the peers' digests */
   _Atomic LimpetMs peers_weight_until_ms;
   _Atomic LimpetMs joined_ms; /**< start of the return in steps; 0 for a full start */
-  _Atomic double peers_gap_ms; /**< median time between tokens of its group; 0 if unknown */
+  _Atomic double
+      peers_gap_ms; /**< median time between tokens of its group; 0 if unknown */
   pthread_mutex_t lock;
   LimpetTargetTimes times;
   LimpetLink *idle_links; /**< pooled connections, guarded by lock */
@@ -103,7 +104,8 @@
 /** Records samples of the time to the first token and between tokens, in ms. */
 void limpet_target_note_first (LimpetTarget *target, double first_ms);
 void limpet_target_note_gap (LimpetTarget *target, double gap_ms);
-/** Records that a token has been waited for so long, in ms; the average is at least that. */
+/** Records that a token has been waited for so long, in ms; the average is at least that.
+ */
 void limpet_target_note_overdue (LimpetTarget *target, double waited_ms);
 /** Returns the moving average of the time between tokens, in ms; 0 without samples. */
 double limpet_target_gap_ms (LimpetTarget *target);
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -3,14 +3,15 @@
 #include "limpetroad/counters.h"
 
 #include <glib.h>
+#include <sodium.h>
 #include <string.h>
 
 #define RATE_ALPHA 0.05
 #define MOST_FAILED_KINDS 16
 /* The wait grows while others with a smaller share come in between. */
 #define WAIT_SAFETY 2
-/* Below this part of the slots in use, a router with more than its part of the requests may
- * serve teams above their share. */
+/* Below this part of the slots in use, a router with more than its part of the requests
+ * may serve teams above their share. */
 #define UNEVEN_PERCENT 50
 #define RETRY_AFTER_LEAST_MS 1000
 #define RETRY_AFTER_MOST_MS 30000
@@ -34,6 +35,7 @@
   GHashTable *team_usage; /* team name → requests in flight here */
   uint64_t next_order;
   uint32_t routers;
+  uint64_t salt; /* differs between routers */
   void (*near_bound) (void *user);
   void *near_bound_user;
   double release_gap_ms; /* moving average of the time between releases */
@@ -47,6 +49,7 @@
 
   admission->targets = targets;
   admission->routers = 1;
+  randombytes_buf (&admission->salt, sizeof admission->salt);
   pthread_mutex_init (&admission->lock, NULL);
   admission->waiters = g_ptr_array_new ();
   admission->team_usage = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -120,9 +123,9 @@
   return team_inflight (admission, request->team) >= MAX (1.0, part * share);
 }
 
-/* A team within its share may use any slot. Above it, a reserve stays free, in the fleet and on
- * each engine. This router's own requests are held against its part of the slots, since those
- * of the others are known too late when demand rises in an instant. */
+/* A team within its share may use any slot. Above it, a reserve stays free, in the fleet
+ * and on each engine. This router's own requests are held against its part of the slots,
+ * since those of the others are known too late when demand rises in an instant. */
 static bool
 share_allows (const LimpetAdmission *admission,
               LimpetAdmissionRequest *request,
@@ -136,6 +139,8 @@
   request->route.open_percent = request->above_share ? open_percent : 100;
   if (!request->above_share)
     return true;
+  if (load.inflight * 100 >= load.slots * UNEVEN_PERCENT)
+    request->route.own_part = 1.0 / admission->routers;
   if (load.inflight * 100 >= load.slots * open_percent)
     return false;
   return (double)load.own_inflight * 100 < part * (double)open_percent
@@ -150,6 +155,8 @@
   LimpetTarget *target = NULL;
 
   request->route.open_percent = 100;
+  request->route.own_part = 1;
+  request->route.own_salt = admission->salt;
   if (request->team == NULL || request->route.kind != LIMPET_VM_ENGINE
       || share_allows (admission, request, view))
     target
@@ -215,7 +222,8 @@
       const LimpetTeam *team = waiter->request->team;
 
       if (team != NULL)
-        waiter->used_share = (double)team_inflight (admission, team) / (double)team->share;
+        waiter->used_share
+            = (double)team_inflight (admission, team) / (double)team->share;
     }
   g_ptr_array_sort (admission->waiters, compare_waiters);
 }
@@ -261,8 +269,7 @@
 static LimpetMs
 retry_after_ms_locked (LimpetAdmission *admission)
 {
-  LimpetMs wait_ms
-      = WAIT_SAFETY * expected_wait_ms (admission, admission->waiters->len);
+  LimpetMs wait_ms = WAIT_SAFETY * expected_wait_ms (admission, admission->waiters->len);
 
   return CLAMP (wait_ms, RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS);
 }
@@ -285,9 +292,7 @@
 }
 
 static void
-init_waiter (LimpetAdmission *admission,
-             Waiter *waiter,
-             LimpetAdmissionRequest *request)
+init_waiter (LimpetAdmission *admission, Waiter *waiter, LimpetAdmissionRequest *request)
 {
   pthread_condattr_t attributes;
 
@@ -300,7 +305,9 @@
 
 /* Returns whether a ranked request can expect a slot before it is too late. */
 static bool
-is_worth_waiting (const LimpetAdmission *admission, const Waiter *waiter, LimpetMs longest_ms)
+is_worth_waiting (const LimpetAdmission *admission,
+                  const Waiter *waiter,
+                  LimpetMs longest_ms)
 {
   guint position = 0;
 
@@ -310,8 +317,8 @@
   return WAIT_SAFETY * expected_wait_ms (admission, position) <= longest_ms;
 }
 
-/* Every request goes through the ranks, so none that could be served waits behind one that
- * cannot. */
+/* Every request goes through the ranks, so none that could be served waits behind one
+ * that cannot. */
 static LimpetTarget *
 acquire_locked (LimpetAdmission *admission, LimpetAdmissionRequest *request)
 {
--- a/src/liblimpetroad/chat.c
+++ b/src/liblimpetroad/chat.c
@@ -12,7 +12,8 @@
 #define MOST_LANES 2
 #define MOST_RETRIES 3
 #define MOST_RESUMES 6
-/* Multiples of the median: unlike a high quantile it does not move when some targets slow down. */
+/* Multiples of the median: unlike a high quantile it does not move when some targets slow
+ * down. */
 #define HEDGE_FACTOR 2.0
 #define SLOW_HEDGE_FACTOR 1.0
 #define HEDGE_DEFAULT_MS 400.0
@@ -201,7 +202,8 @@
   return limpet_sse_feed (lane->sse, data, length);
 }
 
-/* Above long work, by the team's priority; within one, teams above their share come last. */
+/* Above long work, by the team's priority; within one, teams above their share come last.
+ */
 static int
 engine_priority (const Chat *chat)
 {
@@ -441,13 +443,14 @@
   on_lane_failed (chat, lane, LIMPET_STATUS_TIMEOUT);
 }
 
-/* Time without a token after which a second engine is asked: before the first token a multiple
- * of its usual time, in a stream a multiple of the time between tokens of the engine's peers. A
- * target known to be slow is not waited for as long. */
+/* Time without a token after which a second engine is asked: before the first token a
+ * multiple of its usual time, in a stream a multiple of the time between tokens of the
+ * engine's peers. A target known to be slow is not waited for as long. */
 static LimpetMs
 hedge_delay_ms (const Chat *chat, const Lane *lane)
 {
-  bool is_slow = limpet_target_weight (lane->target, limpet_clock_mono_ms ()) < LIMPET_WEIGHT_FULL;
+  bool is_slow
+      = limpet_target_weight (lane->target, limpet_clock_mono_ms ()) < LIMPET_WEIGHT_FULL;
   double delay_ms;
 
   if (chat->delivered == 0)
--- a/src/liblimpetroad/health.c
+++ b/src/liblimpetroad/health.c
@@ -9,7 +9,8 @@
 #define TRICKLE_WEIGHT 30
 #define SAMPLE_LIFE_MS 1500
 #define SLOW_FLOOR_MS 8.0
-/* Growth of a lowered weight in one tick: with samples that are good, and without samples. */
+/* Growth of a lowered weight in one tick: with samples that are good, and without
+ * samples. */
 #define GROWTH_SEEN 1.5
 #define GROWTH_UNSEEN 1.015
 #define LEAST_PEERS 3
@@ -92,7 +93,8 @@
 {
   int32_t old = atomic_load (&target->own_weight);
   double grown = old * (fresh ? GROWTH_SEEN : GROWTH_UNSEEN) + 1;
-  int32_t weight = slow ? MAX (TRICKLE_WEIGHT, old / 4) : (int32_t)MIN (LIMPET_WEIGHT_FULL, grown);
+  int32_t weight
+      = slow ? MAX (TRICKLE_WEIGHT, old / 4) : (int32_t)MIN (LIMPET_WEIGHT_FULL, grown);
 
   atomic_store (&target->own_weight, weight);
   if (slow && old == LIMPET_WEIGHT_FULL)
@@ -121,7 +123,8 @@
   for (uint32_t i = 0; i < count; i++)
     {
       atomic_store (&samples[i].target->peers_gap_ms, median_ms);
-      if (samples[i].fresh && median_ms > 0 && samples[i].gap_ms > median_ms + SLOW_FLOOR_MS)
+      if (samples[i].fresh && median_ms > 0
+          && samples[i].gap_ms > median_ms + SLOW_FLOOR_MS)
         samples[i].ratio = samples[i].gap_ms / median_ms;
     }
   qsort (samples, count, sizeof *samples, compare_ratios_descending);
--- a/src/liblimpetroad/policy.c
+++ b/src/liblimpetroad/policy.c
@@ -44,6 +44,20 @@
                                   : limpet_target_is_open (target, now_ms));
 }
 
+/* This router's own requests against its part of an engine's slots. The fraction is
+ * rounded up on some engines and down on others, differently by each router, so that the
+ * parts of all routers add up to about the whole without a message between them. */
+static bool
+has_own_room (const LimpetRouteRequest *request, const LimpetTarget *target)
+{
+  uint64_t draw = XXH64 (&request->own_salt, sizeof request->own_salt, target->id_hash);
+  double part
+      = (double)(target->vm.slots * request->open_percent) / 100 * request->own_part;
+  int32_t limit = (int32_t)(part + (double)(draw % 1024) / 1024);
+
+  return request->own_part >= 1 || atomic_load (&target->own_inflight) < MAX (1, limit);
+}
+
 static bool
 has_room (const LimpetRouteRequest *request, const LimpetTarget *target)
 {
@@ -54,6 +68,8 @@
     return true;
   if (limpet_target_inflight (target) * 100 >= target->vm.slots * request->open_percent)
     return false;
+  if (!has_own_room (request, target))
+    return false;
   return !request->is_long || limpet_target_long_inflight (target) < long_slots;
 }
 
@@ -144,8 +160,8 @@
          * LIMPET_WEIGHT_FULL / limpet_target_weight (target, now_ms);
 }
 
-/* The less loaded of two candidates drawn by the seed (Mitzenmacher 2001). The least loaded of
- * all would draw all routers to the one that last looked idle. */
+/* The less loaded of two candidates drawn by the seed (Mitzenmacher 2001). The least
+ * loaded of all would draw all routers to the one that last looked idle. */
 static LimpetTarget *
 less_loaded_of_two (const LimpetRouteRequest *request,
                     const LimpetTargetView *view,
--- a/src/liblimpetroad/router.c
+++ b/src/liblimpetroad/router.c
@@ -283,8 +283,7 @@
       = limpet_claim_controller_new (router->settings, router->peer_controller);
   limpet_target_controller_observe (
       router->target_controller, limpet_peer_controller_update,
-                                    limpet_peer_controller_hurry,
-                                    router->peer_controller);
+      limpet_peer_controller_hurry, router->peer_controller);
   add_controller (router, (LimpetController *)context->bundles);
   add_controller (router, (LimpetController *)context->claims);
   add_controller (router, (LimpetController *)router->peer_controller);
--- a/src/limpetbench/report.c
+++ b/src/limpetbench/report.c
@@ -140,7 +140,8 @@
   add_count (report, "late", late);
 }
 
-/* Lists the short chats whose first token came late: when they were sent, and the delay. */
+/* Lists the short chats whose first token came late: when they were sent, and the delay.
+ */
 static void
 add_outliers (json_object *report, const BenchOptions *options, const GArray *results)
 {
@@ -156,8 +157,10 @@
         continue;
       entry = json_object_new_object ();
       json_object_object_add (entry, "sent_s", json_object_new_double (result->sent_s));
-      json_object_object_add (entry, "first_ms", json_object_new_double (result->first_ms));
-      json_object_object_add (entry, "total_ms", json_object_new_double (result->total_ms));
+      json_object_object_add (entry, "first_ms",
+                              json_object_new_double (result->first_ms));
+      json_object_object_add (entry, "total_ms",
+                              json_object_new_double (result->total_ms));
       json_object_array_add (array, entry);
     }
   json_object_object_add (report, "outliers", array);
--- a/src/test_liblimpetroad/policy_tests.c
+++ b/src/test_liblimpetroad/policy_tests.c
@@ -37,6 +37,7 @@
     .key_hash = key * 0x9e3779b97f4a7c15ULL,
     .seed = key,
     .open_percent = 100,
+    .own_part = 1,
     .fleet = fleet,
   };
 
@@ -96,7 +97,9 @@
   LimpetRouteRequest request = {
     .group = "m",
     .kind = LIMPET_VM_ENGINE,
-    .is_long = true, .open_percent = 100,
+    .is_long = true,
+    .open_percent = 100,
+    .own_part = 1,
     .fleet = &fleet,
   };
   int placed = 0;
