--- a/src/liblimpetroad/router.c
+++ b/src/liblimpetroad/router.c
@@ -7,6 +7,7 @@
 #include "private/target_controller.h"
 
 #include <curl/curl.h>
+#include <dlfcn.h>
 #include <glib.h>
 #include <sodium.h>
 #include <string.h>
@@ -187,6 +188,19 @@
   return 1;
 }
 
+/* CivetWeb 1.15 looks up SSL_get_peer_certificate at run time, which OpenSSL 3 does not export, and
+ * then calls a null pointer in the first handshake. */
+static bool
+tls_is_usable (void)
+{
+  void *library = dlopen ("libssl.so.3", RTLD_LAZY);
+  bool usable = library == NULL || dlsym (library, "SSL_get_peer_certificate") != NULL;
+
+  if (library != NULL)
+    dlclose (library);
+  return usable;
+}
+
 static struct mg_context *
 open_port (LimpetRouter *router,
            const LimpetListener *listener,
@@ -220,6 +234,14 @@
   };
   struct mg_context *context;
 
+  if (tls && !tls_is_usable ())
+    {
+      limpet_error_set (error, LIMPET_STATUS_INTERNAL, step, NULL,
+                        "settings.%s.tls_certificate_file: this CivetWeb cannot use the OpenSSL "
+                        "that is installed",
+                        step);
+      return NULL;
+    }
   g_snprintf (port, sizeof port, "%s:%d%s", listener->address, (int)listener->port,
               tls ? "s" : "");
   context = mg_start (&callbacks, router, options);
--- a/src/limpetctl/bundle_commands.c
+++ b/src/limpetctl/bundle_commands.c
@@ -9,8 +9,10 @@
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
+#include <zmq.h>
 
 #define KEY_FILE_MODE 0600
+#define CURVE_KEY_TEXT_SIZE 41
 #define SECRET_KEY_HEX_SIZE (2 * crypto_sign_SECRETKEYBYTES + 1)
 
 /* Content of an approver's key file. */
@@ -69,6 +71,22 @@
   return code;
 }
 
+int
+ctl_peer_keygen (Ctl *ctl, char **arguments)
+{
+  char public_key[CURVE_KEY_TEXT_SIZE];
+  char secret_key[CURVE_KEY_TEXT_SIZE];
+  int code;
+
+  (void)ctl;
+  if (zmq_curve_keypair (public_key, secret_key) != 0)
+    return CTL_EXIT_FAILED;
+  code = write_private_file (arguments[0], secret_key);
+  if (code == CTL_EXIT_OK)
+    puts (public_key);
+  return code;
+}
+
 int
 ctl_hash (Ctl *ctl, char **arguments)
 {
--- a/src/limpetctl/ctl.h
+++ b/src/limpetctl/ctl.h
@@ -53,6 +53,7 @@
 LimpetStatus ctl_replay (Ctl *ctl, int64_t until_offset, LimpetError *error);
 
 int ctl_keygen (Ctl *ctl, char **arguments);
+int ctl_peer_keygen (Ctl *ctl, char **arguments);
 int ctl_check (Ctl *ctl, char **arguments);
 int ctl_show (Ctl *ctl, char **arguments);
 int ctl_diff (Ctl *ctl, char **arguments);
--- a/src/limpetctl/main.c
+++ b/src/limpetctl/main.c
@@ -9,6 +9,9 @@
   { "keygen", "NAME FILE", 2, false,
     "Makes an Ed25519 key pair for the approver NAME and writes it to FILE (mode 600).",
     ctl_keygen },
+  { "peer-keygen", "FILE", 1, false,
+    "Makes the routers' CURVE key pair, writes the secret key to FILE and prints the public one.",
+    ctl_peer_keygen },
   { "hash", "KEY", 1, false, "Prints the key_hash of a team's bearer key.", ctl_hash },
   { "check", "FILE", 1, false, "Checks a bundle file, naming the path of a wrong field.",
     ctl_check },
@@ -106,7 +109,7 @@
   GString *text = g_string_new ("Commands:\n");
 
   for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
-    g_string_append_printf (text, "  %-9s %-9s %s\n", commands[i].name,
+    g_string_append_printf (text, "  %-11s %-9s %s\n", commands[i].name,
                             commands[i].arguments, commands[i].help);
   g_string_append (text,
                    "\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 another roll won,\n"
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -119,11 +119,12 @@
 
     def __init__(self, routers=3, engines=4, services=1, teams=3, fleet=None, engine_options=None,
                  log_options=None, idempotent=False, retention_ms=3600000, workers=256,
-                 control_bytes_per_s=2500, service_options=None, proxied=()):
+                 control_bytes_per_s=2500, service_options=None, proxied=(), extra_settings=None):
         self.directory = tempfile.mkdtemp(prefix="limpet-")
         self.processes = []
         self.proxied = set(proxied)
         self.proxy_port = None
+        self.extra_settings = extra_settings or {}
         self.routers, self.engines, self.services = [], [], []
         self.teams = ["team-%d" % i for i in range(teams)]
         self.fleet_part = fleet or {}
@@ -226,6 +227,7 @@
             "log_retention_ms": self.retention_ms,
             "vm_list_url": "http://127.0.0.1:%d" % self.vms_port,
             "workers": self.workers, "control_bytes_per_s": self.control_bytes_per_s,
+            **self.extra_settings,
             "approvers": [{"name": "amina", "public_key": self.approver["public_key"]}],
         }
 
--- a/test/install_dependencies.sh
+++ b/test/install_dependencies.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Installs what the build and the tests need. Does nothing where all is there.
 set -e
-packages="gcc make cmake ninja-build pkg-config python3 clang-format cppcheck
+packages="gcc make cmake openssl ninja-build pkg-config python3 clang-format cppcheck
 liburcu-dev libzmq3-dev libcivetweb-dev libcurl4-openssl-dev libjson-c-dev libglib2.0-dev
 libcunit1-dev spin libsodium-dev libxxhash-dev libprotobuf-c-dev gnuplot-nox"
 missing=""
