--- a/include/limpetroad/attempt.h
+++ b/include/limpetroad/attempt.h
@@ -61,7 +61,7 @@
 limpet_attempt_set_data (LimpetAttempt *attempt, LimpetAttemptData on_data, void *user);
 /** Sets the id to send, instead of a random one. */
 void limpet_attempt_set_id (LimpetAttempt *attempt, const char *id);
-/** Asks for a new connection instead of a pooled one. */
+/** Asks for a new connection instead of a pooled one, to be closed after the exchange. */
 void limpet_attempt_set_fresh (LimpetAttempt *attempt);
 
 /** Starts the exchange. */
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -13,6 +13,9 @@
 /* Below this part of the slots in use, a router with more than its part of the requests
  * may serve teams above their share. */
 #define UNEVEN_PERCENT 50
+/* From this part on, requests above the share keep to this router's part of each engine.
+ */
+#define PARTS_PERCENT 80
 #define RETRY_AFTER_LEAST_MS 1000
 #define RETRY_AFTER_MOST_MS 30000
 #define WAKE_PERIOD_MS 50
@@ -139,7 +142,7 @@
   request->route.open_percent = request->above_share ? open_percent : 100;
   if (!request->above_share)
     return true;
-  if (load.inflight * 100 >= load.slots * UNEVEN_PERCENT)
+  if (load.inflight * 100 >= load.slots * PARTS_PERCENT)
     request->route.own_part = 1.0 / admission->routers;
   if (load.inflight * 100 >= load.slots * open_percent)
     return false;
--- a/src/liblimpetroad/attempt.c
+++ b/src/liblimpetroad/attempt.c
@@ -406,7 +406,7 @@
   if (attempt->link != NULL)
     {
       bool clean = attempt->state == LIMPET_ATTEMPT_ENDED && attempt->result == CURLE_OK
-                   && attempt->answer.id_matches;
+                   && attempt->answer.id_matches && !attempt->fresh;
 
       curl_multi_remove_handle (attempt->link->multi, attempt->link->easy);
       curl_multi_setopt (attempt->link->multi, CURLMOPT_SOCKETFUNCTION, NULL);
--- a/src/liblimpetroad/claim_shard.c
+++ b/src/liblimpetroad/claim_shard.c
@@ -393,13 +393,14 @@
 }
 
 static bool
-is_active (LimpetClaimShard *shard, int64_t *from)
+is_active (LimpetClaimShard *shard, int64_t *from, LimpetMs *wait_ms)
 {
   bool active;
 
   pthread_mutex_lock (&shard->lock);
   active = shard->active;
   *from = shard->next_offset;
+  *wait_ms = shard->has_read ? READ_WAIT_MS : 0;
   pthread_mutex_unlock (&shard->lock);
   return active;
 }
@@ -415,14 +416,15 @@
     {
       LimpetLogBatch batch;
       int64_t from = 0;
+      LimpetMs wait_ms = 0;
 
-      if (!is_active (shard, &from))
+      if (!is_active (shard, &from, &wait_ms))
         {
           goes_on = limpet_worker_wait (&shard->reader, IDLE_CHECK_MS);
           continue;
         }
-      if (client->ops->read (client, shard->stream, MAX (from, FIRST_OFFSET),
-                             READ_WAIT_MS, &batch, NULL)
+      if (client->ops->read (client, shard->stream, MAX (from, FIRST_OFFSET), wait_ms,
+                             &batch, NULL)
           == LIMPET_STATUS_OK)
         {
           apply_batch (shard, &batch);
--- a/src/liblimpetroad/link.c
+++ b/src/liblimpetroad/link.c
@@ -34,14 +34,44 @@
   return link;
 }
 
+/* Takes the links that have rested too long out of the pool; the newest come first. */
+static LimpetLink *
+detach_old_links (LimpetTarget *target, LimpetMs oldest_ms)
+{
+  LimpetLink **place = &target->idle_links;
+  LimpetLink *old;
+
+  while (*place != NULL && (*place)->idle_since_ms >= oldest_ms)
+    place = &(*place)->next;
+  old = *place;
+  *place = NULL;
+  return old;
+}
+
+static void
+delete_links (LimpetLink *link)
+{
+  while (link != NULL)
+    {
+      LimpetLink *next = link->next;
+
+      limpet_link_delete (link);
+      link = next;
+    }
+}
+
 void
 limpet_link_release (LimpetTarget *target, LimpetLink *link)
 {
+  LimpetLink *old;
+
   link->idle_since_ms = limpet_clock_mono_ms ();
   pthread_mutex_lock (&target->lock);
   link->next = target->idle_links;
   target->idle_links = link;
+  old = detach_old_links (target, link->idle_since_ms - LIMPET_POOL_IDLE_MS);
   pthread_mutex_unlock (&target->lock);
+  delete_links (old);
 }
 
 void
@@ -55,17 +85,11 @@
 void
 limpet_link_clear_pool (LimpetTarget *target)
 {
-  LimpetLink *link;
+  LimpetLink *links;
 
   pthread_mutex_lock (&target->lock);
-  link = target->idle_links;
+  links = target->idle_links;
   target->idle_links = NULL;
   pthread_mutex_unlock (&target->lock);
-  while (link != NULL)
-    {
-      LimpetLink *next = link->next;
-
-      limpet_link_delete (link);
-      link = next;
-    }
+  delete_links (links);
 }
--- a/src/liblimpetroad/router.c
+++ b/src/liblimpetroad/router.c
@@ -188,8 +188,8 @@
   return 1;
 }
 
-/* CivetWeb 1.15 looks up SSL_get_peer_certificate at run time, which OpenSSL 3 does not export, and
- * then calls a null pointer in the first handshake. */
+/* CivetWeb 1.15 looks up SSL_get_peer_certificate at run time, which OpenSSL 3 does not
+ * export, and then calls a null pointer in the first handshake. */
 static bool
 tls_is_usable (void)
 {
@@ -236,10 +236,11 @@
 
   if (tls && !tls_is_usable ())
     {
-      limpet_error_set (error, LIMPET_STATUS_INTERNAL, step, NULL,
-                        "settings.%s.tls_certificate_file: this CivetWeb cannot use the OpenSSL "
-                        "that is installed",
-                        step);
+      limpet_error_set (
+          error, LIMPET_STATUS_INTERNAL, step, NULL,
+          "settings.%s.tls_certificate_file: this CivetWeb cannot use the OpenSSL "
+          "that is installed",
+          step);
       return NULL;
     }
   g_snprintf (port, sizeof port, "%s:%d%s", listener->address, (int)listener->port,
--- a/src/limpetctl/main.c
+++ b/src/limpetctl/main.c
@@ -10,7 +10,8 @@
     "Makes an Ed25519 key pair for the approver NAME and writes it to FILE (mode 600).",
     ctl_keygen },
   { "peer-keygen", "FILE", 1, false,
-    "Makes the routers' CURVE key pair, writes the secret key to FILE and prints the public one.",
+    "Makes the routers' CURVE key pair, writes the secret key to FILE and prints the "
+    "public one.",
     ctl_peer_keygen },
   { "hash", "KEY", 1, false, "Prints the key_hash of a team's bearer key.", ctl_hash },
   { "check", "FILE", 1, false, "Checks a bundle file, naming the path of a wrong field.",
