--- a/test/measure.py
+++ b/test/measure.py
@@ -340,6 +340,52 @@
                 max(fleet.runs().values()))
 
 
+def measure_entries():
+    """One router with synthetic entries: targets, peers (silent) and teams, up to letter 1's size."""
+    header("targets", "peers listed", "teams", "processor idle, % of a core", "memory MB",
+           "first token p50 ms", "one roll: processor ms", "in force after ms", "draft record bytes")
+    for targets, peers, teams in ((10, 0, 10), (520, 75, 10), (520, 75, 2600), (2600, 379, 2600)):
+        with f.Fleet(routers=1, engines=2, services=0, teams=4, engine_options=ENGINE,
+                     workers=1024) as fleet:
+            router = fleet.routers[0]
+            for i in range(targets - 2):
+                fleet.engines.append(dict(fleet.engines[i % 2], id="x%04d" % i))
+            real = [router]
+            fleet.routers = real + [dict(router, id="p%03d" % i, peers=9) for i in range(peers)]
+            fleet.push_vms()
+            fleet.routers = real
+            bundle = fleet.bundle()
+            for i in range(teams - 4):
+                bundle["teams"]["t%04d" % i] = {"key_hash": "%064x" % (i + 1), "share": 10}
+            fleet.version = fleet.roll(bundle)
+            fleet.start_routers()
+            time.sleep(3)
+            pid = router["process"].popen.pid
+            cpu = cpu_seconds(pid)
+            time.sleep(10)
+            idle = (cpu_seconds(pid) - cpu) * 10
+            bench_fleet = fleet.engines
+            fleet.engines = fleet.engines[:2]
+            r = bench(fleet, "--rate", 20, "--tokens", 10, "--seconds", 6, "--warmup", 1, "--seed",
+                      SEED)
+            fleet.engines = bench_fleet
+            cpu, rolls, waited = cpu_seconds(pid), 5, []
+            for share in range(rolls):
+                bundle["teams"]["team-0"]["share"] = 20 + share
+                version = fleet.roll(bundle)
+                f.wait_for(lambda: fleet.dump(router)["bundle"]["version"] == version, "the roll")
+                records = f.get_json(fleet.log_port, "/streams/bundles/records?from=%d" % version)
+                taken = [t["time_ms"] for t in fleet.dump(router)["bundle"]["taken"]
+                         if t["version"] == version]
+                waited.append(taken[0] - records["records"][0]["time_ms"])
+            cpu = (cpu_seconds(pid) - cpu) / rolls * 1000
+            record = f.get_json(fleet.log_port,
+                                "/streams/bundles/records?from=%d" % (version - 2))["records"][0]
+            row(targets, peers, teams, "%.2f" % idle, "%.0f" % memory_mb(pid),
+                "%.1f" % r["short_first_ms"]["p50"], "%.0f" % cpu, max(waited),
+                len(record["data"]))
+
+
 def measure_names():
     return {n[len("measure_"):]: v for n, v in globals().items() if n.startswith("measure_")
             and n != "measure_names"}
