--- a/src/liblimpetroad/filter_chat.c
+++ b/src/liblimpetroad/filter_chat.c
@@ -154,6 +154,7 @@
 static void
 end_stream (LimpetCall *call, StreamSink *sink, const LimpetChatResult *result)
 {
+  json_object *root;
   char *event;
 
   if (result->outcome == LIMPET_OUTCOME_DONE)
@@ -161,11 +162,10 @@
       mg_write (call->connection, "0\r\n\r\n", 5);
       return;
     }
-  event = g_strdup_printf (
-      "event: error\ndata: {\"error\":{\"type\":\"%s\",\"outcome\":\"%s\","
-      "\"step\":\"%s\",\"peer\":\"%s\",\"request_id\":\"%s\"}}\n\n",
-      limpet_status_string[result->error.status], limpet_outcome_string[result->outcome],
-      result->error.step, result->error.peer, call->request_id);
+  root = limpet_reply_error_object (call, result->outcome, &result->error);
+  event = g_strdup_printf ("event: error\ndata: %s\n\n",
+                           json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
   stream_event (&sink->parent,
                 &(LimpetSseEvent){ .raw = event, .raw_length = strlen (event) });
   stream_flush (&sink->parent);
--- a/src/liblimpetroad/private/call.h
+++ b/src/liblimpetroad/private/call.h
@@ -91,6 +91,11 @@
 
 void limpet_reply_error (LimpetCall *call, const LimpetReplyError *reply);
 
+/* The body of an error, released by the caller with json_object_put(). */
+json_object *limpet_reply_error_object (const LimpetCall *call,
+                                        LimpetOutcome outcome,
+                                        const LimpetError *error);
+
 /* A whole answer; extra_headers is empty or ends with CRLF. */
 void limpet_reply_body (LimpetCall *call,
                         int code,
--- a/src/liblimpetroad/reply.c
+++ b/src/liblimpetroad/reply.c
@@ -55,22 +55,22 @@
   limpet_count (counters[outcome], 1);
 }
 
-static json_object *
-error_object (const LimpetCall *call, const LimpetReplyError *reply)
+json_object *
+limpet_reply_error_object (const LimpetCall *call,
+                           LimpetOutcome outcome,
+                           const LimpetError *error)
 {
   json_object *root = json_object_new_object ();
   json_object *object = json_object_new_object ();
-  const LimpetError *error = reply->error;
 
   json_object_object_add (object, "type",
                           json_object_new_string (limpet_status_string[error->status]));
   json_object_object_add (object, "message", json_object_new_string (error->message));
   json_object_object_add (object, "outcome",
-                          json_object_new_string (limpet_outcome_string[reply->outcome]));
+                          json_object_new_string (limpet_outcome_string[outcome]));
   json_object_object_add (object, "step", json_object_new_string (error->step));
   json_object_object_add (object, "peer", json_object_new_string (error->peer));
-  json_object_object_add (object, "request_id",
-                          json_object_new_string (call->request_id));
+  json_object_object_add (object, "request_id", json_object_new_string (call->request_id));
   json_object_object_add (root, "error", object);
   return root;
 }
@@ -78,7 +78,7 @@
 void
 limpet_reply_error (LimpetCall *call, const LimpetReplyError *reply)
 {
-  json_object *root = error_object (call, reply);
+  json_object *root = limpet_reply_error_object (call, reply->outcome, reply->error);
   const char *text = json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN);
   char retry_after[64] = "";
 
