First message to a new peer link is not lost

Cause: p99 of a claim was 301 ms (one append and read: 7). Found: links are replaced each 20 s, and the first message to a new one was refused while it connected (ZMQ_IMMEDIATE); the claim was sent again after 150 ms, twice. Change: messages wait for the connection.

--- a/src/liblimpetroad/peer_transport.c
+++ b/src/liblimpetroad/peer_transport.c
@@ -263,7 +263,6 @@
   link->socket = zmq_socket (transport->context, ZMQ_PUSH);
   set_int (link->socket, ZMQ_LINGER, 0);
   set_int (link->socket, ZMQ_SNDHWM, SEND_LIMIT_MESSAGES);
-  set_int (link->socket, ZMQ_IMMEDIATE, 1);
   set_int (link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_int (link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MOST_MS);
   set_int (link->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
