--- a/include/limpetroad/attempt.h
+++ b/include/limpetroad/attempt.h
@@ -76,8 +76,6 @@
 limpet_attempt_process (LimpetAttempt *attempt, short revents, LimpetMs now_ms);
 
 LimpetAttemptState limpet_attempt_state (const LimpetAttempt *attempt);
-const char *limpet_attempt_id (const LimpetAttempt *attempt);
-LimpetTarget *limpet_attempt_target (const LimpetAttempt *attempt);
 const LimpetAttemptAnswer *limpet_attempt_answer (const LimpetAttempt *attempt);
 /** Returns the body of an answer that was not accepted, cut to a few KB. */
 const char *limpet_attempt_error_body (const LimpetAttempt *attempt);
--- a/src/liblimpetroad/admission.c
+++ b/src/liblimpetroad/admission.c
@@ -1,6 +1,7 @@
 #include "limpetroad/admission.h"
 
 #include "limpetroad/counters.h"
+#include "private/condition.h"
 
 #include <glib.h>
 #include <sodium.h>
@@ -284,12 +285,10 @@
     {
       LimpetMs now_ms = limpet_clock_mono_ms ();
       LimpetMs wake_ms = MIN (until_ms, now_ms + WAKE_PERIOD_MS);
-      struct timespec wake
-          = { .tv_sec = wake_ms / 1000, .tv_nsec = wake_ms % 1000 * 1000000 };
 
       if (now_ms >= until_ms)
         return;
-      if (pthread_cond_timedwait (&waiter->served, &admission->lock, &wake) != 0)
+      if (!limpet_condition_wait_until (&waiter->served, &admission->lock, wake_ms))
         serve_waiters_locked (admission);
     }
 }
@@ -297,13 +296,8 @@
 static void
 init_waiter (LimpetAdmission *admission, Waiter *waiter, LimpetAdmissionRequest *request)
 {
-  pthread_condattr_t attributes;
-
   *waiter = (Waiter){ .request = request, .order = admission->next_order++ };
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&waiter->served, &attributes);
-  pthread_condattr_destroy (&attributes);
+  limpet_condition_init (&waiter->served);
 }
 
 /* Returns whether a ranked request can expect a slot before it is too late. */
--- a/src/liblimpetroad/attempt.c
+++ b/src/liblimpetroad/attempt.c
@@ -323,18 +323,6 @@
   return attempt->state;
 }
 
-const char *
-limpet_attempt_id (const LimpetAttempt *attempt)
-{
-  return attempt->id;
-}
-
-LimpetTarget *
-limpet_attempt_target (const LimpetAttempt *attempt)
-{
-  return attempt->target;
-}
-
 const LimpetAttemptAnswer *
 limpet_attempt_answer (const LimpetAttempt *attempt)
 {
--- a/src/liblimpetroad/claim_controller.c
+++ b/src/liblimpetroad/claim_controller.c
@@ -2,6 +2,7 @@
 
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
+#include "private/condition.h"
 #include "private/worker.h"
 
 #include <glib.h>
@@ -357,23 +358,16 @@
 static void
 wait_for_decision (LimpetClaimController *self, Waiter *waiter, LimpetMs until_ms)
 {
-  struct timespec until
-      = { .tv_sec = until_ms / 1000, .tv_nsec = until_ms % 1000 * 1000000 };
 
   while (!waiter->decided && limpet_clock_mono_ms () < until_ms)
-    pthread_cond_timedwait (&waiter->changed, &self->lock, &until);
+    limpet_condition_wait_until (&waiter->changed, &self->lock, until_ms);
 }
 
 static void
 init_waiter (Waiter *waiter, const LimpetClaimEntry *entry, LimpetClaimAnswer *answer)
 {
-  pthread_condattr_t attributes;
-
   *waiter = (Waiter){ .entry = entry, .answer = answer };
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&waiter->changed, &attributes);
-  pthread_condattr_destroy (&attributes);
+  limpet_condition_init (&waiter->changed);
 }
 
 LimpetStatus
--- a/src/liblimpetroad/worker.c
+++ b/src/liblimpetroad/worker.c
@@ -1,5 +1,7 @@
 #include "private/worker.h"
 
+#include "private/condition.h"
+
 static void *
 run_worker (void *user)
 {
@@ -12,13 +14,8 @@
 void
 limpet_worker_start (LimpetWorker *worker, void (*run) (void *user), void *user)
 {
-  pthread_condattr_t attributes;
-
   pthread_mutex_init (&worker->lock, NULL);
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&worker->changed, &attributes);
-  pthread_condattr_destroy (&attributes);
+  limpet_condition_init (&worker->changed);
   worker->stopping = false;
   worker->woken = false;
   worker->run = run;
@@ -30,13 +27,11 @@
 limpet_worker_wait (LimpetWorker *worker, LimpetMs duration_ms)
 {
   LimpetMs until_ms = limpet_clock_mono_ms () + duration_ms;
-  struct timespec until
-      = { .tv_sec = until_ms / 1000, .tv_nsec = until_ms % 1000 * 1000000 };
   bool goes_on;
 
   pthread_mutex_lock (&worker->lock);
   while (!worker->stopping && !worker->woken && limpet_clock_mono_ms () < until_ms)
-    pthread_cond_timedwait (&worker->changed, &worker->lock, &until);
+    limpet_condition_wait_until (&worker->changed, &worker->lock, until_ms);
   worker->woken = false;
   goes_on = !worker->stopping;
   pthread_mutex_unlock (&worker->lock);
