--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -110,7 +110,8 @@
 
 /** Begins a planned stop: answers close their connections from now on. */
 void limpet_exchange_drain (LimpetExchange *exchange);
-/** Closes connections without a request, and the callers' port. */
+/** Closes connections without a request, and the callers' port. Requests that still
+ *  arrive are refused at once: what they would start could not end in time. */
 void limpet_exchange_close_idle (LimpetExchange *exchange);
 /** Ends every request that is left with its final answer. */
 void limpet_exchange_end_all (LimpetExchange *exchange);
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -5,6 +5,8 @@
 
 /* When to come back while this router knows no configuration yet. */
 #define NOT_READY_RETRY_MS 500
+/* Another router takes the request at once. */
+#define STOPPING_RETRY_MS 20
 
 /* A step from the head of a request to a call that may run. Returns false with a refusal
  * if the call ends here. */
@@ -17,6 +19,14 @@
   return false;
 }
 
+static bool
+check_stopping (LimpetTask *task, LimpetRefusal *refusal)
+{
+  if (task->exchange->is_refusing)
+    return refuse (refusal, LIMPET_REFUSAL_NOT_READY, STOPPING_RETRY_MS);
+  return true;
+}
+
 /* The whole call is handled by the version that is in force now. */
 static bool
 take_table (LimpetTask *task, LimpetRefusal *refusal)
@@ -93,8 +103,8 @@
   return true;
 }
 
-static const CallFilter filters[]
-    = { take_table, read_call, find_route, authenticate, set_times, set_context };
+static const CallFilter filters[] = { check_stopping, take_table, read_call,  find_route,
+                                      authenticate,   set_times,  set_context };
 
 bool
 limpet_call_run_filters (LimpetTask *task, LimpetRefusal *refusal)
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -153,6 +153,7 @@
   if (exchange->is_listening)
     uv_close ((uv_handle_t *)&exchange->listener, NULL);
   exchange->is_listening = false;
+  exchange->is_refusing = true;
   for (GList *link = exchange->callers.head; link != NULL; link = next)
     {
       LimpetCaller *caller = link->data;
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -52,6 +52,7 @@
   if (task->answer_body != NULL)
     g_byte_array_set_size (task->answer_body, 0);
   task->relays = is_event_stream (task) && task->answer.is_sealed;
+  task->ends_with_close = !head->is_chunked && head->content_length < 0;
   if (!task->head_sent)
     copy_head (task, head);
   return true;
@@ -60,7 +61,7 @@
 static void
 append_framing (LimpetTask *task, GString *out)
 {
-  task->is_chunked_out = !task->is_http10;
+  task->is_chunked_out = !task->is_http10 && !task->ends_with_close;
   if (task->is_chunked_out)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
   else
@@ -153,6 +154,8 @@
     limpet_caller_write (task->caller, "0\r\n\r\n", 5);
 }
 
+/* An answer whose end its target did not mark goes on without a mark too: a close is no
+ * proof that it was whole, and a length of ours would claim so. */
 static void
 write_whole (LimpetTask *task)
 {
@@ -164,7 +167,9 @@
     return;
   out = g_string_sized_new (task->answer_head->len + length + 64);
   g_string_append_len (out, task->answer_head->str, (gssize)task->answer_head->len);
-  if (has_body)
+  if (has_body && task->ends_with_close)
+    task->closes = true;
+  else if (has_body)
     g_string_append_printf (out, "Content-Length: %zu\r\n", length);
   g_string_append (out, task->closes ? "Connection: close\r\n\r\n" : "\r\n");
   if (has_body && length > 0)
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -34,7 +34,8 @@
   GQueue callers;   /* of LimpetCaller */
   GQueue tasks;     /* of LimpetTask, until their last byte */
   bool is_listening;
-  bool is_draining;
+  bool is_draining;        /* answers close their connections */
+  bool is_refusing;        /* no request is taken any more */
   char read_buffer[65536]; /* shared: each read is handled before the next */
 };
 
@@ -90,6 +91,7 @@
   char last_event_id[LIMPET_NAME_SIZE]; /* of the last event that the caller got */
   bool relays;                          /* events go out as they come */
   bool is_chunked_out;
+  bool ends_with_close; /* the target marks the end of its answer by closing only */
 };
 
 /* caller.c */
