Engines fetch the shared parts of a prompt from the engine that most likely holds them

Change: every request names the best other engine by rendezvous order as source. Ruled out: naming it only where the context moved (an engine that holds all fetches nothing, and no router knows what the others moved).

--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -62,6 +62,12 @@
 /** Returns the urgency for engines, 0 to 9, 0 first. */
 int64_t limpet_dispatch_urgency (const LimpetDispatch *dispatch, const LimpetCall *call);
 
+/** Returns an engine from which \p target could fetch the shared parts of the call's
+ *  prompt, or NULL. Valid until the view of the targets changes. */
+const LimpetTarget *limpet_dispatch_cache_source (LimpetDispatch *dispatch,
+                                                  const LimpetCall *call,
+                                                  const LimpetTarget *target);
+
 /** A caller's request arrived. */
 void limpet_dispatch_note_arrival (LimpetDispatch *dispatch,
                                    const LimpetCall *call,
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -31,6 +31,7 @@
   const char
       *last_event_id; /**< the stream goes on after this event; NULL from the start */
   int64_t urgency;    /**< 0 to 9, 0 first */
+  const LimpetTarget *cache_source; /**< an engine that may hold the shared parts; or NULL */
 } LimpetTry;
 
 typedef struct LimpetFrontCodec LimpetFrontCodec;
--- a/src/liblimpetroad/decision/dispatch.c
+++ b/src/liblimpetroad/decision/dispatch.c
@@ -184,6 +184,36 @@
   return target;
 }
 
+const LimpetTarget *
+limpet_dispatch_cache_source (LimpetDispatch *dispatch,
+                              const LimpetCall *call,
+                              const LimpetTarget *target)
+{
+  LimpetTargetView *view;
+  const LimpetTarget *source = NULL;
+  double source_score = 0;
+
+  if (!call->service->is_engine || call->parts_count < 2)
+    return NULL;
+  view = limpet_targets_snapshot (dispatch->targets);
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      const LimpetTarget *other = view->targets[i];
+      double score;
+
+      if (other == target || strcmp (other->vm.group, call->service->name) != 0)
+        continue;
+      score = limpet_policy_score (other, call->context);
+      if (source == NULL || score > source_score)
+        {
+          source = other;
+          source_score = score;
+        }
+    }
+  limpet_target_view_release (view);
+  return source;
+}
+
 static gint
 compare_waiters (gconstpointer a, gconstpointer b, gpointer user)
 {
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -215,6 +215,8 @@
     .last_event_id
     = task->last_event_id[0] != '\0' ? task->last_event_id : task->call.last_event_id,
     .urgency = limpet_dispatch_urgency (task->exchange->dispatch, &task->call),
+    .cache_source
+    = limpet_dispatch_cache_source (task->exchange->dispatch, &task->call, target),
   };
   GString *out = g_string_sized_new (1024 + task->body->len);
 
