--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 demo: deps build
 	LIMPET_BUILD=$(BUILD) python3 test/demo.py
 
-check: build
+check: deps build
 	LIMPET_BUILD=$(BUILD) python3 test/run_all.py
 
 format:
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -197,6 +197,14 @@
   return LIMPET_POOL_IDLE_MS;
 }
 
+/* These statuses promise that the call has not run, and callers send it again. Without
+ * its target's proof that is not known. */
+static bool
+promises_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void
 limpet_relay_complete (LimpetTask *task, bool reusable)
 {
@@ -224,6 +232,12 @@
   if (!good && limpet_task_repeats_failure (task, keep_ms (task, reusable)))
     return;
   limpet_task_end_try (task, keep_ms (task, reusable));
+  if (promises_not_run (answer->status) && !limpet_call_is_idempotent (&task->call)
+      && task->caller != NULL && !task->head_sent)
+    {
+      limpet_task_write_failure (task, LIMPET_REFUSAL_BROKEN, 0);
+      return;
+    }
   if (task->relays)
     end_stream (task);
   else if (task->head_sent)
--- /dev/null
+++ b/test/platform_fake.py
@@ -0,0 +1,413 @@
+"""Stand-ins for the users' platform: its store, its servers and its clients."""
+
+import base64
+import json
+import os
+import random
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+import fleet as f
+
+HOST = "a.example"
+
+
+class Listener:
+    """Accepts connections on 127.0.0.1 and gives each a thread."""
+
+    def __init__(self, handle, port=0):
+        self.handle = handle
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(("127.0.0.1", port))
+        self.socket.listen(128)
+        self.port = self.socket.getsockname()[1]
+        self.connections = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.append(connection)
+            threading.Thread(target=self.run, args=(connection,), daemon=True).start()
+
+    def run(self, connection):
+        try:
+            self.handle(connection)
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def close(self):
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.socket.close()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def reset(connection):
+    """Closes with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+class Message:
+    """One HTTP message read from a socket's file."""
+
+    def __init__(self, file):
+        self.line = file.readline().decode()
+        if not self.line:
+            raise OSError("closed")
+        self.fields = {}
+        while True:
+            line = file.readline().decode().rstrip("\r\n")
+            if not line:
+                break
+            name, _, value = line.partition(":")
+            self.fields[name.lower()] = value.strip()
+        self.body = b""
+        self.chunks = []
+        if "content-length" in self.fields:
+            self.body = file.read(int(self.fields["content-length"]))
+        elif self.fields.get("transfer-encoding") == "chunked":
+            while True:
+                line = file.readline()
+                if not line:
+                    raise OSError("closed in the middle of a body")
+                size = int(line, 16)
+                chunk = file.read(size)
+                file.readline()
+                if size == 0:
+                    break
+                self.chunks.append(chunk)
+            self.body = b"".join(self.chunks)
+
+
+class Store:
+    """The metadata store: keyed topics with one partition each."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.topics = {}
+        self.calls = []
+        self.mode = "ok"  # ok, busy, silent, reset; for all calls
+        self.delay_s = 0
+        self.lose = 0     # answers that get lost
+        self.first = {}   # oldest record of each topic
+        self.listener = Listener(self.serve)
+        self.port = self.listener.port
+
+    def put(self, topic, key, value):
+        """Appends a record; None drops the key."""
+        if value is not None and not isinstance(value, (str, bytes)):
+            value = json.dumps(value)
+        if isinstance(value, str):
+            value = value.encode()
+        with self.lock:
+            self.topics.setdefault(topic, []).append((key, value))
+            self.lock.notify_all()
+
+    def forget(self, topic):
+        """Drops the history of a topic; the newest of each key stays."""
+        with self.lock:
+            self.first[topic] = len(self.topics.get(topic, []))
+
+    def count(self, part):
+        return sum(part in call for call in self.calls)
+
+    def serve(self, connection):
+        file = connection.makefile("rb")
+        while True:
+            message = Message(file)
+            method, path, _ = message.line.split()
+            self.calls.append(path)
+            if self.delay_s:
+                time.sleep(self.delay_s)
+            if self.mode == "silent" or self.lose > 0:
+                self.lose -= self.mode != "silent"
+                time.sleep(30)
+                return
+            if self.mode == "reset":
+                reset(connection)
+                return
+            status, body = (503, b"{}") if self.mode == "busy" else self.answer(path, message)
+            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
+                               % (status, len(body)) + body)
+
+    def answer(self, path, message):
+        url = urllib.parse.urlparse(path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        topic = query["topic"]
+        with self.lock:
+            records = self.topics.get(topic, [])
+            if url.path.endswith("/log-newest"):
+                newest = {}
+                for offset, (key, value) in enumerate(records):
+                    newest[key] = (value, offset)
+                items = [{"key": k, "value": base64.b64encode(v).decode(), "offset": o}
+                         for k, (v, o) in newest.items() if v is not None]
+                return 200, json.dumps({"items": items, "truncated": False,
+                                        "end": len(records)}).encode()
+            if url.path.endswith("/log-append"):
+                size = struct.unpack(">I", message.body[:4])[0]
+                record = message.body[4:4 + size]
+                key = record[1:1 + record[0]].decode()
+                self.topics.setdefault(topic, []).append((key, record[1 + record[0]:] or None))
+                return 200, b'{"offset":%d,"end":%d}' % (len(records), len(records) + 1)
+            start = int(query["from"])
+            if start < self.first.get(topic, 0):
+                return 410, b'{"first":%d}' % self.first[topic]
+            out = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+            for key, value in records[start:]:
+                record = bytes([len(key)]) + key.encode() + (value or b"")
+                out += struct.pack(">I", len(record)) + record
+            return 200, out
+
+
+class Server:
+    """A server that registers itself. behave(server, message, connection) may answer in its
+    place and returns True then."""
+
+    count = 0
+
+    def __init__(self, store, service, is_engine=False, slots=8, behave=None, server_id=None):
+        Server.count += 1
+        self.id = server_id or "i-%d-%06x" % (Server.count, random.randrange(1 << 24))
+        self.store = store
+        self.service = service
+        self.is_engine = is_engine
+        self.slots = slots
+        self.behave = behave
+        self.sequence = 0
+        self.born = 1000 + Server.count
+        self.ran = []       # ids of the requests that it ran
+        self.seen = []      # messages
+        self.closed = []    # (id, time) of requests whose connection closed early
+        self.listener = Listener(self.serve)
+        self.write("ready")
+
+    def write(self, state, sequence=None):
+        self.sequence += 1
+        entry = {"service": self.service, "address": "127.0.0.1:%d" % self.listener.port,
+                 "zone": "z", "version": "v1", "slots": self.slots, "state": state,
+                 "seq": sequence or self.sequence, "cold_left_ms": 0, "born": self.born}
+        if self.is_engine:
+            entry["stage"] = "both"
+        self.store.put("keyed.servers", self.id, entry)
+
+    def remove(self):
+        self.store.put("keyed.servers", self.id, None)
+
+    def serve(self, connection):
+        file = connection.makefile("rb")
+        while True:
+            message = Message(file)
+            self.seen.append(message)
+            if message.fields.get("expect-instance", self.id) != self.id:
+                connection.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+                continue
+            if self.behave is not None and self.behave(self, message, connection):
+                continue
+            self.ran.append(message.fields.get("request-id"))
+            self.reply(connection, message)
+
+    def head(self, message, status=200, extra=""):
+        return ("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n"
+                "Server-Load: %d,0,%d\r\n%s" % (status, message.fields.get("request-id", ""),
+                                                self.id, 0, self.slots, extra)).encode()
+
+    def reply(self, connection, message, body=b"done", status=200):
+        connection.sendall(self.head(message, status, "Content-Length: %d\r\n\r\n" % len(body))
+                           + body)
+
+    def wait_closed(self, connection, message, limit_s=5):
+        """Waits until the peer closes; notes when."""
+        connection.settimeout(limit_s)
+        try:
+            if connection.recv(1) == b"":
+                self.closed.append((message.fields["request-id"], time.monotonic()))
+        except OSError:
+            pass
+
+    def close(self):
+        self.listener.close()
+
+
+def event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def route(name, prefix, kind, service, **more):
+    entry = {"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+             "timeout_ms": 5000, "goal_ms": 500, "priority": 1, "service": service,
+             "max_attempts": 2, "public": False, "sticky": kind == "streaming",
+             "resumable": False, "gap_target_ms": 200}
+    entry.update(more)
+    return entry
+
+
+def configuration(version, routes, keys=("key-1",), **limits):
+    return {"version": version, "routes": routes,
+            "services": [{"name": "plain", "health_path": "/h", "max_conns": 99},
+                         {"name": "model", "health_path": "/h", "max_conns": 99,
+                          "engine": {"slots": 8, "kv_capacity": 100000, "stride": 4}}],
+            "limits": dict({"max_header_bytes": 8192, "max_body_bytes": 100000,
+                            "header_timeout_ms": 700, "idle_timeout_ms": 15000}, **limits),
+            "tenants": [{"name": "team-1", "api_keys": list(keys)}]}
+
+
+ROUTES = [route("safe", "/safe/", "safe", "plain"),
+          route("unsafe", "/unsafe/", "unsafe", "plain"),
+          route("open", "/open/", "safe", "plain", public=True),
+          route("short", "/short/", "unsafe", "plain", timeout_ms=400),
+          route("stream", "/stream/", "streaming", "model"),
+          route("resume", "/resume/", "streaming", "model", resumable=True)]
+
+
+class World:
+    """A store, servers and routers of one test."""
+
+    def __init__(self, routers=1, routes=None, start=True):
+        self.directory = f.tempfile.mkdtemp(prefix="limpet-platform-")
+        self.store = Store()
+        self.servers = []
+        self.routers = []
+        self.routes = routes or ROUTES
+        self.version = 1
+        self.peer_port = f.free_ports(1)[0]
+        self.configure()
+        self.router_count = routers
+        if start:
+            self.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        for router in self.routers:
+            router["process"].kill()
+        for server in self.servers:
+            server.close()
+        self.store.listener.close()
+
+    def configure(self, routes=None, **more):
+        self.version += 2
+        self.routes = routes or self.routes
+        self.store.put("keyed.op", "config", configuration(self.version, self.routes, **more))
+
+    def add_server(self, service="plain", **more):
+        server = Server(self.store, service, is_engine=service == "model", **more)
+        self.servers.append(server)
+        return server
+
+    def start(self):
+        for _ in range(self.router_count):
+            self.add_router()
+
+    def add_router(self, wait=True):
+        ip = "127.%d.%d.%d" % (random.randrange(1, 250), random.randrange(250),
+                               random.randrange(1, 250))
+        name = "r%d" % len(self.routers)
+        path = os.path.join(self.directory, name + ".json")
+        port, ready = f.free_ports(2)
+        settings = {"node": name, "zone": "z", "ip": ip,
+                    "port_range": [self.peer_port, self.peer_port + 3],
+                    "beat_interval_ms": 1200,
+                    "listen": {"front": "%s:%d" % (ip, port), "ready": "%s:%d" % (ip, ready)},
+                    "platform": {"address": "127.0.0.1:%d" % self.store.port},
+                    "bounds": {"grace_s": 6, "drain_ms": 2000, "retry_ratio": 0.2,
+                               "retry_window_s": 10, "retry_slack": 200, "cap_x": 2}}
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        router = {"ip": ip, "port": port, "ready": ready, "settings": path,
+                  "process": f.Process([f.program("limpetplatformd"), path],
+                                       os.path.join(self.directory, name + ".log"))}
+        self.routers.append(router)
+        if wait:
+            f.wait_for(lambda: self.is_ready(router), name + " to be ready")
+        return router
+
+    def is_ready(self, router):
+        try:
+            with socket.create_connection((router["ip"], router["ready"]), 1) as s:
+                s.sendall(b"GET /limpetroad/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                return s.recv(100).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def metric(self, name, router=0):
+        router = self.routers[router]
+        with socket.create_connection((router["ip"], 9464), 1) as s:
+            s.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = Message(s.makefile("rb")).body.decode()
+        return sum(float(line.split()[-1]) for line in text.splitlines()
+                   if line.startswith(name))
+
+    def log(self, router=0):
+        return self.routers[router]["process"].log_text()
+
+    def client(self, router=0):
+        return Client(self.routers[router])
+
+    def call(self, path, method="GET", router=0, **more):
+        with self.client(router) as client:
+            return client.call(path, method, **more)
+
+
+class Client:
+    """A connection of a client."""
+
+    def __init__(self, router):
+        self.socket = socket.create_connection((router["ip"], router["port"]), 5)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.settimeout(15)
+        self.file = self.socket.makefile("rb")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.close()
+
+    def close(self):
+        self.file.close()
+        self.socket.close()
+
+    def send(self, path, method="GET", key="key-1", body=None, request_id=None, fields=()):
+        self.id = request_id or "%016x" % random.getrandbits(64)
+        lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST,
+                 "Request-Id: " + self.id, "Deadline-Ms: 8000"]
+        if key:
+            lines.append("Authorization: Token " + key)
+        if body is not None:
+            lines.append("Content-Length: %d" % len(body))
+        lines += ["%s: %s" % field for field in fields]
+        self.socket.sendall("\r\n".join(lines + ["", ""]).encode() + (body or b""))
+        return self.id
+
+    def read(self):
+        message = Message(self.file)
+        message.status = int(message.line.split()[1])
+        return message
+
+    def call(self, path, method="GET", **more):
+        self.send(path, method, **more)
+        return self.read()
