Library in folders that show the design; retries of all routers add up to one rate

Change: exchange, decision, knowledge, agreed, threads (the caller-thread path that the own interface still uses), shared; the longest pause of a router grows with their number, the first answer is news for all; 0.9 of the load limit is planned with.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 	clang-format --dry-run --Werror $(SOURCES)
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 	  --enable=warning,performance,portability \
-	  --suppress=missingIncludeSystem --suppress=unknownMacro -I include -I src -I src/liblimpetroad src
+	  --suppress=missingIncludeSystem --suppress=unknownMacro -I include -I src -I src/liblimpetroad -I . \
+	  src platform
 
 # Unit tests under both sanitizers, and some fleets under AddressSanitizer. GLib's own allocator hides
 # from ThreadSanitizer that memory has changed hands, hence G_SLICE.
--- a/src/liblimpetroad/decision/homes.c
+++ b/src/liblimpetroad/decision/homes.c
@@ -7,8 +7,10 @@
  * before calls leave their home (trials in docs/MEASURES.md). */
 #define HOME_TIMES_MEAN 1.6
 #define HOME_PART_OF_SLOTS 0.25
-/* Requests that the users' load limit allows besides the multiple of the mean; one less
- * than they say, for the starts that are not seen yet. */
+/* The users' load limit is a multiple of the mean and three requests. This part of the
+ * multiple and this slack are planned with; the rest is for starts that are not seen yet.
+ */
+#define LOAD_LIMIT_PART 0.9
 #define LOAD_LIMIT_SLACK 2.0
 /* A plain service's slots that one router fills before its calls wait here. */
 #define OWN_PART_OF_SERVICE 1.0
@@ -54,7 +56,7 @@
   double mean = (load->inflight + 1) * slots / load->slots;
 
   return MIN (HOME_TIMES_MEAN * mean + HOME_PART_OF_SLOTS * slots,
-              request->load_limit * mean + LOAD_LIMIT_SLACK);
+              LOAD_LIMIT_PART * request->load_limit * mean + LOAD_LIMIT_SLACK);
 }
 
 /* Load for the choice among targets without a home; equal ones are told apart by a draw.
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -79,9 +79,10 @@
 static void
 write_events (LimpetTask *task, const GString *events)
 {
+  LimpetCaller *caller = task->caller;
   GString *out;
 
-  if (task->caller == NULL || (events->len == 0 && task->head_sent))
+  if (caller == NULL || (events->len == 0 && task->head_sent))
     return;
   out = g_string_sized_new (events->len + 512);
   if (!task->head_sent)
@@ -95,10 +96,10 @@
   g_string_append_len (out, events->str, (gssize)events->len);
   if (events->len > 0 && task->is_chunked_out)
     g_string_append (out, "\r\n");
-  limpet_caller_write (task->caller, out->str, out->len);
+  limpet_caller_write (caller, out->str, out->len);
   g_string_free (out, TRUE);
-  if (task->caller != NULL && task->line != NULL
-      && limpet_caller_backlog (task->caller) > BACKLOG_BYTES)
+  if (!caller->is_closed && task->line != NULL
+      && limpet_caller_backlog (caller) > BACKLOG_BYTES)
     limpet_line_pause (task->line, true);
 }
 
--- a/src/liblimpetroad/private/peer_controller.h
+++ b/src/liblimpetroad/private/peer_controller.h
@@ -5,7 +5,7 @@
 #include "limpetroad/settings.h"
 #include "limpetroad/targets.h"
 #include "limpetroad/vm_list.h"
-#include "peer.pb-c.h"
+#include "knowledge/peer.pb-c.h"
 #include "private/bundle_controller.h"
 #include "private/controller.h"
 
--- a/src/liblimpetroad/private/peer_row.h
+++ b/src/liblimpetroad/private/peer_row.h
@@ -2,7 +2,7 @@
 #define LIMPETROAD_PRIVATE_PEER_ROW_H
 
 #include "limpetroad/targets.h"
-#include "peer.pb-c.h"
+#include "knowledge/peer.pb-c.h"
 
 /* What a peer said of one target. */
 typedef struct
--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -384,10 +384,11 @@
     .on_record = note_record,
     .on_read = note_read,
     .due_ms = due_at_once,
+    .retry_most_ms = due_at_once,
     .on_state = note_state,
   };
   Store store = { .seen = g_string_new (NULL) };
-  PlatformAddress address = { .address = "127.0.0.1" };
+  PlatformAddress address = { .address = "127.0.0.1", .port = 0 };
   LimpetNewsBatch nothing = { .from = 3, .end = 3 };
   struct sockaddr_in name;
   int length = sizeof name;
