--- /dev/null
+++ b/test/test_soak_checks.py
@@ -0,0 +1,55 @@
+"""Each checker of the soak finds the violation that it is for, and none in what is right."""
+
+import os
+
+import fleet as f
+from run_all import table
+from soak import checks
+
+
+def call(**fields):
+    base = {"id": "a", "kind": "unsafe", "router": "r", "status": 200, "whole": True,
+            "body": b"answer to a", "sent": 10.0, "ended": 10.1, "read": True}
+    return dict(base, **fields)
+
+
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, checks.EVENTS + 1))
+MANY = [call(id="c%d" % n, sent=10 + n * 0.01) for n in range(50)]
+
+
+@table([
+    ("own_answer", checks.own_whole_answers, ([call()],), ([call(body=b"answer to b")],)),
+    ("whole_answer", checks.own_whole_answers, ([call()],), ([call(whole=False)],)),
+    ("stream", checks.streams_in_order, ([call(kind="stream", body=WHOLE)],),
+     ([call(kind="stream", body=WHOLE[:-9])],)),
+    ("torn_stream", checks.streams_in_order, ([call(kind="resume", body=WHOLE[:40], whole=False)],),
+     ([call(kind="resume", body=WHOLE[:20] + WHOLE, whole=False)],)),
+    ("once", checks.at_most_once, ([call()], [("a", "s", 1)]),
+     ([call()], [("a", "s", 1), ("a", "t", 2)])),
+    ("not_run", checks.not_run_is_true, ([call(status=503)], [("b", "s", 1)]),
+     ([call(status=503)], [("a", "s", 1)])),
+    ("leaving", checks.leaving_servers, ([("s", 10, 20)], [("a", "s", 11.9)]),
+     ([("s", 10, 20)], [("a", "s", 12.5)])),
+    ("version_late", checks.configurations, ([(3, 10, True)], [(3, "r", 11, 404)]),
+     ([(3, 10, True)], [(3, "r", 12.5, 404)])),
+    ("version_back", checks.configurations, ([], [(3, "r", 11, 200), (3, "r", 12, 200)]),
+     ([], [(3, "r", 11, 200), (3, "r", 12, 404)])),
+    ("repeats", checks.repeats_within_budget, (MANY, [("c1", "s", 10)] * 60),
+     (MANY, [("c1", "s", 10)] * 80)),
+    ("deadline", checks.deadlines, ([call()],), ([call(ended=17)],)),
+    ("stop", checks.planned_stops, ([("r", 9.5, True)], [call()]),
+     ([("r", 9.5, True)], [call(status=0)])),
+    ("size", checks.small_processes, ([("r", 1000, 10)],), ([("r", 1000, 1000)],)),
+    ("recovery", checks.recovery, ([("r", 20, 20)],), ([("r", 20, 19)],)),
+])
+def test_checker(check, right, wrong):
+    assert not check(*right), check(*right)
+    assert check(*wrong)
+
+
+def test_a_short_soak():
+    """One seed; a longer soak is run by hand."""
+    result = f.subprocess.run(
+        [f.sys.executable, os.path.join(f.ROOT, "test", "soak", "soak.py"), "--seed", "1",
+         "--seconds", "8"], capture_output=True, text=True, timeout=150)
+    assert result.returncode == 0, result.stdout + result.stderr
