--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -208,6 +208,18 @@
   LimpetTargetView *view = limpet_targets_snapshot (exchange->targets);
 
   g_string_append_printf (out, "limpetroad_tasks %u\n", exchange->tasks.length);
+  for (int i = 0; i < LIMPET_KIND_COUNT; i++)
+    {
+      char labels[32];
+
+      g_snprintf (labels, sizeof labels, "kind=\"%s\"", limpet_kind_string[i]);
+      limpet_histogram_render (&exchange->times[i].waited, "limpetroad_call_waited_ms",
+                               labels, out);
+      limpet_histogram_render (&exchange->times[i].first, "limpetroad_call_first_ms",
+                               labels, out);
+      limpet_histogram_render (&exchange->times[i].total, "limpetroad_call_total_ms",
+                               labels, out);
+    }
   for (uint32_t i = 0; i < view->count; i++)
     g_string_append_printf (out,
                             "limpetroad_target_inflight{target=\"%s\",group=\"%s\"} %d\n",
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -230,7 +230,10 @@
                               "the answer is not the target's own");
       return;
     }
-  if (!good && limpet_task_repeats_failure (task, keep_ms (task, reusable)))
+  if (good)
+    limpet_dispatch_note_result (task->exchange->dispatch, task->target,
+                                 LIMPET_STATUS_OK);
+  else if (limpet_task_repeats_failure (task, keep_ms (task, reusable)))
     return;
   limpet_task_end_try (task, keep_ms (task, reusable));
   if (promises_not_run (answer->status) && !limpet_call_is_idempotent (&task->call)
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -134,6 +134,22 @@
               (long)(now_ms - call->arrived_ms));
 }
 
+static void
+observe_times (const LimpetTask *task)
+{
+  const LimpetCall *call = &task->call;
+  LimpetCallTimes *times;
+
+  if (call->route == NULL)
+    return;
+  times = &task->exchange->times[call->route->kind];
+  if (task->sent_first_ms > 0)
+    limpet_histogram_observe (&times->waited, task->sent_first_ms - call->arrived_ms);
+  if (task->answer_head_ms > 0)
+    limpet_histogram_observe (&times->first, task->answer_head_ms - call->arrived_ms);
+  limpet_histogram_observe (&times->total, limpet_clock_mono_ms () - call->arrived_ms);
+}
+
 void
 limpet_task_finish (LimpetTask *task, const char *outcome)
 {
@@ -146,6 +162,7 @@
   limpet_task_end_try (task, 0);
   limpet_dispatch_withdraw (task->exchange->dispatch, &task->waiter);
   log_outcome (task, outcome);
+  observe_times (task);
   for (uint32_t i = 0; i < task->tried_count; i++)
     limpet_target_unref ((LimpetTarget *)task->tried[i]);
   task->tried_count = 0;
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -3,6 +3,7 @@
 
 #include "limpetroad/dispatch.h"
 #include "limpetroad/exchange.h"
+#include "limpetroad/histogram.h"
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
 #include "private/wire_buffer.h"
@@ -20,6 +21,14 @@
 typedef struct LimpetTask LimpetTask;
 typedef struct LimpetLine LimpetLine;
 
+/* Times of calls, from their arrival, by kind. */
+typedef struct
+{
+  LimpetHistogram waited; /* until the first send */
+  LimpetHistogram first;  /* until the head of the answer */
+  LimpetHistogram total;
+} LimpetCallTimes;
+
 struct LimpetExchange
 {
   uv_loop_t *loop;
@@ -34,6 +43,7 @@
   uv_timer_t sweep; /* closes connections that are idle or late */
   GQueue callers;   /* of LimpetCaller */
   GQueue tasks;     /* of LimpetTask, until their last byte */
+  LimpetCallTimes times[LIMPET_KIND_COUNT];
   bool is_listening;
   bool is_draining;        /* answers close their connections */
   bool is_refusing;        /* no request is taken any more */
--- /dev/null
+++ b/src/liblimpetroad/shared/histogram.c
@@ -0,0 +1,38 @@
+#include "limpetroad/histogram.h"
+
+/* Upper ends in ms: from a hop inside a zone to the longest deadlines of the users. */
+static const LimpetMs upper_ms[LIMPET_HISTOGRAM_BUCKETS]
+    = { 5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12800 };
+
+void
+limpet_histogram_observe (LimpetHistogram *histogram, LimpetMs duration_ms)
+{
+  int bucket = 0;
+
+  while (bucket < LIMPET_HISTOGRAM_BUCKETS && duration_ms > upper_ms[bucket])
+    bucket++;
+  histogram->counts[bucket]++;
+  histogram->total++;
+  histogram->sum_ms += duration_ms;
+}
+
+void
+limpet_histogram_render (const LimpetHistogram *histogram,
+                         const char *name,
+                         const char *labels,
+                         GString *out)
+{
+  uint64_t below = 0;
+
+  for (int i = 0; i < LIMPET_HISTOGRAM_BUCKETS; i++)
+    {
+      below += histogram->counts[i];
+      g_string_append_printf (out, "%s_bucket{%s,le=\"%ld\"} %lu\n", name, labels,
+                              (long)upper_ms[i], (unsigned long)below);
+    }
+  g_string_append_printf (out, "%s_bucket{%s,le=\"+Inf\"} %lu\n", name, labels,
+                          (unsigned long)histogram->total);
+  g_string_append_printf (out, "%s_sum{%s} %ld\n%s_count{%s} %lu\n", name, labels,
+                          (long)histogram->sum_ms, name, labels,
+                          (unsigned long)histogram->total);
+}
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -452,6 +452,25 @@
         check(sum(len(s.ran) for s in servers) == 1)
 
 
+def test_failures_that_are_not_in_a_row_rest_no_server():
+    """Found on the booking service: every seventh answer of a sound server is a failure."""
+    def behave(server, message, connection):
+        server.ran.append(1)
+        if len(server.ran) % 3 == 0:
+            server.reply(connection, message, b"failed", 500)
+            return True
+        return False
+
+    with World(start=False) as world:
+        servers = [world.add_server(behave=behave) for _ in range(2)]
+        world.start()
+        with world.client() as client:
+            for _ in range(60):
+                check(client.call("/unsafe/", "POST", body=b"").status in (200, 500))
+                check(world.metric("limpetroad_target_open") == 2)
+        check(all(len(s.ran) > 15 for s in servers), [len(s.ran) for s in servers])
+
+
 def test_a_timeout_gets_its_final_answer():
     def behave(server, message, connection):
         server.ran.append(1)
@@ -568,3 +587,4 @@
         lines = [line for line in world.log().splitlines() if "look-for-me" in line]
         check(any("step=try peer=%s" % server.id in line and "failed=broken" in line
                   for line in lines), lines)
+        check(world.metric('limpetroad_call_total_ms_count{kind="unsafe"}') == 1)
