--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -221,10 +221,17 @@
                                labels, out);
     }
   for (uint32_t i = 0; i < view->count; i++)
-    g_string_append_printf (out,
-                            "limpetroad_target_inflight{target=\"%s\",group=\"%s\"} %d\n",
-                            view->targets[i]->vm.id, view->targets[i]->vm.group,
-                            limpet_target_inflight (view->targets[i]));
+    {
+      const LimpetTarget *target = view->targets[i];
+      bool open = limpet_target_is_open (target, limpet_clock_mono_ms ());
+
+      g_string_append_printf (
+          out, "limpetroad_target_inflight{target=\"%s\",group=\"%s\"} %d\n",
+          target->vm.id, target->vm.group, limpet_target_inflight (target));
+      g_string_append_printf (out,
+                              "limpetroad_target_open{target=\"%s\",group=\"%s\"} %d\n",
+                              target->vm.id, target->vm.group, open);
+    }
   limpet_target_view_release (view);
 }
 
