Engines that are slow for seconds get no new work

Change: the pace of an engine against the median of its group, remembered for two seconds, with hysteresis and an end; at most 30 % of a group.

--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -63,7 +63,9 @@
   LimpetTargetTimes times;
   void *pool;                     /**< idle connections of the exchange that uses it */
   void (*pool_free) (void *pool); /**< frees the pool with the target; NULL if none */
-  LimpetTargetReport report;      /**< owned by the thread of the dispatcher */
+  double pace;  /**< times its peers' time between events, over seconds; 0 before */
+  bool is_slow; /**< by its pace; both are the dispatcher's */
+  LimpetTargetReport report; /**< owned by the thread of the dispatcher */
 } LimpetTarget;
 
 /** A view of all targets, ordered by id. */
--- a/src/liblimpetroad/decision/dispatch.c
+++ b/src/liblimpetroad/decision/dispatch.c
@@ -2,6 +2,7 @@
 
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
+#include "limpetroad/pace.h"
 #include "limpetroad/repeat_budget.h"
 
 #include <string.h>
@@ -55,8 +56,6 @@
     .policy = "homes",
     .load_bound_percent = 160,
     .long_share_percent = 100,
-    .slow_ratio_percent = 250,
-    .set_aside_percent = 30,
   };
   dispatch->routers = DEFAULT_ROUTERS;
   dispatch->load_limit = 2;
@@ -451,10 +450,20 @@
   limpet_target_view_release (view);
 }
 
+static void
+compare_targets (LimpetDispatch *dispatch, LimpetMs now_ms)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  limpet_pace_tick (view, now_ms);
+  limpet_target_view_release (view);
+}
+
 void
 limpet_dispatch_tick (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
   fade_reports (dispatch, now_ms);
+  compare_targets (dispatch, now_ms);
   serve (dispatch);
   refuse_late (dispatch, now_ms);
 }
--- a/src/liblimpetroad/decision/homes.c
+++ b/src/liblimpetroad/decision/homes.c
@@ -1,5 +1,7 @@
 #include "private/policy_members.h"
 
+#include "limpetroad/pace.h"
+
 #include <glib.h>
 #include <xxhash.h>
 
@@ -120,7 +122,7 @@
 
       if (!limpet_policy_is_choosable (request, target, now_ms) || !has_room (target)
           || limpet_target_inflight (target) >= home_limit (request, target, &load)
-          || !limpet_policy_gets_turn (request, target, now_ms))
+          || limpet_pace_is_slow (target))
         continue;
       score = limpet_policy_score (target, request->key_hash);
       if (home == NULL || score > home_score)
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -115,6 +115,17 @@
                               now_ms - task->sent_ms);
 }
 
+/* The time between events tells how slow an engine is, compared with its peers. */
+static void
+note_gap (LimpetTask *task, uint32_t count)
+{
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  if (task->event_ms > 0)
+    limpet_target_note_gap (task->target, (double)(now_ms - task->event_ms) / count);
+  task->event_ms = now_ms;
+}
+
 bool
 limpet_relay_body (LimpetTask *task, const char *data, size_t length)
 {
@@ -127,6 +138,7 @@
 
       if (count > 0)
         {
+          note_gap (task, count);
           note_first_event (task);
           limpet_count (LIMPET_COUNTER_TOKENS, count);
           write_events (task, events);
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -269,6 +269,7 @@
   task->relays = false;
   task->sent_ms = now_ms;
   task->first_event_noted = false;
+  task->event_ms = 0;
   task->answer = (LimpetAnswer){ .status = 0 };
   task->line = limpet_line_open (task->exchange, target, newest_idle_ms);
   limpet_line_send (task->line, task, request);
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -94,6 +94,7 @@
   LimpetMs sent_ms;
   LimpetMs sent_first_ms;
   LimpetMs answer_head_ms;
+  LimpetMs event_ms; /* of the last event of the try in hand; 0 before */
   /* Of the answer in hand. */
   LimpetAnswer answer;
   GString *answer_head; /* status line and fields for the caller, without framing */
--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -1,6 +1,7 @@
 #include "tests.h"
 
 #include "limpetroad/dispatch.h"
+#include "limpetroad/pace.h"
 
 #include <glib.h>
 #include <string.h>
@@ -301,6 +302,66 @@
   free_world (&world);
 }
 
+/* Ticks the pace with a time between events for the first engine and for the others. */
+static void
+tick_pace (LimpetTargetView *view, LimpetMs for_ms, double first_ms, double others_ms)
+{
+  for (LimpetMs at_ms = 0; at_ms < for_ms; at_ms += LIMPET_PACE_PERIOD_MS)
+    {
+      for (uint32_t i = 0; i < view->count; i++)
+        if (view->targets[i]->vm.kind == LIMPET_VM_ENGINE)
+          limpet_target_note_gap (view->targets[i], i == 0 ? first_ms : others_ms);
+      limpet_pace_tick (view, limpet_clock_mono_ms ());
+    }
+}
+
+/* Load: an engine that is four times slower for seconds, and bursts of unseen neighbours.
+ */
+static void
+test_only_lasting_slowness_moves_work (void)
+{
+  World world;
+  LimpetTargetView *view;
+
+  make_world (&world, ENGINES);
+  view = limpet_targets_snapshot (world.targets);
+  for (int i = 0; i < 20; i++) /* 15 % of the time at 2.5 times, as on the sheets */
+    {
+      tick_pace (view, 500, 30, 30);
+      tick_pace (view, 100, 75, 30);
+      CU_ASSERT_FALSE (limpet_pace_is_slow (view->targets[0]));
+    }
+  tick_pace (view, 2500, 120, 30);
+  CU_ASSERT_TRUE (limpet_pace_is_slow (view->targets[0]));
+  for (uint64_t context = 1; context < 200; context++)
+    {
+      Asker asker;
+
+      ask (&world, &asker, world.chat, context * 0x9e3779b97f4a7c15ULL, context);
+      CU_ASSERT_PTR_NOT_EQUAL (asker.target, view->targets[0]);
+      limpet_dispatch_release (world.dispatch, asker.target, &asker.waiter);
+    }
+  tick_pace (view, 6000, 30, 30);
+  CU_ASSERT_FALSE (limpet_pace_is_slow (view->targets[0]));
+  limpet_target_view_release (view);
+  free_world (&world);
+}
+
+/* When all are slow none is: the median moves with them. */
+static void
+test_a_slow_group_has_no_slow_engine (void)
+{
+  World world;
+  LimpetTargetView *view;
+
+  make_world (&world, ENGINES);
+  view = limpet_targets_snapshot (world.targets);
+  tick_pace (view, 5000, 200, 200);
+  CU_ASSERT_FALSE (limpet_pace_is_slow (view->targets[0]));
+  limpet_target_view_release (view);
+  free_world (&world);
+}
+
 static void
 test_the_cache_source_is_another_engine (void)
 {
@@ -395,6 +456,8 @@
   CU_ADD_TEST (suite, test_what_cannot_start_in_time_is_refused);
   CU_ADD_TEST (suite, test_withdrawn_calls_get_nothing);
   CU_ADD_TEST (suite, test_told_loads_count);
+  CU_ADD_TEST (suite, test_only_lasting_slowness_moves_work);
+  CU_ADD_TEST (suite, test_a_slow_group_has_no_slow_engine);
   CU_ADD_TEST (suite, test_the_cache_source_is_another_engine);
   CU_ADD_TEST (suite, test_repeats_stay_within_the_budget);
   CU_ADD_TEST (suite, test_the_longest_prefix_of_the_host_wins);
