Reading the change: dead parts out, outcomes counted by what callers know, news live by the users' bounds

Cause: a reading as a newcomer found the zone of the dispatcher unused, parameters unused, own failures of all kinds counted as refusals by admission, the life of news a constant where the sheets give bounds of 2,000 and 3,000 ms, and a deadline that could overflow.

--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -45,7 +45,6 @@
 void limpet_dispatch_set_repeat_limits (LimpetDispatch *dispatch,
                                         const LimpetRepeatLimits *limits);
 void limpet_dispatch_set_load_limit (LimpetDispatch *dispatch, double times_mean);
-void limpet_dispatch_set_zone (LimpetDispatch *dispatch, const char *zone);
 void limpet_dispatch_set_routers (LimpetDispatch *dispatch, uint32_t count);
 
 /** Asks for a target; may call back before it returns. */
@@ -53,9 +52,7 @@
 /** Takes a call that still waits out of the queue. */
 void limpet_dispatch_withdraw (LimpetDispatch *dispatch, LimpetWaiter *waiter);
 /** Gives a slot back. */
-void limpet_dispatch_release (LimpetDispatch *dispatch,
-                              LimpetTarget *target,
-                              const LimpetWaiter *waiter);
+void limpet_dispatch_release (LimpetDispatch *dispatch, LimpetTarget *target);
 
 /** Takes one repeat out of this router's part of the fleet's budget for the service. */
 bool limpet_dispatch_spend_repeat (LimpetDispatch *dispatch, const LimpetCall *call);
@@ -81,7 +78,6 @@
 /** The first event of a stream came \p first_ms after its request was sent. */
 void limpet_dispatch_note_first (LimpetDispatch *dispatch,
                                  LimpetTarget *target,
-                                 const LimpetCall *call,
                                  LimpetMs first_ms);
 /** An exchange ended with \p status. */
 void limpet_dispatch_note_result (LimpetDispatch *dispatch,
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -16,7 +16,8 @@
  *  limpet_exchange_new() → limpet_exchange_set_*() → limpet_exchange_init() →
  *  limpet_exchange_set_table() with each version of the configuration, and
  *  limpet_exchange_targets_changed() after each change of the targets →
- *  limpet_exchange_drain() → limpet_exchange_is_idle() → limpet_exchange_delete().
+ *  limpet_exchange_drain() → limpet_exchange_close_idle() → limpet_exchange_end_all() →
+ *  limpet_exchange_delete().
  *
  *  Everything runs in the thread of the loop. What callers and targets speak beyond plain
  *  HTTP/1.1 is the matter of two codecs.
@@ -92,8 +93,6 @@
                                         const LimpetRepeatLimits *limits);
 /** Sets how many times the mean load a target may have at the most. */
 void limpet_exchange_set_load_limit (LimpetExchange *exchange, double times_mean);
-/** Sets the availability zone, for the choice among equal targets. */
-void limpet_exchange_set_zone (LimpetExchange *exchange, const char *zone);
 /** Sets the number of routers that share the load, this one included. */
 void limpet_exchange_set_routers (LimpetExchange *exchange, uint32_t count);
 
--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -23,6 +23,9 @@
 #define LIMPET_CONNECT_TIMEOUT_MS 400
 #define LIMPET_CONTROL_TIMEOUT_MS 1500
 #define LIMPET_HEADER_TIMEOUT_MS 1000
+#define LIMPET_MAX_DEADLINE_MS                                                           \
+  (24 * 3600 * 1000) /* no caller waits longer than a day                                \
+                      */
 #define LIMPET_STALL_TIMEOUT_MS 2000
 #define LIMPET_POOL_IDLE_MS 5000
 #define LIMPET_TCP_USER_TIMEOUT_MS 1500
--- a/include/limpetroad/news.h
+++ b/include/limpetroad/news.h
@@ -72,6 +72,10 @@
                              uint64_t seed);
 void limpet_news_delete (LimpetNews *news);
 
+/** Sets the time within which what a topic says has to be known to every router; 2,000 ms
+ *  unless set. News live for a part of it. */
+void limpet_news_set_bound (LimpetNews *news, LimpetMs bound_ms);
+
 /** A registry names a router. It is asked for news. */
 void limpet_news_add_member (LimpetNews *news, uint32_t address, LimpetMs now_ms);
 /** Takes a datagram of another router; what cannot be read is dropped and counted. */
@@ -97,7 +101,7 @@
 /** Sends what is due, and forgets routers that are silent. */
 void limpet_news_tick (LimpetNews *news, LimpetMs now_ms);
 /** Tells the others that this router stops. */
-void limpet_news_leave (LimpetNews *news, LimpetMs now_ms);
+void limpet_news_leave (LimpetNews *news);
 
 /** Returns the routers that were heard of lately, this one included. */
 uint32_t limpet_news_routers (const LimpetNews *news);
--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -25,7 +25,6 @@
   double own_part;      /**< of those slots, the part that this router may fill itself */
   uint64_t own_salt;    /**< of this router: spreads how the part is rounded */
   double load_limit;    /**< times the mean load that a target may have at the most */
-  const char *zone;     /**< of this router; NULL if it does not matter */
   bool ignore_rest;     /**< also choose targets that rest after failures */
   const LimpetFleetPart *fleet;
   const LimpetTarget *excluded[LIMPET_MAX_EXCLUDED]; /**< already tried */
--- a/src/liblimpetroad/decision/dispatch.c
+++ b/src/liblimpetroad/decision/dispatch.c
@@ -12,6 +12,8 @@
 #define BUDGET_PART 0.7
 /* Routers that share the slack before their number is known: more than today's sites. */
 #define DEFAULT_ROUTERS 16
+/* For the policy "bounded", which is kept to compare with (docs/MEASURES.md). */
+#define BOUNDED_PERCENT 160
 /* Least and longest appointment; callers honour up to a third of their time. */
 #define RETRY_LEAST_MS 150
 #define RETRY_MOST_MS 4000
@@ -36,7 +38,6 @@
   LimpetRepeatLimits limits;
   GHashTable *budgets; /* service name → LimpetRepeatBudget */
   GQueue waiting;      /* of LimpetWaiter, the most urgent first */
-  char zone[LIMPET_NAME_SIZE];
   double load_limit;
   uint32_t routers;
   uint64_t next_order;
@@ -54,7 +55,7 @@
   dispatch->policy = limpet_policy_by_name ("homes");
   dispatch->fleet = (LimpetFleetPart){
     .policy = "homes",
-    .load_bound_percent = 160,
+    .load_bound_percent = BOUNDED_PERCENT,
     .long_share_percent = 100,
   };
   dispatch->routers = DEFAULT_ROUTERS;
@@ -97,12 +98,6 @@
   dispatch->load_limit = times_mean;
 }
 
-void
-limpet_dispatch_set_zone (LimpetDispatch *dispatch, const char *zone)
-{
-  g_strlcpy (dispatch->zone, zone, sizeof dispatch->zone);
-}
-
 void
 limpet_dispatch_set_routers (LimpetDispatch *dispatch, uint32_t count)
 {
@@ -166,7 +161,6 @@
     .own_part = 1,
     .fleet = &dispatch->fleet,
     .load_limit = dispatch->load_limit,
-    .zone = dispatch->zone,
     .excluded_count = MIN (waiter->excluded_count, LIMPET_MAX_EXCLUDED),
   };
   LimpetTarget *target;
@@ -213,18 +207,16 @@
   return source;
 }
 
-static gint
-compare_waiters (gconstpointer a, gconstpointer b, gpointer user)
+/* The more urgent call first, then the earlier one. */
+static bool
+goes_before (const LimpetWaiter *waiter, const LimpetWaiter *other)
 {
-  const LimpetWaiter *left = a;
-  const LimpetWaiter *right = b;
-  int64_t left_priority = limpet_call_priority (left->call);
-  int64_t right_priority = limpet_call_priority (right->call);
-
-  (void)user;
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
-  return left->order < right->order ? -1 : 1;
+  int64_t priority = limpet_call_priority (waiter->call);
+  int64_t other_priority = limpet_call_priority (other->call);
+
+  if (priority != other_priority)
+    return priority < other_priority;
+  return waiter->order < other->order;
 }
 
 static void
@@ -234,7 +226,7 @@
 
   waiter->link.data = waiter;
   waiter->is_waiting = true;
-  while (after != NULL && compare_waiters (waiter, after->data, NULL) < 0)
+  while (after != NULL && goes_before (waiter, after->data))
     after = after->prev;
   if (after == NULL)
     g_queue_push_head_link (&dispatch->waiting, &waiter->link);
@@ -351,13 +343,10 @@
 }
 
 void
-limpet_dispatch_release (LimpetDispatch *dispatch,
-                         LimpetTarget *target,
-                         const LimpetWaiter *waiter)
+limpet_dispatch_release (LimpetDispatch *dispatch, LimpetTarget *target)
 {
   LimpetMs now_ms = limpet_clock_mono_ms ();
 
-  (void)waiter;
   atomic_fetch_sub (&target->own_inflight, 1);
   limpet_target_unref (target);
   if (dispatch->last_release_ms > 0)
@@ -394,11 +383,9 @@
 void
 limpet_dispatch_note_first (LimpetDispatch *dispatch,
                             LimpetTarget *target,
-                            const LimpetCall *call,
                             LimpetMs first_ms)
 {
   (void)dispatch;
-  (void)call;
   limpet_target_note_first (target, (double)first_ms);
   limpet_target_note_result (target, LIMPET_STATUS_OK);
 }
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -79,7 +79,9 @@
 
   (void)refusal;
   call->deadline_ms
-      = call->arrived_ms + (call->time_limit_ms > 0 ? call->time_limit_ms : timeout_ms);
+      = call->arrived_ms
+        + (call->time_limit_ms > 0 ? MIN (call->time_limit_ms, LIMPET_MAX_DEADLINE_MS)
+                                   : timeout_ms);
   call->give_up_ms = MIN (call->deadline_ms, call->arrived_ms + timeout_ms);
   return true;
 }
--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -150,7 +150,8 @@
   if (caller->task == NULL)
     caller->task = limpet_task_new (caller, &no_head);
   caller->task->closes = true;
-  limpet_task_refuse (caller->task, reason_of_status (caller->reader.error_status), 0);
+  limpet_task_write_failure (caller->task, reason_of_status (caller->reader.error_status),
+                             0);
 }
 
 static void
@@ -310,7 +311,7 @@
         caller->task = limpet_task_new (
             caller, &(LimpetHttpHead){ .method = "GET", .target = "" });
       caller->task->closes = true;
-      limpet_task_refuse (caller->task, LIMPET_REFUSAL_TOO_SLOW, 0);
+      limpet_task_write_failure (caller->task, LIMPET_REFUSAL_TOO_SLOW, 0);
     }
   else if (caller->reader.head_done && waited_ms > limits->idle_timeout_ms)
     limpet_caller_close (caller);
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -77,12 +77,6 @@
   limpet_dispatch_set_load_limit (exchange->dispatch, times_mean);
 }
 
-void
-limpet_exchange_set_zone (LimpetExchange *exchange, const char *zone)
-{
-  limpet_dispatch_set_zone (exchange->dispatch, zone);
-}
-
 void
 limpet_exchange_set_routers (LimpetExchange *exchange, uint32_t count)
 {
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -111,7 +111,7 @@
   if (task->first_event_noted)
     return;
   task->first_event_noted = true;
-  limpet_dispatch_note_first (task->exchange->dispatch, task->target, &task->call,
+  limpet_dispatch_note_first (task->exchange->dispatch, task->target,
                               now_ms - task->sent_ms);
 }
 
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -134,6 +134,24 @@
               (long)(now_ms - call->arrived_ms));
 }
 
+/* What the caller knows of its call after the answer. */
+static void
+count_outcome (const LimpetTask *task)
+{
+  int status = task->answer.status;
+
+  if (status / 100 == 2)
+    limpet_count (LIMPET_COUNTER_DONE, 1);
+  else if (status == 401)
+    limpet_count (LIMPET_COUNTER_UNAUTHORIZED, 1);
+  else if (status == 503 || status == 429 || status == 421 || status == 408)
+    limpet_count (LIMPET_COUNTER_NOT_RUN, 1);
+  else if (status == 502 || status == 504)
+    limpet_count (LIMPET_COUNTER_UNKNOWN, 1);
+  else
+    limpet_count (LIMPET_COUNTER_FAILED, 1);
+}
+
 static void
 observe_times (const LimpetTask *task)
 {
@@ -162,6 +180,7 @@
   limpet_task_end_try (task, 0);
   limpet_dispatch_withdraw (task->exchange->dispatch, &task->waiter);
   log_outcome (task, outcome);
+  count_outcome (task);
   observe_times (task);
   for (uint32_t i = 0; i < task->tried_count; i++)
     limpet_target_unref ((LimpetTarget *)task->tried[i]);
@@ -173,12 +192,6 @@
     limpet_caller_answer_done (caller, close);
 }
 
-void
-limpet_task_refuse (LimpetTask *task, LimpetRefusalReason reason, LimpetMs retry_ms)
-{
-  limpet_task_write_failure (task, reason, retry_ms);
-}
-
 void
 limpet_task_write_failure (LimpetTask *task,
                            LimpetRefusalReason reason,
@@ -200,7 +213,8 @@
   if (task->caller != NULL)
     limpet_caller_write (task->caller, out->str, out->len);
   g_string_free (out, TRUE);
-  limpet_count (LIMPET_COUNTER_REFUSED_ADMISSION, 1);
+  if (reason == LIMPET_REFUSAL_FULL)
+    limpet_count (LIMPET_COUNTER_REFUSED_ADMISSION, 1);
   limpet_task_finish (task, limpet_refusal_string[reason]);
 }
 
@@ -210,7 +224,7 @@
   LimpetRefusal refusal;
   LimpetMs now_ms = limpet_clock_mono_ms ();
 
-  limpet_count (LIMPET_COUNTER_CHATS, 1);
+  limpet_count (LIMPET_COUNTER_CALLS, 1);
   if (!limpet_call_run_filters (task, &refusal))
     {
       limpet_task_write_failure (task, refusal.reason, refusal.retry_after_ms);
@@ -296,7 +310,7 @@
   if (line != NULL)
     limpet_line_release (line, keep_ms);
   if (target != NULL)
-    limpet_dispatch_release (task->exchange->dispatch, target, &task->waiter);
+    limpet_dispatch_release (task->exchange->dispatch, target);
 }
 
 static bool
--- a/src/liblimpetroad/knowledge/news.c
+++ b/src/liblimpetroad/knowledge/news.c
@@ -8,11 +8,12 @@
 #include <math.h>
 #include <string.h>
 
-/* A read of a topic is news for this long; then one router after the other reads again,
- * within the spread. Their sum, a read and two hops stay under the users' bounds for
- * leaving targets and configurations (2,000 ms). */
-#define NEWS_LIFE_MS 700
-#define NEWS_SPREAD_MS 500
+/* A read of a topic is news for the first part of the bound; then one router after the
+ * other reads again, within the second. A read, some hops and one lost datagram have the
+ * rest. */
+#define NEWS_LIFE_PART 0.35
+#define NEWS_SPREAD_PART 0.25
+#define DEFAULT_BOUND_MS 2000
 /* What a hop adds to the age: the way between zones and the time to be scheduled. */
 #define HOP_MS 5
 /* A read that is younger by less is no reason to pass it on. */
@@ -52,6 +53,7 @@
   const LimpetNewsOps *ops;
   void *user;
   uint32_t own_address;
+  LimpetMs bound_ms;
   GRand *random;
   GArray *members;   /* of Member */
   GHashTable *loads; /* target hash → LimpetNewsLoad */
@@ -67,7 +69,9 @@
   double steepness = log (limpet_news_routers (news)) + 1;
   double draw = g_rand_double (news->random);
 
-  return (LimpetMs)(NEWS_SPREAD_MS * log (draw * (exp (steepness) - 1) + 1) / steepness);
+  double spread_ms = NEWS_SPREAD_PART * (double)news->bound_ms;
+
+  return (LimpetMs)(spread_ms * log (draw * (exp (steepness) - 1) + 1) / steepness);
 }
 
 LimpetNews *
@@ -82,6 +86,7 @@
   news->ops = ops;
   news->user = user;
   news->own_address = own_address;
+  news->bound_ms = DEFAULT_BOUND_MS;
   news->random = g_rand_new_with_seed_array (seeds, 2);
   news->members = g_array_new (FALSE, FALSE, sizeof (Member));
   news->loads = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
@@ -99,6 +104,12 @@
   g_free (news);
 }
 
+void
+limpet_news_set_bound (LimpetNews *news, LimpetMs bound_ms)
+{
+  news->bound_ms = bound_ms;
+}
+
 static Member *
 find_member (LimpetNews *news, uint32_t address)
 {
@@ -234,7 +245,8 @@
 limpet_news_topic_due_ms (const LimpetNews *news, uint32_t topic, LimpetMs now_ms)
 {
   const Topic *known = &news->topics[topic];
-  LimpetMs due_ms = known->read_ms + NEWS_LIFE_MS + known->delay_ms;
+  LimpetMs life_ms = (LimpetMs)(NEWS_LIFE_PART * (double)news->bound_ms);
+  LimpetMs due_ms = known->read_ms + life_ms + known->delay_ms;
 
   return known->read_ms == 0 ? 0 : MAX (0, due_ms - now_ms);
 }
@@ -494,11 +506,10 @@
 }
 
 void
-limpet_news_leave (LimpetNews *news, LimpetMs now_ms)
+limpet_news_leave (LimpetNews *news)
 {
   NewsMessage message = NEWS_MESSAGE__INIT;
 
-  (void)now_ms;
   message.leaving = true;
   send_to_some (news, &message, news->members->len, 0);
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -121,7 +121,6 @@
 /* task.c */
 LimpetTask *limpet_task_new (LimpetCaller *caller, const LimpetHttpHead *head);
 void limpet_task_start (LimpetTask *task);
-void limpet_task_refuse (LimpetTask *task, LimpetRefusalReason reason, LimpetMs retry_ms);
 void limpet_task_caller_left (LimpetTask *task);
 /* The request is about to leave for the target. */
 void limpet_task_request_leaves (LimpetTask *task);
--- a/src/liblimpetroad/shared/counters.c
+++ b/src/liblimpetroad/shared/counters.c
@@ -5,6 +5,7 @@
 #include <stdatomic.h>
 
 const char *const limpet_counter_string[LIMPET_COUNTER_COUNT] = {
+  [LIMPET_COUNTER_CALLS] = "calls_total",
   [LIMPET_COUNTER_CHATS] = "chats_total",
   [LIMPET_COUNTER_ORDERS] = "orders_total",
   [LIMPET_COUNTER_DONE] = "outcome_done_total",
--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -143,7 +143,7 @@
           CU_ASSERT_PTR_NOT_NULL_FATAL (asker.target);
           CU_ASSERT_TRUE (home == NULL || asker.target == home);
           home = asker.target;
-          limpet_dispatch_release (world.dispatch, asker.target, &asker.waiter);
+          limpet_dispatch_release (world.dispatch, asker.target);
         }
     }
   free_world (&world);
@@ -180,7 +180,7 @@
   CU_ASSERT_TRUE (homes <= 6);
   limpet_target_view_release (view);
   for (uint32_t i = 0; i < count; i++)
-    limpet_dispatch_release (world.dispatch, askers[i].target, &askers[i].waiter);
+    limpet_dispatch_release (world.dispatch, askers[i].target);
   free_world (&world);
 }
 
@@ -198,7 +198,7 @@
       CU_ASSERT_TRUE (limpet_target_inflight (askers[i].target) <= (int32_t)i / 2 + 1);
     }
   for (uint32_t i = 0; i < G_N_ELEMENTS (askers); i++)
-    limpet_dispatch_release (world.dispatch, askers[i].target, &askers[i].waiter);
+    limpet_dispatch_release (world.dispatch, askers[i].target);
   free_world (&world);
 }
 
@@ -220,15 +220,15 @@
   ask (&world, &waiting[1], &urgent, 5, 101);
   CU_ASSERT_PTR_NULL (waiting[0].target);
   CU_ASSERT_PTR_NULL (waiting[1].target);
-  limpet_dispatch_release (world.dispatch, running[0].target, &running[0].waiter);
+  limpet_dispatch_release (world.dispatch, running[0].target);
   CU_ASSERT_PTR_NOT_NULL (waiting[1].target);
   CU_ASSERT_PTR_NULL (waiting[0].target);
-  limpet_dispatch_release (world.dispatch, running[1].target, &running[1].waiter);
+  limpet_dispatch_release (world.dispatch, running[1].target);
   CU_ASSERT_PTR_NOT_NULL (waiting[0].target);
   for (uint32_t i = 2; i < SLOTS; i++)
-    limpet_dispatch_release (world.dispatch, running[i].target, &running[i].waiter);
+    limpet_dispatch_release (world.dispatch, running[i].target);
   for (uint32_t i = 0; i < 2; i++)
-    limpet_dispatch_release (world.dispatch, waiting[i].target, &waiting[i].waiter);
+    limpet_dispatch_release (world.dispatch, waiting[i].target);
   free_world (&world);
 }
 
@@ -250,7 +250,7 @@
   CU_ASSERT_TRUE (late.refused);
   CU_ASSERT_TRUE (late.retry_after_ms > 0 && late.retry_after_ms <= 10000 / 3);
   for (uint32_t i = 0; i < SLOTS; i++)
-    limpet_dispatch_release (world.dispatch, running[i].target, &running[i].waiter);
+    limpet_dispatch_release (world.dispatch, running[i].target);
   free_world (&world);
 }
 
@@ -267,7 +267,7 @@
   ask (&world, &left, world.chat, 5, 100);
   limpet_dispatch_withdraw (world.dispatch, &left.waiter);
   for (uint32_t i = 0; i < SLOTS; i++)
-    limpet_dispatch_release (world.dispatch, running[i].target, &running[i].waiter);
+    limpet_dispatch_release (world.dispatch, running[i].target);
   limpet_dispatch_tick (world.dispatch, limpet_clock_mono_ms () + 20000);
   CU_ASSERT_PTR_NULL (left.target);
   CU_ASSERT_FALSE (left.refused);
@@ -287,17 +287,17 @@
   make_world (&world, ENGINES);
   ask (&world, &first, world.chat, 99, 1);
   view = limpet_targets_snapshot (world.targets);
-  limpet_dispatch_release (world.dispatch, first.target, &first.waiter);
+  limpet_dispatch_release (world.dispatch, first.target);
   limpet_dispatch_note_load (world.dispatch, first.target, SLOTS, 0, now_ms);
   limpet_dispatch_note_load (world.dispatch, first.target, 0, 0, now_ms - 50);
   ask (&world, &second, world.chat, 99, 2);
   CU_ASSERT_PTR_NOT_EQUAL (first.target, second.target);
-  limpet_dispatch_release (world.dispatch, second.target, &second.waiter);
+  limpet_dispatch_release (world.dispatch, second.target);
   for (int i = 0; i < 100; i++)
     limpet_dispatch_tick (world.dispatch, now_ms + 5000 + 100 * i);
   ask (&world, &second, world.chat, 99, 3);
   CU_ASSERT_PTR_EQUAL (first.target, second.target);
-  limpet_dispatch_release (world.dispatch, second.target, &second.waiter);
+  limpet_dispatch_release (world.dispatch, second.target);
   limpet_target_view_release (view);
   free_world (&world);
 }
@@ -339,7 +339,7 @@
 
       ask (&world, &asker, world.chat, context * 0x9e3779b97f4a7c15ULL, context);
       CU_ASSERT_PTR_NOT_EQUAL (asker.target, view->targets[0]);
-      limpet_dispatch_release (world.dispatch, asker.target, &asker.waiter);
+      limpet_dispatch_release (world.dispatch, asker.target);
     }
   tick_pace (view, 6000, 30, 30);
   CU_ASSERT_FALSE (limpet_pace_is_slow (view->targets[0]));
@@ -380,7 +380,7 @@
   /* Away from home, the home is the source. */
   CU_ASSERT_PTR_EQUAL (limpet_dispatch_cache_source (world.dispatch, &asker.call, source),
                        asker.target);
-  limpet_dispatch_release (world.dispatch, asker.target, &asker.waiter);
+  limpet_dispatch_release (world.dispatch, asker.target);
   free_world (&world);
 }
 
