Soak ends with a calm round, in which the bounds hold

Change: after the last fault all is calm for 3.5 s; then two servers leave, a version comes, and a router gets SIGTERM.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -228,7 +228,7 @@
 
     def faults(self):
         choose = self.choose
-        server = choose.choice(self.servers[-6:])
+        server = choose.choice(self.present())
         link = choose.choice(LINKS)
         router = choose.choice(self.routers)
         heal_store = lambda: setattr(self.store, "mode", "ok")
@@ -283,12 +283,16 @@
 
         threading.Thread(target=again, daemon=True).start()
 
+    def present(self):
+        """The newest server of each place."""
+        return list({self.place_of(s): s for s in self.servers}.values())
+
     def place_of(self, server):
         return int(server.id[1])
 
     def leave(self, server):
         with self.leave_lock:
-            if server not in self.servers[-6:]:
+            if server not in self.present():
                 return
             server.write("draining")
             self.leaves.append([server.id, time.monotonic(), None])
@@ -311,7 +315,7 @@
         """Another server takes the address at once."""
         self.proxy("server-%d" % self.place_of(server), cut=1)
         with self.leave_lock:
-            if server in self.servers[-6:]:
+            if server in self.present():
                 self.add_soak_server(self.place_of(server))
         server.remove()
 
@@ -355,6 +359,7 @@
             world.disturb()
             for server in world.servers:
                 server.mode = "ok"
+            calm_round(world)
             return injected, world, judge(world)
         finally:
             with world.leave_lock:
@@ -362,6 +367,25 @@
             world.proxy_process.kill()
 
 
+CALM_S = 3.5  # after the last fault of store and routers (stable_window_ms)
+
+
+def calm_round(world):
+    """Leaves, a version and a planned stop while nothing else happens: the bounds hold then."""
+    try:
+        f.wait_for(lambda: all(r["process"].popen.poll() is None and world.is_ready(r)
+                               for r in world.routers), "", 15)
+    except AssertionError:
+        return  # judge() tells it
+    time.sleep(CALM_S)
+    for place in (0, 3):
+        world.leave(world.present()[place])
+    world.put_version()
+    time.sleep(3.2)
+    world.replace(world.routers[0], signal.SIGTERM)
+    time.sleep(2.2)
+
+
 def judge(world):
     def not_ready():
         return [r["ip"] for r in world.routers
