--- a/src/test_liblimpetroad/knowledge_tests.c
+++ b/src/test_liblimpetroad/knowledge_tests.c
@@ -409,7 +409,7 @@
     }
   for (uint32_t i = 0; i < ROUTERS; i++)
     heard += routers[i].busy_heard_ms >= 6000 - BUSY_AGE_MS;
-  printf ("routers that heard of the busy engine=%u of %u\n", heard, ROUTERS);
+  printf ("routers that heard of the busy engine=%u of %d\n", heard, ROUTERS);
   CU_ASSERT_TRUE (heard >= ROUTERS * 9 / 10);
   stop_routers ();
 }
