Bursts of entries reach nearly all routers, and an outage costs few tries

A burst of entries takes several messages, and each went to other receivers: a router takes records only without a gap, so that 72 of 73 routers had to read a burst of 22 entries at the store (test_bursts_reach_nearly_all). In an outage each router began with a pause of 100 ms, seven or eight tries in nine seconds for each topic.

Change: receivers of a push are drawn once a second and end of the topic, by hash. Pauses grow from an eighth of the longest one on. Digests go each 200 ms with 40 loads, 300 ms with 60 before: a report of a busy engine reaches 72 of 73 routers within 1.5 s (65), for 3,603 bytes a router and second (2,959).

Measured: 0 of 73 routers behind after a burst.

--- a/include/limpetroad/news.h
+++ b/include/limpetroad/news.h
@@ -24,9 +24,9 @@
 
 /** Topics of a log that routers follow. */
 #define LIMPET_NEWS_TOPICS 2
-/** Loads in one message, seven bytes each: with two digests each 300 ms a router sends
+/** Loads in one message, seven bytes each: with two digests each 200 ms a router sends
  *  under the 4 KB/s that letter 1 gives it for control. */
-#define LIMPET_NEWS_MAX_LOADS 60
+#define LIMPET_NEWS_MAX_LOADS 40
 
 /** One record of a topic. */
 typedef struct
--- a/src/liblimpetroad/knowledge/news.c
+++ b/src/liblimpetroad/knowledge/news.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* A read of a topic is news for the first part of the bound; then one router after the
  * other reads again, within the second. A read, some hops and one lost datagram have the
@@ -23,12 +24,14 @@
 #define NAMED_LIFE_MS 8000
 /* Only members heard within this time are named to others. */
 #define NAMING_AGE_MS 4000
-#define DIGEST_PERIOD_MS 300
+#define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define DIGEST_MEMBERS 6
 /* Fits into one packet. */
 #define BATCH_BYTES 1100
 #define MOST_RECORDS 64
+/* Messages of one burst go to the same routers; the next bursts to others. */
+#define RECEIVERS_LIFE_MS 1000
 
 typedef struct
 {
@@ -172,13 +175,55 @@
   return (uint32_t)ceil (log (limpet_news_routers (news))) + 2;
 }
 
+typedef struct
+{
+  uint32_t address;
+  uint64_t rank;
+} Receiver;
+
+static int
+compare_ranks (const void *a, const void *b)
+{
+  uint64_t left = ((const Receiver *)a)->rank;
+  uint64_t right = ((const Receiver *)b)->rank;
+
+  return (left > right) - (left < right);
+}
+
+/* Draws receivers, the same ones for some time: a burst of entries takes several
+ * messages, and is of use only without a gap. The caller frees the array. */
+static GArray *
+draw_receivers (const LimpetNews *news,
+                const LimpetNewsBatch *batch,
+                LimpetMs now_ms,
+                uint32_t except)
+{
+  GArray *receivers = g_array_new (FALSE, FALSE, sizeof (Receiver));
+  int64_t round[] = { batch->end, now_ms / RECEIVERS_LIFE_MS };
+  uint64_t draw
+      = XXH64 (round, sizeof round, (uint64_t)batch->topic << 32 | news->own_address);
+
+  for (guint i = 0; i < news->members->len; i++)
+    {
+      Receiver receiver = { .address = g_array_index (news->members, Member, i).address };
+
+      if (receiver.address == except)
+        continue;
+      receiver.rank = XXH64 (&receiver.address, sizeof receiver.address, draw);
+      g_array_append_val (receivers, receiver);
+    }
+  g_array_sort (receivers, compare_ranks);
+  g_array_set_size (receivers, MIN (receivers->len, push_fanout (news)));
+  return receivers;
+}
+
 static void
 push_part (LimpetNews *news,
            const LimpetNewsBatch *batch,
            uint32_t first,
            uint32_t count,
            LimpetMs now_ms,
-           uint32_t except)
+           const GArray *receivers)
 {
   NewsMessage message = NEWS_MESSAGE__INIT;
   TopicNews topic = TOPIC_NEWS__INIT;
@@ -196,9 +241,11 @@
   topic.from = batch->from + first;
   topic.records = records;
   topic.n_records = count;
+  message.sender = news->own_address;
   message.topics = topics;
   message.n_topics = 1;
-  send_to_some (news, &message, push_fanout (news), except);
+  for (guint i = 0; i < receivers->len; i++)
+    send_message (news, &message, g_array_index (receivers, Receiver, i).address);
 }
 
 /* Pushes a batch in messages that each fit into a packet. Longer records are only told of
@@ -206,6 +253,7 @@
 static void
 push (LimpetNews *news, const LimpetNewsBatch *batch, LimpetMs now_ms, uint32_t except)
 {
+  GArray *receivers = draw_receivers (news, batch, now_ms, except);
   uint32_t first = 0;
 
   do
@@ -216,10 +264,11 @@
       while (first + count < batch->count && count < MOST_RECORDS
              && bytes + batch->records[first + count].length <= BATCH_BYTES)
         bytes += batch->records[first + count++].length;
-      push_part (news, batch, first, count, now_ms, except);
+      push_part (news, batch, first, count, now_ms, receivers);
       first += MAX (1, count);
     }
   while (first < batch->count);
+  g_array_free (receivers, TRUE);
 }
 
 static void
--- /dev/null
+++ b/src/liblimpetroad/shared/backoff.c
@@ -0,0 +1,20 @@
+#include "limpetroad/backoff.h"
+
+#include <glib.h>
+
+LimpetMs
+limpet_backoff_next (LimpetBackoff *backoff,
+                     LimpetMs first_ms,
+                     LimpetMs most_ms,
+                     double draw)
+{
+  backoff->pause_ms
+      = CLAMP (2 * backoff->pause_ms, MIN (first_ms, most_ms), MAX (first_ms, most_ms));
+  return (LimpetMs)((double)backoff->pause_ms * (1 + draw) / 2);
+}
+
+void
+limpet_backoff_reset (LimpetBackoff *backoff)
+{
+  backoff->pause_ms = 0;
+}
--- a/src/test_liblimpetroad/knowledge_tests.c
+++ b/src/test_liblimpetroad/knowledge_tests.c
@@ -1,5 +1,6 @@
 #include "tests.h"
 
+#include "limpetroad/backoff.h"
 #include "limpetroad/directory.h"
 #include "limpetroad/news.h"
 
@@ -136,6 +137,9 @@
 
 /* A fleet of routers whose datagrams arrive after HOP ms, if they are not lost. */
 #define ROUTERS 73
+/* A release of a fifth of the users' largest site, and the size of an entry there. */
+#define BURST_RECORDS 22
+#define ENTRY_BYTES 250
 #define BUSY_TARGET 4242
 /* Reports older than this begin to fade in the dispatcher. */
 #define BUSY_AGE_MS 1500
@@ -182,7 +186,7 @@
 {
   Router *router = user;
 
-  if (batch->from <= router->known)
+  if (batch->from <= router->known) /* as platform/watch.c: only without a gap */
     router->known = MAX (router->known, batch->from + batch->count);
   return router->known;
 }
@@ -312,6 +316,37 @@
   stop_routers ();
 }
 
+/* A burst of entries takes several messages; a router that misses one of them has to read
+ * the store itself. */
+static void
+test_bursts_reach_nearly_all (void)
+{
+  LimpetNewsRecord records[BURST_RECORDS];
+  uint8_t entry[ENTRY_BYTES] = { 0 };
+  int64_t end = 0;
+  uint32_t behind;
+
+  start_routers (19);
+  run_fleet (1, 5000, &end, NULL);
+  for (uint32_t i = 0; i < BURST_RECORDS; i++)
+    records[i] = (LimpetNewsRecord){ .bytes = entry, .length = sizeof entry };
+  routers[7].known = BURST_RECORDS;
+  limpet_news_topic_read (routers[7].news,
+                          &(LimpetNewsBatch){ .topic = STORE_TOPIC,
+                                              .records = records,
+                                              .count = BURST_RECORDS,
+                                              .end = BURST_RECORDS,
+                                              .at_ms = 5000 },
+                          5000);
+  while (datagrams.length > 0)
+    deliver (5000);
+  behind = count_behind (BURST_RECORDS);
+  printf ("behind after a burst of %d entries=%u of %d\n", BURST_RECORDS, behind,
+          ROUTERS);
+  CU_ASSERT_TRUE (behind <= ROUTERS / 20);
+  stop_routers ();
+}
+
 static void
 test_lost_news_is_read_at_the_source (void)
 {
@@ -350,6 +385,44 @@
   stop_routers ();
 }
 
+/* The store is away for nine seconds, as on the users' days. They price 5,200 calls with
+ * 0.09 of a day and 0.03 is the aim: with two such outages and two topics, 5 tries a
+ * router each. */
+static void
+test_an_outage_costs_few_tries (void)
+{
+  LimpetMs most_ms = 8500;
+  LimpetMs first_success_ms = INT32_MAX;
+  uint32_t tries = 0;
+
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      LimpetBackoff backoff = { 0 };
+      LimpetMs now_ms = 0;
+      double draw = (double)i / ROUTERS;
+
+      for (; now_ms < 9000; tries++)
+        now_ms += limpet_backoff_next (&backoff, most_ms / 8, most_ms, draw);
+      first_success_ms = MIN (first_success_ms, now_ms - 9000);
+    }
+  CU_ASSERT_TRUE (tries <= 5 * ROUTERS);
+  CU_ASSERT_TRUE (first_success_ms < 500);
+}
+
+static void
+test_backoff_grows_to_its_most (void)
+{
+  LimpetBackoff backoff = { 0 };
+
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 1), 100);
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 0), 100);
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 1), 400);
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 1), 800);
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 1), 800);
+  limpet_backoff_reset (&backoff);
+  CU_ASSERT_EQUAL (limpet_backoff_next (&backoff, 100, 800, 1), 100);
+}
+
 /* Loads spread; older ones do not replace newer ones. */
 static void
 test_loads_spread (void)
@@ -482,7 +555,10 @@
   CU_ADD_TEST (suite, test_what_a_list_does_not_name_is_removed);
   CU_ADD_TEST (suite, test_few_routers_read_for_all);
   CU_ADD_TEST (suite, test_lost_news_is_read_at_the_source);
+  CU_ADD_TEST (suite, test_bursts_reach_nearly_all);
   CU_ADD_TEST (suite, test_a_router_alone_reads_for_itself);
+  CU_ADD_TEST (suite, test_an_outage_costs_few_tries);
+  CU_ADD_TEST (suite, test_backoff_grows_to_its_most);
   CU_ADD_TEST (suite, test_loads_spread);
   CU_ADD_TEST (suite, test_busy_targets_are_heard_of);
   CU_ADD_TEST (suite, test_news_stay_within_their_bytes);
