Fields and functions that nobody reads go

Ruled out: expected_output_tokens, which a test reads and placing is to use. Change: removed, behaviour is as it was.

--- a/include/limpetroad/route_table.h
+++ b/include/limpetroad/route_table.h
@@ -34,12 +34,8 @@
 typedef struct
 {
   char name[LIMPET_NAME_SIZE];
-  char health_path[LIMPET_NAME_SIZE];
-  int64_t connections_limit; /**< connections that one target accepts from all routers */
   bool is_engine;
-  int64_t slots;           /**< of one engine; 0 if not told */
-  int64_t memory_tokens;   /**< of one engine, for running requests and cached parts */
-  int64_t tokens_in_event; /**< tokens that one event of a stream may hold */
+  int64_t slots; /**< of one engine; 0 if not told */
 } LimpetRouteService;
 
 /** One way out of a route. */
@@ -58,10 +54,8 @@
   LimpetKind kind;
   bool is_public;    /**< needs no key */
   bool is_resumable; /**< a broken stream may go on at another target */
-  bool has_context;  /**< its requests tell the parts of their prompt */
   int64_t timeout_ms;
   int64_t goal_ms;       /**< answers within it earn their full worth */
-  int64_t gap_goal_ms;   /**< longest pause between events of a stream */
   int64_t targets_limit; /**< targets to which one request may be sent */
   int64_t priority;      /**< 0 is the most urgent */
   LimpetRouteBranch *branches;
--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -243,7 +243,6 @@
   GByteArray *pending = caller->pending;
 
   caller->task = NULL;
-  caller->served++;
   caller->since_ms = limpet_clock_mono_ms ();
   start_reading (caller);
   if (close)
--- a/src/liblimpetroad/exchange/line.c
+++ b/src/liblimpetroad/exchange/line.c
@@ -280,17 +280,10 @@
     return connect_line (exchange, target);
   g_queue_unlink (&pool->idle, &line->link);
   line->is_idle = false;
-  line->is_reused = true;
   uv_timer_stop (&line->timer);
   return line;
 }
 
-bool
-limpet_line_is_fresh (const LimpetLine *line)
-{
-  return !line->is_reused;
-}
-
 void
 limpet_line_send (LimpetLine *line, LimpetTask *task, GString *request)
 {
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -60,7 +60,6 @@
   LimpetTask *task;    /* the request in hand, from its head to its answer */
   GByteArray *pending; /* bytes of later requests; NULL if none */
   LimpetMs since_ms;   /* start of the wait for a message, of its head, or of the close */
-  uint32_t served;
   bool is_reading;
   bool is_lingering; /* answered for the last time; waits for the caller's close */
   bool is_closed;
@@ -148,7 +147,6 @@
 LimpetLine *limpet_line_open (LimpetExchange *exchange,
                               LimpetTarget *target,
                               LimpetMs newest_idle_ms);
-bool limpet_line_is_fresh (const LimpetLine *line);
 void limpet_line_send (LimpetLine *line, LimpetTask *task, GString *request);
 void limpet_line_release (LimpetLine *line, LimpetMs keep_ms);
 void limpet_line_close (LimpetLine *line);
--- a/src/liblimpetroad/private/line.h
+++ b/src/liblimpetroad/private/line.h
@@ -20,7 +20,6 @@
   int open_handles;
   bool is_connected;
   bool is_idle;
-  bool is_reused;
   bool is_paused;
   bool is_closed;
   bool keeps_alive;    /* the target said so in its last answer */
