--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -11,6 +11,8 @@
 DRAIN_S = 2.0       # bound for a leaving server (drain_ms)
 APPLY_S = 2.0       # bound for a configuration (config_apply_ms)
 MARGIN_S = 0.3      # for the clocks of threads on a busy machine
+CAP_TIMES, CAP_SLACK, CAP_PART, CAP_LEAST, CAP_WINDOW_S = 2, 3, 0.03, 20, 5  # users' rule LIMIT
+MISSING = (401, 404)
 NOT_RUN = (408, 421, 429, 503)
 LIMIT_S = 6.0       # what clients of the soak wait (Deadline-Ms)
 RETRY_RATIO, RETRY_SLACK, WINDOW_S = 0.2, 58, 10
@@ -50,20 +52,47 @@
 
 
 def configurations(versions, probes):
-    """versions: (number, time, calm); probes: (number asked for, router, time, status)."""
+    """versions: (number, time, calm); probes: (number asked for, router, time, status). Each
+    version has a route that only its own key opens."""
     bad = []
     newest = {}
     for asked, router, at, status in sorted(probes, key=lambda p: p[2]):
         for number, put, calm in versions:
-            if calm and number == asked and status == 404 and at > put + APPLY_S + MARGIN_S:
+            if calm and number == asked and status in MISSING and at > put + APPLY_S + MARGIN_S:
                 bad.append("%s has not version %d after %.1f s" % (router, number, at - put))
-        if status == 404 and newest.get(router, 0) >= asked:
+        if status in MISSING and newest.get(router, 0) >= asked:
             bad.append("%s went back from version %d" % (router, newest[router]))
         if status == 200:
             newest[router] = max(newest.get(router, 0), asked)
     return bad
 
 
+def dropped_routes(versions, probes):
+    """probes: (number of a dropped version, router, time asked, status). Its key and route went
+    with the version two later."""
+    put = {number: at for number, at, calm in versions if calm}
+    return ["%s still had version %d" % (router, asked) for asked, router, at, status in probes
+            if status == 200 and asked + 2 in put
+            and at > put[asked + 2] + APPLY_S + MARGIN_S]
+
+
+def ready_means_serving(probes):
+    """probes: (router, what a call got between two answers "ready"): its status, or None where no
+    connection was taken. The route and the key that were asked for were always there."""
+    return ["%s was ready and gave %s" % p for p in probes if p[1] in (None,) + MISSING]
+
+
+def load_bound(sends):
+    """sends: (time, requests that the engine held, mean of all engines) in calm stretches."""
+    bad = []
+    for start, _, _ in sends:
+        window = [s for s in sends if start <= s[0] < start + CAP_WINDOW_S]
+        over = sum(held > CAP_TIMES * mean + CAP_SLACK for _, held, mean in window)
+        if over >= CAP_LEAST and over > CAP_PART * len(window):
+            bad.append("%d of %d met an engine over the limit" % (over, len(window)))
+    return bad[:1]
+
+
 def repeats_within_budget(calls, arrivals):
     first = {}
     requests = sorted(c["sent"] for c in calls)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import collections
 import json
 import os
 import random
@@ -30,8 +31,11 @@
 
     def __init__(self, routers, choose):
         self.choose = choose
+        self.server_choose = random.Random(choose.random())  # the servers' threads draw as well
         self.calls, self.runs, self.arrivals, self.probes = [], [], [], []
         self.versions, self.leaves, self.stops = [], [], []
+        self.dropped, self.ready_probes, self.sends = [], [], []
+        self.held = collections.Counter()  # requests at each engine
         self.unrest = [0.0]      # times of faults of store and routers
         self.link_unrest = [0.0]  # times of faults of links to servers
         self.broken_off = set()   # requests whose server broke off
@@ -85,10 +89,9 @@
         while not self.stop.is_set():
             message = Message(file)
             request_id = message.fields.get("request-id", "")
-            self.broken_off.add(request_id)
             if not self.answer(server, connection, message, request_id):
+                self.broken_off.add(request_id)
                 return
-            self.broken_off.discard(request_id)
 
     def answer(self, server, connection, message, request_id):
         """Returns whether the answer is whole and the connection goes on."""
@@ -97,7 +100,7 @@
             return True
         self.arrivals.append((request_id, server.id, time.monotonic()))
         mode = server.mode
-        if mode == "full" or (mode == "some_full" and self.choose.random() < 0.5):
+        if mode == "full" or (mode == "some_full" and self.server_choose.random() < 0.5):
             connection.sendall(server.head(message, 503, "Not-Executed: 1\r\n"
                                            "Content-Length: 0\r\n\r\n"))
             return True
@@ -107,16 +110,23 @@
         if mode == "hang":
             time.sleep(2)
             return False
-        if mode == "lost" and self.choose.random() < 0.5:
+        if mode == "silent":
+            self.stop.wait(checks.LIMIT_S + 4)  # longer than any caller waits
+            return False
+        if mode == "lost" and self.server_choose.random() < 0.5:
             reset(connection)
             return False
-        if mode == "errors" and self.choose.random() < 0.5:
+        if mode == "errors" and self.server_choose.random() < 0.5:
             server.reply(connection, message, b"failed", 500)
         elif server.is_engine:
-            self.send_stream(server, connection, message, mode)
+            self.hold(server, 1)
+            try:
+                self.send_stream(server, connection, message, mode)
+            finally:
+                self.hold(server, -1)
         else:
             body = b"answer to " + request_id.encode()
-            if mode == "torn" and self.choose.random() < 0.5:
+            if mode == "torn" and self.server_choose.random() < 0.5:
                 connection.sendall(server.head(message, 200, "Content-Length: %d\r\n\r\n"
                                                % len(body)) + body[:5])
                 return False
@@ -125,12 +135,20 @@
                 server.reply(connection, message, b"answer to nobody")
         return True
 
+    def hold(self, server, change):
+        if change > 0:
+            engines = [s.id for s in self.present() if s.is_engine]
+            self.sends.append((time.monotonic(), self.held[server.id],
+                               sum(self.held[e] for e in engines) / len(engines)))
+        self.held[server.id] += change
+
     def send_stream(self, server, connection, message, mode):
         first = int(message.fields.get("last-event-id", 0)) + 1
         connection.sendall(server.head(message, 200, "Transfer-Encoding: chunked\r\n\r\n"))
         for number in range(first, checks.EVENTS + 1):
-            if mode == "torn" and self.choose.random() < 0.2:
+            if mode == "torn" and self.server_choose.random() < 0.2:
                 connection.sendall(b"10\r\nid: 9")
+                self.broken_off.add(message.fields.get("request-id", ""))
                 reset(connection)
                 raise OSError("torn")
             connection.sendall(chunk(event(number)))
@@ -138,15 +156,15 @@
         connection.sendall(b"0\r\n\r\n")
 
     def put_version(self):
-        """Each version has a route of its own, and drops that of the last but one."""
+        """Each version has a route and a key of its own, and drops those of the last but one."""
         self.marker += 1
-        markers = [route("v%d" % n, "/v%d/" % n, "safe", "plain", public=True)
-                   for n in (self.marker - 1, self.marker) if n > 0]
+        numbers = [n for n in (self.marker - 1, self.marker) if n > 0]
+        markers = [route("v%d" % n, "/v%d/" % n, "safe", "plain") for n in numbers]
         base = [route("safe", "/safe/", "safe", "plain"),
                 route("unsafe", "/unsafe/", "unsafe", "plain", max_attempts=1),
                 route("stream", "/stream/", "streaming", "model", max_attempts=1),
                 route("resume", "/resume/", "streaming", "model", resumable=True)]
-        self.configure(base + markers)
+        self.configure(base + markers, keys=["key-1"] + ["key-v%d" % n for n in numbers])
         self.versions.append([self.marker, time.monotonic(), True])
 
     def disturb(self):
@@ -213,17 +231,40 @@
         while not self.stop.is_set():
             for router in self.routers:
                 asked = self.marker
-                try:
-                    with Client(router) as client:
-                        client.socket.settimeout(1)
-                        status = client.call("/v%d/" % asked).status
-                except (OSError, ValueError, IndexError):
-                    continue
-                if router["process"].popen.poll() is None:
-                    self.probes.append((asked, (router["ip"], router["process"].popen.pid),
-                                        time.monotonic(), status))
+                self.probe(router, asked, self.probes)
+                if asked > 2:
+                    self.probe(router, asked - 2, self.dropped)
+                self.probe_ready(router)
             time.sleep(0.1)
 
+    def probe(self, router, asked, probes):
+        process = router["process"]
+        sent = time.monotonic()
+        try:
+            with Client(router) as client:
+                client.socket.settimeout(1)
+                status = client.call("/v%d/" % asked, key="key-v%d" % asked).status
+        except (OSError, ValueError, IndexError):
+            return
+        if process.popen.poll() is None:
+            probes.append((asked, (router["ip"], process.popen.pid), sent, status))
+
+    def probe_ready(self, router):
+        """What a call gets between two answers "ready" of one process."""
+        process = router["process"]
+        if not self.is_ready(router):
+            return
+        status = None
+        try:
+            with Client(router) as client:
+                status = 0  # the connection was taken
+                client.socket.settimeout(1)
+                status = client.call("/safe/").status
+        except (OSError, ValueError, IndexError):
+            pass
+        if self.is_ready(router) and router["process"] is process:
+            self.ready_probes.append((router["ip"], status))
+
     # Faults: each returns what heals it, and tells whether store or routers are disturbed.
 
     def faults(self):
@@ -240,7 +281,8 @@
             ("store loses answers", True, lambda: setattr(self.store, "lose", 3), None),
             ("store forgets", True, lambda: [self.store.forget(t) for t in
                                              ("keyed.op", "keyed.servers")], None),
-            ("server " + (how := choose.choice(["full", "some_full", "slow", "hang", "lost",
+            ("server " + (how := choose.choice(["full", "some_full", "slow", "hang", "silent",
+                                                "lost",
                                                 "errors", "torn", "extra"])), False,
              lambda: setattr(server, "mode", how), lambda: setattr(server, "mode", "ok")),
             ("link %s delayed" % link, link == "store", lambda: self.proxy(link, delay_ms=80),
@@ -425,6 +467,11 @@
         "not_run_is_true": checks.not_run_is_true(calls, runs),
         "leaving_servers": checks.leaving_servers(calm_leaves, arrivals),
         "configurations": checks.configurations(versions, world.probes),
+        "dropped_routes": checks.dropped_routes(versions, world.dropped),
+        "ready_means_serving": checks.ready_means_serving(world.ready_probes),
+        "load_bound": checks.load_bound(
+            [s for s in world.sends if world.was_calm(s[0], s[0])
+             and not any(s[0] - 3 < t < s[0] for t in world.link_unrest)]),
         "repeats_within_budget": checks.repeats_within_budget(calls, arrivals),
         "deadlines": checks.deadlines(calls),
         "planned_stops": checks.planned_stops(stops, calls, world.broken_off,
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -600,6 +600,27 @@
         f.wait_for(lambda: world.call("/new/", router=1).status == 200, "the new route", 2)
 
 
+def test_a_router_that_was_cut_catches_up_in_time():
+    """In a large fleet pauses grow to many seconds; hearing that it lacks records shortens the
+    pause under way, so that a configuration is in force within its bound after the cut."""
+    with World(start=False) as world:
+        for n in range(120):  # names that nobody answers to count as routers for 8 s
+            world.store.put("keyed.routers", "n%d" % n, "127.251.0.%d" % (n + 1))
+        world.add_server()
+        way = world.add_store()
+        world.add_router()
+        world.add_router(store=way)
+        f.wait_for(lambda: all(world.metric("limpetroad_routers", i) > 100 for i in range(2)),
+                   "the routers to know the others")
+        way.mode = "reset"
+        tries = way.count("log-read")
+        f.wait_for(lambda: way.count("log-read") >= tries + 6, "pauses of some seconds", 20)
+        world.configure(ROUTES + [route("new", "/new/", "safe", "plain")])
+        f.wait_for(lambda: world.call("/new/").status == 200, "the new route")
+        way.mode = "ok"
+        f.wait_for(lambda: world.call("/new/", router=1).status == 200, "the new route", 3)
+
+
 def test_a_failed_request_can_be_explained_by_its_id():
     """The log tells the tries and the outcome of a request by its id."""
     def behave(server, message, connection):
