A router that starts takes only the newest version it reads

Cause: bundle_controller put each version of a batch of records into force, one after the other.

Change: a batch puts its newest version into force.

A log of several batches still shows one version for each batch.

--- a/src/liblimpetroad/agreed/bundle_controller.c
+++ b/src/liblimpetroad/agreed/bundle_controller.c
@@ -150,9 +150,10 @@
       if (event == LIMPET_BUNDLE_EVENT_ROLLED || event == LIMPET_BUNDLE_EVENT_CHECKPOINT
           || event == LIMPET_BUNDLE_EVENT_NONE)
         self->written_ms = record->time_ms;
-      publish_locked (self);
       self->next_offset = MAX (self->next_offset, record->offset + 1);
     }
+  /* Only the newest one: at the start the others were in force once, long ago. */
+  publish_locked (self);
   if (batch->count == 0)
     self->next_offset = MAX (self->next_offset, batch->first);
   pthread_mutex_unlock (&self->lock);
--- a/test/test_bundles.py
+++ b/test/test_bundles.py
@@ -188,6 +188,20 @@
         assert versions(fleet) == [fleet.version] * 2
 
 
+def test_a_router_that_starts_takes_only_the_newest_version():
+    """It reads the log from the start; the versions on the way there were in force once."""
+    with f.Fleet(routers=2, engines=1).start() as fleet:
+        for i in range(6):
+            last = fleet.roll(change(fleet, 20 + i))
+        router = fleet.routers[1]
+        router["process"].kill()
+        fleet.start_router(router)
+        f.wait_for(lambda: versions(fleet) == [last] * 2, "the last version")
+        dump = json.loads(f.request(router["operators"], "GET", "/dump")[2])
+        taken = [entry["version"] for entry in dump["bundle"]["taken"]]
+        assert taken == [last], taken
+
+
 @table([
     ("log_outages", lambda t, i: t.fault(t.log_port, down=i % 2)),
     ("log_answers_lost", lambda t, i: t.fault(t.log_port, lose_answers=1)),
