One sum of loads and one choice by score for all policies

Cause: read again as a whole, homes.c summed the load of a group beside policy.c, the policies "bounded" and "rendezvous" had the same loop for the highest score, LimpetTargetReport.own_then was read by nobody, and limpet_policy_gets_turn was called in its own file only.

Ruled out: one connection loop for line.c, status_port.c and platform/store.c (they end calls differently); platform/settings.c on the schema reader (the platform's file may hold keys that are not ours).

Change: limpet_policy_sum_load with a test that says which targets count ("homes" leaves out those already tried, "bounded" does not, as before), highest_score with or without a bound, own_then gone, gets_turn static. Order and rounding of the sums are as they were.

--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -33,7 +33,6 @@
 {
   LimpetMs at_ms; /**< monotonic; 0 before the first report */
   int32_t inflight;
-  int32_t own_then; /**< requests of this router among them */
 } LimpetTargetReport;
 
 /** One target. The VM fields do not change; the counts are atomic. */
--- a/src/liblimpetroad/decision/dispatch.c
+++ b/src/liblimpetroad/decision/dispatch.c
@@ -388,7 +388,6 @@
   target->report = (LimpetTargetReport){
     .at_ms = at_ms,
     .inflight = inflight,
-    .own_then = own,
   };
   atomic_store (&target->reported_inflight, inflight);
   atomic_store (&target->peers_inflight, MAX (0, inflight - own));
--- a/src/liblimpetroad/decision/homes.c
+++ b/src/liblimpetroad/decision/homes.c
@@ -29,33 +29,11 @@
 /* A plain service's slots that one router fills before its calls wait here. */
 #define OWN_PART_OF_SERVICE 1.0
 
-/* Sums over the targets that may take the request. */
-typedef struct
-{
-  double inflight;
-  double slots;
-} HomeLoad;
-
-static HomeLoad
-sum_load (const LimpetRouteRequest *request,
-          const LimpetTargetView *view,
-          LimpetMs now_ms)
-{
-  HomeLoad load = { .inflight = 0 };
-
-  for (uint32_t i = 0; i < view->count; i++)
-    if (limpet_policy_is_choosable (request, view->targets[i], now_ms))
-      {
-        load.inflight += limpet_target_inflight (view->targets[i]);
-        load.slots += (double)view->targets[i]->vm.slots;
-      }
-  return load;
-}
-
+/* The target's part of the load of all, if that many more requests ran. */
 static double
-mean_load (const LimpetTarget *target, const HomeLoad *load)
+mean_load (const LimpetGroupLoad *load, const LimpetTarget *target, int64_t more)
 {
-  return load->inflight * (double)target->vm.slots / load->slots;
+  return (double)(load->inflight + more) * (double)target->vm.slots / (double)load->slots;
 }
 
 /* A limit of which each call sees another part of the range down to the lower one: what
@@ -87,10 +65,10 @@
 static double
 engine_room (const LimpetRouteRequest *request,
              const LimpetTarget *target,
-             const HomeLoad *load)
+             const LimpetGroupLoad *load)
 {
   double slots = (double)target->vm.slots;
-  double most = CLAMP (ROOM_TIMES_MEAN * mean_load (target, load), slots,
+  double most = CLAMP (ROOM_TIMES_MEAN * mean_load (load, target, 0), slots,
                        MOST_ROOM_TIMES_SLOTS * slots);
 
   most = slots + others_part (target) * (most - slots);
@@ -100,7 +78,7 @@
 static bool
 has_room (const LimpetRouteRequest *request,
           const LimpetTarget *target,
-          const HomeLoad *load)
+          const LimpetGroupLoad *load)
 {
   if (target->vm.kind == LIMPET_VM_ENGINE)
     return limpet_target_inflight (target) < engine_room (request, target, load);
@@ -111,15 +89,14 @@
 static double
 home_limit (const LimpetRouteRequest *request,
             const LimpetTarget *target,
-            const HomeLoad *load,
+            const LimpetGroupLoad *load,
             LimpetMs now_ms)
 {
   double slots = (double)target->vm.slots;
-  double mean = (load->inflight + 1) * slots / load->slots;
+  double mean = mean_load (load, target, 1);
   double limit = MIN (HOME_TIMES_MEAN * mean + HOME_PART_OF_SLOTS * slots,
                       LOAD_LIMIT_PART * request->load_limit * mean + LOAD_LIMIT_SLACK);
   double age = CLAMP ((double)(now_ms - target->report.at_ms) / OLD_REPORT_MS, 0, 1);
-
   double doubt = age * others_part (target);
 
   return drawn_limit (request, target, limit, limit - doubt * MAX (0, limit - mean));
@@ -142,7 +119,7 @@
 static LimpetTarget *
 choose_least (const LimpetRouteRequest *request,
               const LimpetTargetView *view,
-              const HomeLoad *load,
+              const LimpetGroupLoad *load,
               LimpetMs now_ms)
 {
   LimpetTarget *best = NULL;
@@ -212,7 +189,8 @@
                            const LimpetTargetView *view,
                            LimpetMs now_ms)
 {
-  HomeLoad load = sum_load (request, view, now_ms);
+  LimpetGroupLoad load
+      = limpet_policy_sum_load (request, view, limpet_policy_is_choosable, now_ms);
   Candidates best = { .count = 0 };
 
   (void)policy;
--- a/src/liblimpetroad/decision/policy.c
+++ b/src/liblimpetroad/decision/policy.c
@@ -12,13 +12,6 @@
 #define PLANNED_EXCESS_PERCENT 45
 #define NEAR_BOUND_PART 0.9
 
-/* Sums over the targets of a group that may get work. */
-typedef struct
-{
-  int64_t inflight;
-  int64_t slots;
-} GroupLoad;
-
 double
 limpet_policy_score (const LimpetTarget *target, uint64_t key_hash)
 {
@@ -92,10 +85,9 @@
          && has_room (request, target);
 }
 
-bool
-limpet_policy_gets_turn (const LimpetRouteRequest *request,
-                         const LimpetTarget *target,
-                         LimpetMs now_ms)
+/* A target with a lowered weight gets that share of its turns. */
+static bool
+gets_turn (const LimpetRouteRequest *request, const LimpetTarget *target, LimpetMs now_ms)
 {
   int32_t weight = limpet_target_weight (target, now_ms);
   uint64_t draw = XXH64 (&request->seed, sizeof request->seed, target->id_hash);
@@ -103,15 +95,16 @@
   return weight >= LIMPET_WEIGHT_FULL || (int32_t)(draw % LIMPET_WEIGHT_FULL) < weight;
 }
 
-static GroupLoad
-group_load (const LimpetRouteRequest *request,
-            const LimpetTargetView *view,
-            LimpetMs now_ms)
+LimpetGroupLoad
+limpet_policy_sum_load (const LimpetRouteRequest *request,
+                        const LimpetTargetView *view,
+                        LimpetPolicyTest counts,
+                        LimpetMs now_ms)
 {
-  GroupLoad load = { .inflight = 0 };
+  LimpetGroupLoad load = { .inflight = 0 };
 
   for (uint32_t i = 0; i < view->count; i++)
-    if (is_member (request, view->targets[i], now_ms))
+    if (counts (request, view->targets[i], now_ms))
       {
         load.inflight += limpet_target_inflight (view->targets[i]);
         load.slots += view->targets[i]->vm.slots;
@@ -123,7 +116,7 @@
 static double
 planned_limit (const LimpetRouteRequest *request,
                const LimpetTarget *target,
-               const GroupLoad *load)
+               const LimpetGroupLoad *load)
 {
   double planned = 1
                    + (double)(request->fleet->load_bound_percent - 100)
@@ -136,12 +129,15 @@
 /* Consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam 2018), on the
  * order of rendezvous scores instead of a ring. */
 static bool
-is_within_bound (const LimpetRouteRequest *request,
-                 const LimpetTarget *target,
-                 const GroupLoad *load)
+takes_one_more (const LimpetRouteRequest *request,
+                const LimpetTarget *target,
+                const LimpetGroupLoad *load,
+                LimpetMs now_ms)
 {
-  return limpet_target_inflight (target)
-         <= (int64_t)planned_limit (request, target, load);
+  return has_room (request, target)
+         && limpet_target_inflight (target)
+                <= (int64_t)planned_limit (request, target, load)
+         && gets_turn (request, target, now_ms);
 }
 
 bool
@@ -150,7 +146,7 @@
                              const LimpetTarget *target,
                              LimpetMs now_ms)
 {
-  GroupLoad load = group_load (request, view, now_ms);
+  LimpetGroupLoad load = limpet_policy_sum_load (request, view, is_member, now_ms);
 
   return load.slots > 0
          && limpet_target_inflight (target)
@@ -202,25 +198,24 @@
   return second.target;
 }
 
+/* Returns the target of the highest score for the key; with a load, among those within
+ * its bound. */
 static LimpetTarget *
-choose_bounded (const LimpetPolicy *policy,
-                const LimpetRouteRequest *request,
-                const LimpetTargetView *view,
-                LimpetMs now_ms)
+highest_score (const LimpetRouteRequest *request,
+               const LimpetTargetView *view,
+               const LimpetGroupLoad *load,
+               LimpetMs now_ms)
 {
-  GroupLoad load = group_load (request, view, now_ms);
   LimpetTarget *best = NULL;
   double best_score = 0;
 
-  (void)policy;
   for (uint32_t i = 0; i < view->count; i++)
     {
       LimpetTarget *target = view->targets[i];
       double score;
 
-      if (!is_candidate (request, target, now_ms)
-          || !is_within_bound (request, target, &load)
-          || !limpet_policy_gets_turn (request, target, now_ms))
+      if (!limpet_policy_is_choosable (request, target, now_ms)
+          || (load != NULL && !takes_one_more (request, target, load, now_ms)))
         continue;
       score = limpet_policy_score (target, request->key_hash);
       if (best == NULL || score > best_score)
@@ -229,6 +224,19 @@
           best_score = score;
         }
     }
+  return best;
+}
+
+static LimpetTarget *
+choose_bounded (const LimpetPolicy *policy,
+                const LimpetRouteRequest *request,
+                const LimpetTargetView *view,
+                LimpetMs now_ms)
+{
+  LimpetGroupLoad load = limpet_policy_sum_load (request, view, is_member, now_ms);
+  LimpetTarget *best = highest_score (request, view, &load, now_ms);
+
+  (void)policy;
   return best != NULL ? best : less_loaded_of_two (request, view, now_ms);
 }
 
@@ -238,25 +246,8 @@
                    const LimpetTargetView *view,
                    LimpetMs now_ms)
 {
-  LimpetTarget *best = NULL;
-  double best_score = 0;
-
   (void)policy;
-  for (uint32_t i = 0; i < view->count; i++)
-    {
-      LimpetTarget *target = view->targets[i];
-      double score;
-
-      if (!limpet_policy_is_choosable (request, target, now_ms))
-        continue;
-      score = limpet_policy_score (target, request->key_hash);
-      if (best == NULL || score > best_score)
-        {
-          best = target;
-          best_score = score;
-        }
-    }
-  return best;
+  return highest_score (request, view, NULL, now_ms);
 }
 
 static LimpetTarget *
