Failed reads of the store are logged, versions and offsets are metrics

Each failed read now has a line (cause, offset, known end, bytes received, duration, delay of the retry), and the metrics have the configuration's version, offset and known end of both topics, failed calls and bytes received. The two callbacks that logged the store's state were the same but for a name; the watch logs it itself.

The response times out; it is neither the delay between attempts alone, nor a queue of versions, nor a rejected version.

test_each_failed_read_of_the_store_is_logged failed before.

--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -126,6 +126,8 @@
 /** Applies a version of the configuration to new requests and takes a reference to it. A
  *  version that is not newer than the current one is ignored. */
 void limpet_exchange_set_table (LimpetExchange *exchange, LimpetRouteTable *table);
+/** Returns the version of the configuration in force; 0 if there is none yet. */
+int64_t limpet_exchange_table_version (const LimpetExchange *exchange);
 
 /** Must be called after the view of the targets has changed. Closes the idle connections
  *  to leaving targets and serves the queue of waiting calls. */
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -145,6 +145,12 @@
   limpet_route_table_unref (old);
 }
 
+int64_t
+limpet_exchange_table_version (const LimpetExchange *exchange)
+{
+  return exchange->table != NULL ? exchange->table->version : 0;
+}
+
 void
 limpet_exchange_targets_changed (LimpetExchange *exchange)
 {
--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -365,14 +365,6 @@
   return ((StoreServer *)user)->read_requests == 0 ? 0 : 100000;
 }
 
-static void
-ignore_state (void *user, bool is_store_available, const char *reason)
-{
-  (void)user;
-  (void)is_store_available;
-  (void)reason;
-}
-
 static void
 stop_loop (uv_timer_t *timer)
 {
@@ -393,7 +385,7 @@
     .on_store_read = ignore_read,
     .next_read_delay_ms = delay_of_single_read,
     .max_retry_delay_ms = delay_of_single_read,
-    .on_store_state = ignore_state,
+    .log_step = "test",
   };
   StoreServer server = { .values = g_string_new (NULL) };
   PlatformAddress address = { .address = "127.0.0.1", .port = 0 };
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -638,6 +638,25 @@
         f.wait_for(lambda: platform.call("/new/", router=1).status == 200, "the new route", 3)
 
 
+def test_each_failed_read_of_the_store_is_logged():
+    with Platform(start=False) as platform:
+        platform.add_server()
+        platform.start()
+        attempts = platform.store.count("log-read")
+        platform.store.mode = "silent"
+        f.wait_for(lambda: platform.store.count("log-read") >= attempts + 4, "retries")
+        f.wait_for(lambda: platform.metric("limpetroad_store_failed_calls_total") >= 4,
+                   "failed calls")
+        f.wait_for(lambda: platform.log().count("read_failed") >= 4, "the log lines")
+        lines = [line for line in platform.log().splitlines() if "read_failed" in line]
+        check(any("step=configuration peer=store" in line and "offset=1 end=1" in line
+                  and 'cause="no response in time"' in line and "received_bytes=0" in line
+                  for line in lines), lines)
+        check(platform.metric('limpetroad_topic_offset{topic="keyed.op"}') == 1)
+        check(platform.metric('limpetroad_topic_end{topic="keyed.op"}') == 1)
+        check(platform.metric("limpetroad_configuration_version") == platform.version)
+
+
 def test_a_failed_request_can_be_traced_by_its_id():
     """The log lines with the id of a request show its attempts and its outcome."""
     def on_request(server, message, connection):
