Failing test: a router behind by many versions does not catch up

Each read fails after 900 ms with about 0.9 MB received, is discarded, and starts again at the same offset. The stand-in for the store limits the rate of a response, observes max_kb and counts the bytes it sends.

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -115,6 +115,8 @@
         self.requested_paths = []
         self.mode = "ok"  # "ok", "busy" (503), "silent" (no response) or "reset", for all requests
         self.delay_s = 0
+        self.bytes_per_s = 0   # limits the rate of each response; 0: no limit
+        self.sent_bytes = {}   # bytes of all bodies sent, by topic
         self.lose = 0     # number of coming requests that get no response
         self.first = {}   # offset of the oldest readable record of each topic
         self.listener = Listener(self.serve)
@@ -157,7 +159,20 @@
                 return
             status, body = (503, b"{}") if self.mode == "busy" else self.respond(path, message)
             connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
-                               % (status, len(body)) + body)
+                               % (status, len(body)))
+            topic = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(path).query))["topic"]
+            self.send_body(connection, topic, body)
+
+    def send_body(self, connection, topic, body):
+        """Sends body in pieces, each 20 ms, if the rate is limited."""
+        size = self.bytes_per_s // 50 or len(body)
+        for start in range(0, len(body), max(1, size)):
+            piece = body[start:start + size]
+            connection.sendall(piece)
+            with self.lock:
+                self.sent_bytes[topic] = self.sent_bytes.get(topic, 0) + len(piece)
+            if self.bytes_per_s:
+                time.sleep(len(piece) / self.bytes_per_s)
 
     def respond(self, path, message):
         url = urllib.parse.urlparse(path)
@@ -184,8 +199,11 @@
             if start < self.first.get(topic, 0):
                 return 410, b'{"first":%d}' % self.first[topic]
             out = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+            most = 1024 * int(query.get("max_kb", 1024))
             for key, value in records[start:]:
                 record = bytes([len(key)]) + key.encode() + (value or b"")
+                if len(out) + 4 + len(record) > most:
+                    break
                 out += struct.pack(">I", len(record)) + record
             return 200, out
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -638,6 +638,33 @@
         f.wait_for(lambda: platform.call("/new/", router=1).status == 200, "the new route", 3)
 
 
+# Returns count routes that no request uses, about 220 bytes each in a configuration.
+def idle_routes(count):
+    return [route("idle-%05d" % n, "/idle-%05d/" % n, "safe", "plain") for n in range(count)]
+
+
+def test_a_router_behind_by_many_versions_catches_up_on_a_slow_link():
+    """The configurations that a router missed take longer to transfer than a call may last."""
+    with Platform(routes=ROUTES + idle_routes(250), start=False) as platform:
+        platform.add_server()
+        second_store = platform.add_store()
+        platform.add_router()
+        platform.add_router(store=second_store)
+        second_store.mode = "reset"
+        for n in range(40):
+            platform.configure(platform.routes[:-1]
+                               + [route("new", "/new-%d/" % n, "safe", "plain")])
+        f.wait_for(lambda: platform.call("/new-39/").status == 200, "the newest route")
+        second_store.sent_bytes.clear()
+        second_store.bytes_per_s = 1000000
+        second_store.mode = "ok"
+        f.wait_for(lambda: platform.call("/new-39/", router=1).status == 200,
+                   "the newest route at the router that was cut off", 3)
+        backlog_bytes = sum(len(value) for _, value in platform.store.topics["keyed.op"])
+        check(second_store.sent_bytes["keyed.op"] < backlog_bytes / 4,
+              second_store.sent_bytes, backlog_bytes)
+
+
 def test_each_failed_read_of_the_store_is_logged():
     with Platform(start=False) as platform:
         platform.add_server()
