--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -673,6 +673,28 @@
         f.wait_for(lambda: platform.call("/new/").status == 200, "the new route", 2)
 
 
+def test_a_configuration_that_takes_long_to_transfer_is_applied():
+    """The transfer takes about 2 s, longer than the store may be silent."""
+    with Platform(routes=ROUTES + idle_routes(1000), start=False) as platform:
+        platform.add_server()
+        platform.store.bytes_per_s = 150000
+        router = platform.add_router(wait=False)
+        f.wait_for(lambda: platform.is_ready(router), "the router to be ready", 5)
+        platform.configure(platform.routes + [route("new", "/new/", "safe", "plain")])
+        f.wait_for(lambda: platform.call("/new/").status == 200, "the new route", 5)
+
+
+def test_a_response_of_the_store_that_trickles_is_aborted():
+    with Platform(start=False) as platform:
+        platform.add_server()
+        platform.start()
+        platform.store.bytes_per_s = 200
+        platform.configure(ROUTES + [route("new", "/new/", "safe", "plain")])
+        f.wait_for(lambda: 'cause="the response is too slow"' in platform.log(), "the abort", 5)
+        platform.store.bytes_per_s = 0
+        f.wait_for(lambda: platform.call("/new/").status == 200, "the new route", 3)
+
+
 def test_routers_behind_by_many_entries_use_the_right_servers():
     """They catch up by a snapshot, from which the removed server is missing."""
     with Platform(routers=2, start=False) as platform:
