Control requests may last as long as their transfer makes progress

In the product's own deployment a router that starts with a long log behind a slow link never gets the bundle: callers get 503 from it for as long as the log stays long.

The timeout now limits the time in which nothing is transferred, and a transfer may exceed it only as far as it runs at 10 KB/s or more (one constant, shared with the store's client). That needs libcurl's multi interface: the timeouts of an easy handle are for the whole transfer, its low-speed limit has a resolution of seconds. VM list, load reports, appends and limpetctl use the same client. Requests to targets have deadlines of callers and are not concerned.

Still open: a backlog above LIMPET_MAX_CONTROL_BODY_BYTES (8 MB) fails as a whole, since the log's protocol has no limit for a read.

--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -34,6 +34,9 @@
 /* Control requests: to the log, the VM list and the load reports of engines. Also the
  * default timeout of a plain service. */
 #define LIMPET_CONTROL_TIMEOUT_MS 1500
+/* A response to a control request may take its timeout, and longer as far as it arrives
+ * at least at this rate. */
+#define LIMPET_MIN_CONTROL_BYTES_PER_S 10000
 /* Time limit from sending a request to the response headers. */
 #define LIMPET_HEADER_TIMEOUT_MS 1000
 /* Larger deadlines of callers are reduced to one day. */
--- a/src/liblimpetroad/threaded_router/http_client.c
+++ b/src/liblimpetroad/threaded_router/http_client.c
@@ -9,7 +9,9 @@
 
 struct LimpetHttpClient
 {
+  CURLM *multi; /* holds easy during an exchange, and its connections */
   CURL *easy;
+  curl_off_t transferred_bytes; /* of both bodies, in the exchange under way */
   GString *body;
   char etag[LIMPET_NAME_SIZE];
   LimpetCounter sent;
@@ -80,11 +82,28 @@
   return length;
 }
 
+/* A CURLOPT_XFERINFOFUNCTION. */
+static int
+record_progress (void *user,
+                 curl_off_t download_total,
+                 curl_off_t downloaded,
+                 curl_off_t upload_total,
+                 curl_off_t uploaded)
+{
+  LimpetHttpClient *http = user;
+
+  (void)download_total;
+  (void)upload_total;
+  http->transferred_bytes = downloaded + uploaded;
+  return 0;
+}
+
 LimpetHttpClient *
 limpet_http_client_new (LimpetCounter sent, LimpetCounter received)
 {
   LimpetHttpClient *http = g_new0 (LimpetHttpClient, 1);
 
+  http->multi = curl_multi_init ();
   http->easy = curl_easy_init ();
   http->body = g_string_new (NULL);
   http->sent = sent;
@@ -98,6 +117,7 @@
   if (http == NULL)
     return;
   curl_easy_cleanup (http->easy);
+  curl_multi_cleanup (http->multi);
   g_string_free (http->body, TRUE);
   g_free (http);
 }
@@ -121,7 +141,9 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, record_progress);
+  curl_easy_setopt (easy, CURLOPT_XFERINFODATA, http);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)LIMPET_CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, limpet_http_set_socket_options);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
@@ -152,6 +174,45 @@
   limpet_counter_add (http->received, (uint64_t)(downloaded + header_size));
 }
 
+/* Performs the transfer. Fails with CURLE_OPERATION_TIMEDOUT if nothing is transferred
+ * for timeout_ms, or if the transfer is slower than LIMPET_MIN_CONTROL_BYTES_PER_S. */
+static CURLcode
+perform (LimpetHttpClient *http, LimpetMs timeout_ms)
+{
+  LimpetMs start_ms = limpet_clock_mono_ms ();
+  LimpetMs progress_ms = start_ms;
+  LimpetMs wait_ms = timeout_ms;
+  CURLMcode state;
+  CURLMsg *result;
+  CURLcode code = CURLE_OPERATION_TIMEDOUT;
+  int running = 1;
+  int queued = 0;
+
+  http->transferred_bytes = 0;
+  curl_multi_add_handle (http->multi, http->easy);
+  state = curl_multi_perform (http->multi, &running);
+  while (state == CURLM_OK && running > 0 && wait_ms > 0)
+    {
+      curl_off_t known_bytes = http->transferred_bytes;
+      LimpetMs slowest_ms;
+
+      curl_multi_poll (http->multi, NULL, 0, (int)wait_ms, NULL);
+      state = curl_multi_perform (http->multi, &running);
+      if (http->transferred_bytes != known_bytes)
+        progress_ms = limpet_clock_mono_ms ();
+      slowest_ms = http->transferred_bytes * 1000 / LIMPET_MIN_CONTROL_BYTES_PER_S;
+      wait_ms = timeout_ms + MIN (progress_ms, start_ms + slowest_ms)
+                - limpet_clock_mono_ms ();
+    }
+  result = curl_multi_info_read (http->multi, &queued);
+  if (state != CURLM_OK)
+    code = CURLE_FAILED_INIT;
+  else if (result != NULL)
+    code = result->data.result;
+  curl_multi_remove_handle (http->multi, http->easy);
+  return code;
+}
+
 LimpetStatus
 limpet_http_client_exchange (LimpetHttpClient *http,
                              const LimpetHttpRequest *request,
@@ -166,7 +227,7 @@
 
   g_string_truncate (http->body, 0);
   http->etag[0] = '\0';
-  code = curl_easy_perform (http->easy);
+  code = perform (http, request->timeout_ms);
   curl_easy_getinfo (http->easy, CURLINFO_REQUEST_SIZE, &request_size);
   count_bytes (http, request_size);
   status = limpet_http_status (code, request_size);
--- a/test/test_bundles.py
+++ b/test/test_bundles.py
@@ -148,6 +148,19 @@
         check_versions_only_increase(fleet)
 
 
+def test_a_router_reads_a_long_log_on_a_slow_link():
+    """The transfer takes about 3 s, longer than the log may be silent."""
+    with f.Fleet(routers=1, engines=1, proxied=["log"]).start() as fleet:
+        router = fleet.routers[0]
+        router["process"].kill()
+        for _ in range(60):
+            f.request(fleet.log_port, "POST", "/streams/bundles/records", "x" * 10000)
+        version = fleet.roll(bundle_with_share(fleet, 20))
+        fleet.proxy("log-" + router["id"], drip_bytes=2000)
+        fleet.start_router(router, wait=False)
+        f.wait_for(lambda: versions(fleet) == [version], "the bundle", 10)
+
+
 def test_a_replaced_router_is_ready_only_with_the_bundle_in_force():
     with f.Fleet(routers=3, engines=1, proxied=["log"]).start() as fleet:
         version = fleet.roll(bundle_with_share(fleet, 20))
