The end of a topic reaches routers that cannot read it yet

Cause: a router whose retry is not due cannot read a new configuration, and a router without the records of a topic's end neither pushed that end on nor showed it in digests. So after an outage the news that there is a new version went from one retry to the next: the first reader tells 7 routers, these wait 1 to 2 s, then tell others, who wait again. Class: what is missing is only announced by those who have it already.

A router now pushes on an end that it hears of for the first time, and its digests show the latest end that it knows of. An end that a later read contradicts is ignored, so that a false one dies out with the next reads.

--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -19,8 +19,10 @@
  *
  *  A router pushes the records that it read to a few routers, which push them on (gossip
  *  with a fan-out of ln N + 2, which reaches nearly all routers; see docs/PLATFORM.md).
- *  Routers need not agree on which of them reads: each message carries the age of the
- *  read that it stems from, and a router whose state is too old reads the topic itself
+ *  A router that cannot use the records yet, because it lacks earlier ones, pushes them
+ * on as well, and its digests show the latest end that it knows of. Routers need not
+ * agree on which of them reads: each message carries the age of the read that it stems
+ * from, and a router whose state is too old reads the topic itself
  *  (limpet_gossip_next_read_ms()). In addition, each router regularly sends digests to
  *  random routers: the end and age of its topics, load reports, and some of the routers
  *  that it knows.
@@ -50,8 +52,7 @@
   const LimpetGossipRecord *records;
   uint32_t count;
   int64_t end_offset; /**< offset after the last record of the topic */
-  LimpetMs
-      read_ms; /**< boot clock when the read began; set for this router's reads only */
+  LimpetMs read_ms;   /**< boot clock when the read began */
 } LimpetGossipBatch;
 
 /** Load that a target reported to some router. */
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -38,6 +38,9 @@
 /* For this time, all messages of a router with the same topic and end go to the same
  * receivers; later ones go to others. */
 #define RECEIVER_ROTATION_MS 1000
+/* A topic only grows, so of two reads the later one cannot show an earlier end. Reads
+ * that began within this time may have been served in the other order. */
+#define READ_OVERLAP_MS 2000
 
 typedef struct
 {
@@ -50,9 +53,11 @@
 
 typedef struct
 {
-  int64_t end;       /* offset up to which this router has the records */
-  LimpetMs read_ms;  /* boot clock of the newest known read; 0 for none */
-  LimpetMs delay_ms; /* random delay before this router reads the topic itself */
+  int64_t end;                /* offset up to which this router has the records */
+  LimpetMs read_ms;           /* boot clock of the newest known read; 0 for none */
+  LimpetMs delay_ms;          /* random delay before this router reads the topic itself */
+  int64_t announced_end;      /* latest end that another router read */
+  LimpetMs announced_read_ms; /* boot clock of the newest read that showed it */
 } Topic;
 
 struct LimpetGossip
@@ -256,7 +261,7 @@
     };
   topic.topic = batch->topic;
   topic.end = batch->end_offset;
-  topic.age_ms = (uint32_t)MAX (0, now_ms - gossip->topics[batch->topic].read_ms);
+  topic.age_ms = (uint32_t)MAX (0, now_ms - batch->read_ms);
   topic.from = batch->first_offset + first;
   topic.records = records;
   topic.n_records = count;
@@ -328,6 +333,32 @@
   return now_ms - gossip->topics[topic].read_ms;
 }
 
+/* Returns whether end, which a read at read_ms showed, is later than the known end and
+ * is not contradicted by the newest known read. */
+static bool
+is_later_end (const Topic *known, int64_t end, LimpetMs read_ms)
+{
+  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read_ms;
+}
+
+/* Records an end that another router read. Returns whether it is new. */
+static bool
+record_announcement (Topic *known, int64_t end, LimpetMs read_ms)
+{
+  bool is_current = is_later_end (known, known->announced_end, known->announced_read_ms);
+
+  if (is_current && end < known->announced_end)
+    return false;
+  if (is_current && end == known->announced_end)
+    {
+      known->announced_read_ms = MAX (known->announced_read_ms, read_ms);
+      return false;
+    }
+  known->announced_end = end;
+  known->announced_read_ms = read_ms;
+  return true;
+}
+
 static void
 receive_topic (LimpetGossip *gossip,
                const TopicUpdate *received,
@@ -343,12 +374,19 @@
   Topic *known;
   int64_t old_end;
   bool is_newer;
+  bool is_announcement = false;
 
   if (received->topic >= LIMPET_GOSSIP_TOPICS || received->n_records > MAX_RECORDS)
     return;
   known = &gossip->topics[received->topic];
   if (received->end < known->end)
     return; /* this router has newer records */
+  if (received->end > known->end)
+    {
+      if (!is_later_end (known, received->end, read_ms))
+        return;
+      is_announcement = record_announcement (known, received->end, read_ms);
+    }
   for (size_t i = 0; i < received->n_records; i++)
     records[batch.count++] = (LimpetGossipRecord){ .bytes = received->records[i].data,
                                                    .length = received->records[i].len };
@@ -359,7 +397,9 @@
   /* The read counts for this router only if it now has all records of that read. */
   if (known->end >= received->end && read_ms > known->read_ms)
     record_read (gossip, received->topic, read_ms);
-  if (known->end > old_end || (is_newer && known->end >= received->end))
+  batch.read_ms = known->end >= received->end ? known->read_ms : read_ms;
+  if (known->end > old_end || is_announcement
+      || (is_newer && known->end >= received->end))
     push_batch (gossip, &batch, now_ms, sender);
 }
 
@@ -472,14 +512,17 @@
   for (uint32_t i = 0; i < LIMPET_GOSSIP_TOPICS; i++)
     {
       const Topic *known = &gossip->topics[i];
+      bool is_behind
+          = is_later_end (known, known->announced_end, known->announced_read_ms);
+      LimpetMs read_ms = is_behind ? known->announced_read_ms : known->read_ms;
 
       topic_update__init (&digest->topics[i]);
-      if (known->read_ms == 0)
+      if (read_ms == 0)
         continue;
       digest->topics[i].topic = i;
-      digest->topics[i].end = known->end;
-      digest->topics[i].from = known->end;
-      digest->topics[i].age_ms = (uint32_t)MAX (0, now_ms - known->read_ms);
+      digest->topics[i].end = is_behind ? known->announced_end : known->end;
+      digest->topics[i].from = digest->topics[i].end;
+      digest->topics[i].age_ms = (uint32_t)MAX (0, now_ms - read_ms);
       digest->topic_pointers[digest->message.n_topics++] = &digest->topics[i];
     }
   digest->message.topics = digest->topic_pointers;
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -3,6 +3,7 @@
 #include "limpetroad/backoff.h"
 #include "limpetroad/directory.h"
 #include "limpetroad/gossip.h"
+#include "private/gossip.pb-c.h"
 
 #include <glib.h>
 #include <string.h>
@@ -169,6 +170,7 @@
 {
   LimpetGossip *gossip;
   int64_t next_offset; /* offset after the last record that it has */
+  int64_t heard_end;   /* end of the topic in the last batch */
   uint32_t address;
   uint32_t load_reports;     /* number of load reports received */
   LimpetMs busy_reported_ms; /* time of the last received report of BUSY_TARGET */
@@ -197,6 +199,7 @@
 {
   Router *router = user;
 
+  router->heard_end = batch->end_offset;
   if (batch->first_offset <= router->next_offset) /* no gap, as in platform/watch.c */
     router->next_offset = MAX (router->next_offset, batch->first_offset + batch->count);
   return router->next_offset;
@@ -367,6 +370,62 @@
   stop_routers ();
 }
 
+/* Guards against a fault: routers that could not read a new record, because their retry
+ * was not due, did not pass on that it exists. */
+static void
+test_the_end_of_a_topic_reaches_routers_that_cannot_read (void)
+{
+  int64_t end = 0;
+  uint32_t unaware = 0;
+
+  start_routers (23);
+  run_fleet (1, 5000, &end, NULL);
+  limpet_gossip_publish_read (
+      routers[7].gossip,
+      &(LimpetGossipBatch){
+          .topic = STORE_TOPIC, .first_offset = 1, .end_offset = 1, .read_ms = 5000 },
+      5000);
+  for (LimpetMs now_ms = 5000; now_ms < 5500; now_ms += STEP_MS)
+    {
+      deliver (now_ms);
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        limpet_gossip_tick (routers[i].gossip, now_ms);
+    }
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    unaware += i != 7 && routers[i].heard_end < 1;
+  printf ("routers that do not know of a new record after 500 ms: %u of %d\n", unaware,
+          ROUTERS);
+  CU_ASSERT_EQUAL (unaware, 0);
+  stop_routers ();
+}
+
+static void
+test_a_false_end_of_a_topic_is_forgotten (void)
+{
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+  TopicUpdate topic = TOPIC_UPDATE__INIT;
+  TopicUpdate *topics[] = { &topic };
+  uint8_t data[64];
+  int64_t end = 0;
+
+  start_routers (29);
+  run_fleet (1, 5000, &end, NULL);
+  topic.topic = STORE_TOPIC;
+  topic.end = topic.from = 1000;
+  message.sender = 2;
+  message.topics = topics;
+  message.n_topics = 1;
+  limpet_gossip_receive (routers[0].gossip, 2, data,
+                         gossip_message__pack (&message, data), 5000);
+  run_fleet (5000, 10000, &end, NULL);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    routers[i].heard_end = 0;
+  run_fleet (10000, 15000, &end, NULL);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    CU_ASSERT_EQUAL (routers[i].heard_end, 0);
+  stop_routers ();
+}
+
 static void
 test_records_lost_in_gossip_are_read_from_the_store (void)
 {
@@ -579,6 +638,8 @@
   CU_ADD_TEST (suite, test_few_routers_read_the_store);
   CU_ADD_TEST (suite, test_records_lost_in_gossip_are_read_from_the_store);
   CU_ADD_TEST (suite, test_bursts_reach_nearly_all_routers);
+  CU_ADD_TEST (suite, test_the_end_of_a_topic_reaches_routers_that_cannot_read);
+  CU_ADD_TEST (suite, test_a_false_end_of_a_topic_is_forgotten);
   CU_ADD_TEST (suite, test_routers_without_gossip_read_the_store);
   CU_ADD_TEST (suite, test_an_outage_causes_few_attempts);
   CU_ADD_TEST (suite, test_backoff_grows_to_its_maximum);
