An attempt fails after 16 responses before the final one

A target in trouble may send interim responses, or responses to other calls, without end (the users' words on servers in trouble). Each was skipped, and nothing ended that but the call's time limit. Seen with twenty callers of such a target: requests to another service took 1.02 s and 0.68 s instead of some ms, because the event loop parsed the flood. Class: input without a bound.

An attempt now fails after 16 skipped responses. Ruled out that the test's own senders cause the delay: the rows whose flood the router ended before (header field without end, fields, chunk size, trailer) passed unchanged with the same senders.

test_a_response_without_end (six rows; two failed before): twenty callers get a final response within their time limit, the router stays under 128 MB, and requests to another service take less than 0.5 s.

--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -9,6 +9,9 @@
 /* Limit for the head of a response; larger than the limit for requests, because targets
  * may send long fields. */
 #define MAX_RESPONSE_HEAD_BYTES (64 * 1024)
+/* An attempt fails after this number of interim responses and responses to other calls,
+ * which a target in trouble may send without end. */
+#define MAX_SKIPPED_RESPONSES 16
 
 static void on_idle_or_connect_timeout (uv_timer_t *timer);
 
@@ -122,6 +125,12 @@
     {
       upstream->skipped_response
           = upstream->skipped_response || task->response.is_for_other_call;
+      if (++upstream->skipped_count > MAX_SKIPPED_RESPONSES)
+        {
+          fail (upstream, LIMPET_STATUS_BROKEN,
+                "too many responses before the final one");
+          return;
+        }
       limpet_http_reader_next (&upstream->reader);
       upstream->reader.request_is_head = strcmp (task->head->method, "HEAD") == 0;
       return;
@@ -309,6 +318,7 @@
   upstream->task = task;
   upstream->request = request;
   upstream->skipped_response = false;
+  upstream->skipped_count = 0;
   limpet_http_reader_next (&upstream->reader);
   upstream->reader.request_is_head = strcmp (task->head->method, "HEAD") == 0;
   if (upstream->is_connected)
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -18,7 +18,8 @@
   LimpetHttpReader reader;
   GString *request; /* to be sent once connected; NULL if none */
   LimpetMs idle_since_ms;
-  int open_handles; /* handles whose close callback has not run yet */
+  uint32_t skipped_count; /* interim responses and responses to other calls */
+  int open_handles;       /* handles whose close callback has not run yet */
   bool is_connected;
   bool is_idle;
   bool is_paused; /* reading is stopped */
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -305,6 +305,7 @@
 def configuration(version, routes, keys=("key-1",), **limits):
     return {"version": version, "routes": routes,
             "services": [{"name": "plain", "health_path": "/h", "max_conns": 99},
+                         {"name": "sound", "health_path": "/h", "max_conns": 99},
                          {"name": "model", "health_path": "/h", "max_conns": 99,
                           "engine": {"slots": 8, "kv_capacity": 100000, "stride": 4}}],
             "limits": dict({"max_header_bytes": 8192, "max_body_bytes": 100000,
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -564,6 +564,71 @@
         check(platform.call("/safe/").status == 200)
 
 
+# Returns the resident memory of a router in MB.
+def memory_mb(router):
+    with open("/proc/%d/status" % router["process"].popen.pid) as file:
+        return int(next(line for line in file if line.startswith("VmRSS:")).split()[1]) / 1000
+
+
+RESPONSE_HEAD = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+# Each row: what repeats without end after the head of a response, and that head.
+@table([("field_line", "/safe/", None, b"x" * 65536),
+        ("fields", "/safe/", None, b"X-Field: 1\r\n" * 5000),
+        ("interim_responses", "/safe/", "", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+        ("other_responses", "/safe/", "", b"HTTP/1.1 200 X\r\nRequest-Id: other\r\n"
+         b"Response-Seal: s\r\nContent-Length: 9\r\n\r\n123456789" * 1000),
+        ("chunk_size", "/safe/", "Transfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
+        ("trailer", "/stream/", RESPONSE_HEAD, b"0\r\n" + b"X-Field: 1\r\n" * 5000)])
+def test_a_response_without_end(path, head, repeated):
+    """Twenty callers get a final response in time, in bounded memory, and other requests are
+    served meanwhile."""
+    routes = [route("safe", "/safe/", "safe", "plain", timeout_ms=2000),
+              route("stream", "/stream/", "streaming", "model", timeout_ms=2000),
+              route("other", "/other/", "safe", "sound", timeout_ms=2000)]
+
+    def on_request(server, message, connection):
+        server.ran.append(message.fields["request-id"])
+        if head is None:
+            connection.sendall(b"HTTP/1.1 200 X\r\n")
+        elif head:
+            connection.sendall(server.head(message, 200, head))
+        while True:
+            connection.sendall(repeated)
+
+    with Platform(routes=routes, start=False) as platform:
+        platform.add_server("sound")
+        platform.add_server("model" if path == "/stream/" else "plain", on_request=on_request,
+                            slots=64)
+        platform.start()
+        took_s = []
+
+        def call():
+            started_at = time.monotonic()
+            try:
+                response = platform.call(path, "POST" if path == "/stream/" else "GET", body=b"")
+                check(response.status in (502, 503, 504), response.line)
+            except OSError:
+                pass  # a stream that has begun ends by a close
+            took_s.append(time.monotonic() - started_at)
+
+        callers = [threading.Thread(target=call) for _ in range(20)]
+        for caller in callers:
+            caller.start()
+        peak_mb = 0
+        slowest_s = 0
+        while any(caller.is_alive() for caller in callers):
+            started_at = time.monotonic()
+            check(platform.call("/other/").status == 200)
+            slowest_s = max(slowest_s, time.monotonic() - started_at)
+            peak_mb = max(peak_mb, memory_mb(platform.routers[0]))
+            time.sleep(0.01)
+        check(len(took_s) == 20 and max(took_s) < 2.5, took_s)
+        check(peak_mb < 128, peak_mb)
+        check(slowest_s < 0.5, slowest_s)
+
+
 def test_routers_share_store_reads():
     """Four routers together read the store about as often as one, since each sends the records that
     it reads to the others by gossip. All apply a change within 2 s."""
