Buffered responses share one memory limit

A target in trouble may send a body without end. Class: a bound for each, none for all.

The bodies of all responses together may now have 32 MB; beyond that, a response that exceeds 256 KB fails, smaller ones do not. The buffer of a failed attempt is freed at once.

test_a_response_without_end[body] and [chunks]: 305 and 338 MB (limit 128) before, pass now.

--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -9,6 +9,11 @@
  * the call can be retried if the connection fails during the response. A response with a
  * larger body fails the attempt. */
 #define MAX_RESPONSE_BODY_BYTES (16 * 1024 * 1024)
+/* While more bytes than MAX_BUFFERED_BYTES are buffered for all calls, a response that
+ * exceeds SMALL_RESPONSE_BYTES fails, so that responses without end cannot use up the
+ * memory of the router. */
+#define MAX_BUFFERED_BYTES (32 * 1024 * 1024)
+#define SMALL_RESPONSE_BYTES (256 * 1024)
 /* Reading from the target pauses while more bytes than this are queued for the caller. */
 #define MAX_CALLER_BACKLOG_BYTES (256 * 1024)
 /* Subtracted from the idle time-out of a target, so that the target does not close the
@@ -59,8 +64,7 @@
       if (exchange->load_observer != NULL)
         exchange->load_observer (exchange->load_observer_user, task->target);
     }
-  if (task->response_body != NULL)
-    g_byte_array_set_size (task->response_body, 0);
+  limpet_relay_discard_body (task);
   task->is_streaming = is_event_stream (task) && task->response.is_from_target;
   task->ends_with_close = !head->is_chunked && head->content_length < 0;
   if (!task->head_sent)
@@ -137,6 +141,34 @@
   task->last_event_ms = now_ms;
 }
 
+/* Adds bytes to the buffered response. Returns false if it exceeds the limits. */
+static bool
+buffer_body (LimpetTask *task, const char *data, size_t length)
+{
+  size_t *buffered_bytes = &task->exchange->buffered_bytes;
+  size_t size = length;
+
+  if (task->response_body == NULL)
+    task->response_body = g_byte_array_new ();
+  size += task->response_body->len;
+  if (size > MAX_RESPONSE_BODY_BYTES
+      || (size > SMALL_RESPONSE_BYTES && *buffered_bytes + length > MAX_BUFFERED_BYTES))
+    return false;
+  g_byte_array_append (task->response_body, (const guint8 *)data, (guint)length);
+  *buffered_bytes += length;
+  return true;
+}
+
+void
+limpet_relay_discard_body (LimpetTask *task)
+{
+  if (task->response_body == NULL)
+    return;
+  task->exchange->buffered_bytes -= task->response_body->len;
+  g_byte_array_free (task->response_body, TRUE);
+  task->response_body = NULL;
+}
+
 bool
 limpet_relay_body (LimpetTask *task, const char *data, size_t length)
 {
@@ -157,12 +189,7 @@
       g_string_free (events, TRUE);
       return true;
     }
-  if (task->response_body == NULL)
-    task->response_body = g_byte_array_new ();
-  if (task->response_body->len + length > MAX_RESPONSE_BODY_BYTES)
-    return false;
-  g_byte_array_append (task->response_body, (const guint8 *)data, (guint)length);
-  return true;
+  return buffer_body (task, data, length);
 }
 
 /* Writes the rest of a stream: bytes after the last complete event, the response head if
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -113,8 +113,7 @@
   limpet_call_clear (&task->call);
   limpet_event_splitter_clear (&task->events);
   g_byte_array_free (task->body, TRUE);
-  if (task->response_body != NULL)
-    g_byte_array_free (task->response_body, TRUE);
+  limpet_relay_discard_body (task);
   if (task->response_head != NULL)
     g_string_free (task->response_head, TRUE);
   g_free (task->head_text);
@@ -359,6 +358,7 @@
   bool sent = status != LIMPET_STATUS_UNREACHABLE;
 
   task->upstream = NULL; /* already closed */
+  limpet_relay_discard_body (task);
   if (task->events.last_id[0] != '\0')
     g_strlcpy (task->last_event_id, task->events.last_id, sizeof task->last_event_id);
   limpet_log (LIMPET_LOG_NOTICE, "try", target->vm.id, "id=%s failed=%s cause=\"%s\"",
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -43,6 +43,7 @@
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
+  size_t buffered_bytes;     /* of the response bodies of all tasks */
   LimpetCallTimes times[LIMPET_ROUTE_KIND_COUNT];
   bool is_listening;
   bool is_draining; /* connections are closed after their response */
@@ -169,6 +170,8 @@
  * one returns false. */
 bool limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head);
 bool limpet_relay_body (LimpetTask *task, const char *data, size_t length);
+/* Frees the buffered part of a response. */
+void limpet_relay_discard_body (LimpetTask *task);
 /* Processes the end of a target's response: forwards the response, or retries or fails
  * the call. reusable: the connection to the target may carry another request. */
 void limpet_relay_complete (LimpetTask *task, bool reusable);
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -579,6 +579,8 @@
         ("interim_responses", "/safe/", "", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
         ("other_responses", "/safe/", "", b"HTTP/1.1 200 X\r\nRequest-Id: other\r\n"
          b"Response-Seal: s\r\nContent-Length: 9\r\n\r\n123456789" * 1000),
+        ("body", "/safe/", "\r\n", b"x" * 65536),
+        ("chunks", "/safe/", "Transfer-Encoding: chunked\r\n\r\n", chunk(b"x" * 60000)),
         ("chunk_size", "/safe/", "Transfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
         ("trailer", "/stream/", RESPONSE_HEAD, b"0\r\n" + b"X-Field: 1\r\n" * 5000)])
 def test_a_response_without_end(path, head, repeated):
