An event of a stream has a size limit

A target in trouble may send a stream whose event never ends. The router kept all of it and searched it from the start with each part: requests to another service took 2.3 s beside twenty such streams, or were not answered with 200, and the streams' callers waited 3.1 s for a time limit of 2 s; memory grew with what arrived. Class: input without a bound.

An attempt now fails when the incomplete event exceeds LIMPET_MAX_EVENT_BYTES (64 KB), the limit that the threaded router's parser has. A stream that has begun ends visibly broken, or resumes where it may.

--- a/src/liblimpetroad/exchange/event_splitter.c
+++ b/src/liblimpetroad/exchange/event_splitter.c
@@ -43,6 +43,12 @@
     }
 }
 
+bool
+limpet_event_splitter_exceeds_limit (const LimpetEventSplitter *splitter)
+{
+  return splitter->text != NULL && splitter->text->len > LIMPET_MAX_EVENT_BYTES;
+}
+
 uint32_t
 limpet_event_splitter_feed (LimpetEventSplitter *splitter,
                             const char *data,
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -187,7 +187,7 @@
           write_events (task, events);
         }
       g_string_free (events, TRUE);
-      return true;
+      return !limpet_event_splitter_exceeds_limit (&task->events);
     }
   return buffer_body (task, data, length);
 }
--- a/src/liblimpetroad/private/event_splitter.h
+++ b/src/liblimpetroad/private/event_splitter.h
@@ -25,6 +25,8 @@
                                      const char *data,
                                      size_t length,
                                      GString *out);
+/* Returns whether the incomplete event is longer than LIMPET_MAX_EVENT_BYTES. */
+bool limpet_event_splitter_exceeds_limit (const LimpetEventSplitter *splitter);
 void limpet_event_splitter_clear (LimpetEventSplitter *splitter);
 
 #endif
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -582,6 +582,8 @@
         ("body", "/safe/", "\r\n", b"x" * 65536),
         ("chunks", "/safe/", "Transfer-Encoding: chunked\r\n\r\n", chunk(b"x" * 60000)),
         ("chunk_size", "/safe/", "Transfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
+        ("event", "/stream/", RESPONSE_HEAD, chunk(b"x" * 60000)),
+        ("event_lines", "/stream/", RESPONSE_HEAD, chunk(b"data: x\n" * 8000)),
         ("trailer", "/stream/", RESPONSE_HEAD, b"0\r\n" + b"X-Field: 1\r\n" * 5000)])
 def test_a_response_without_end(path, head, repeated):
     """Twenty callers get a final response in time, in bounded memory, and other requests are
