--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -113,7 +113,9 @@
         self.lock = threading.Condition()
         self.topics = {}
         self.requested_paths = []
-        self.mode = "ok"  # "ok", "busy" (503), "silent" (no response) or "reset", for all requests
+        # For all requests: "ok", "busy" (503), "silent" (no response), "reset" or "endless" (a
+        # body without end).
+        self.mode = "ok"
         self.delay_s = 0
         self.bytes_per_s = 0   # limits the rate of each response; 0: no limit
         self.sent_bytes = {}   # bytes of all bodies sent, by topic
@@ -157,6 +159,10 @@
             if self.mode == "reset":
                 reset(connection)
                 return
+            if self.mode == "endless":
+                connection.sendall(b"HTTP/1.1 200 X\r\n\r\n")
+                while True:
+                    connection.sendall(b"x" * 65536)
             status, body = (503, b"{}") if self.mode == "busy" else self.respond(path, message)
             connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
                                % (status, len(body)))
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -770,6 +770,23 @@
         f.wait_for(lambda: platform.call("/new/").status == 200, "the new route", 3)
 
 
+def test_a_response_of_the_store_without_end():
+    with Platform(start=False) as platform:
+        platform.add_server()
+        platform.start()
+        platform.store.mode = "endless"
+        until = time.monotonic() + 4
+        peak_mb = 0
+        while time.monotonic() < until:
+            check(platform.call("/safe/").status == 200)
+            peak_mb = max(peak_mb, memory_mb(platform.routers[0]))
+        check("read_failed" in platform.log())
+        check(peak_mb < 128, peak_mb)
+        platform.configure(ROUTES + [route("new", "/new/", "safe", "plain")])
+        platform.store.mode = "ok"
+        f.wait_for(lambda: platform.call("/new/").status == 200, "the new route", 4)
+
+
 def test_routers_behind_by_many_entries_use_the_right_servers():
     """They catch up by a snapshot, from which the removed server is missing."""
     with Platform(routers=2, start=False) as platform:
