--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -19,10 +19,11 @@
  *
  *  A router pushes the records that it read to a few routers, which push them on (gossip
  *  with a fan-out of ln N + 2, which reaches nearly all routers; see docs/PLATFORM.md).
- *  A router that cannot use the records yet, because it lacks earlier ones, pushes them
- * on as well, and its digests show the latest end that it knows of. Routers need not
- * agree on which of them reads: each message carries the age of the read that it stems
- * from, and a router whose state is too old reads the topic itself
+ *  A router that lacks earlier records pushes them on as well, and its digests show the
+ *  latest end that it knows of.
+ *
+ *  Routers need not agree on which of them reads: each message carries the age of the
+ *  read that it stems from, and a router whose state is too old reads the topic itself
  *  (limpet_gossip_next_read_ms()). In addition, each router regularly sends digests to
  *  random routers: the end and age of its topics, load reports, and some of the routers
  *  that it knows.
