--- a/test/fleet.py
+++ b/test/fleet.py
@@ -120,6 +120,12 @@
             return f.read()
 
 
+# Returns the resident memory of a process in units of 10^6 bytes.
+def memory_mb(pid):
+    with open("/proc/%d/statm" % pid) as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def program(name):
     return os.path.join(BUILD, name)
 
--- a/test/measure.py
+++ b/test/measure.py
@@ -250,7 +250,7 @@
             + [str(o) for o in options], capture_output=True).stdout)
         pid = router["process"].popen.pid
         before, cpu = fleet.counters(router)["tokens_total"], cpu_seconds(pid)
-        timer = start_timer(24, lambda: peak.append(memory_mb(pid)))
+        timer = start_timer(24, lambda: peak.append(f.memory_mb(pid)))
         peak = []
         routed = bench(fleet, *options, "--seed", SEED)
         timer.join()
@@ -275,12 +275,6 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-# Returns the resident memory of a process in units of 10^6 bytes.
-def memory_mb(pid):
-    with open("/proc/%d/statm" % pid) as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 def measure_slopes():
     """Control traffic, processor time and memory of an idle router and the time until a bundle is
     in force on all routers, by fleet size."""
@@ -295,7 +289,7 @@
             time.sleep(10)
             rate = control_byte_rates(fleet, 10, before)
             cpu = sum(cpu_seconds(r["process"].popen.pid) for r in fleet.routers) - cpu
-            memory = max(memory_mb(r["process"].popen.pid) for r in fleet.routers)
+            memory = max(f.memory_mb(r["process"].popen.pid) for r in fleet.routers)
             bundle = fleet.bundle()
             bundle["teams"]["team-0"]["share"] = 77
             version = fleet.roll(bundle)
@@ -397,7 +391,7 @@
             cpu = (cpu_seconds(pid) - cpu) / rolls * 1000
             record = f.get_json(fleet.log_port,
                                 "/streams/bundles/records?from=%d" % (version - 2))["records"][0]
-            row(targets, peers, teams, "%.2f" % idle_percent, "%.0f" % memory_mb(pid),
+            row(targets, peers, teams, "%.2f" % idle_percent, "%.0f" % f.memory_mb(pid),
                 "%.1f" % r["short_first_ms"]["p50"], "%.0f" % cpu, max(apply_ms),
                 len(record["data"]))
 
--- a/test/test_chats.py
+++ b/test/test_chats.py
@@ -4,6 +4,7 @@
 import time
 
 import fleet as f
+from platform_fake import Listener, Message, chunk
 from run_all import table
 
 
@@ -225,3 +226,58 @@
         assert fleet.routers[0]["process"].terminate() == 0
         thread.join()
         assert check_responses(results, 300) == 1
+
+
+CHUNKED_STREAM = (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                  b"Transfer-Encoding: chunked\r\n\r\n")
+
+
+# Each row: the start of a response, and what follows it without end.
+@table([("field_line", b"HTTP/1.1 200 OK\r\n", b"x" * 65536),
+        ("fields", b"HTTP/1.1 200 OK\r\n", b"X-Field: 1\r\n" * 5000),
+        ("interim_responses", b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2000),
+        ("body", b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+        ("event", CHUNKED_STREAM, chunk(b"x" * 60000)),
+        ("event_lines", CHUNKED_STREAM, chunk(b"data: x\n" * 8000))])
+def test_a_response_without_end(start, repeated):
+    """Callers of chats and orders get a final response in time, in bounded memory."""
+    requests = []
+
+    def respond(connection):
+        requests.append(Message(connection.makefile("rb")).line)
+        connection.sendall(start)
+        while True:
+            connection.sendall(repeated)
+
+    with f.Fleet(routers=1, engines=0, services=0,
+                 fleet={"default_deadline_ms": 2000}) as fleet:
+        for entries, vm_id in ((fleet.engines, "e00"), (fleet.services, "s00")):
+            entries.append({"id": vm_id, "port": Listener(respond).port, "slots": 32,
+                            "leaving": False, "incarnation": 1})
+        fleet.publish_vms()
+        fleet.start()
+        router = fleet.routers[0]
+        f.wait_for(lambda: "peer=s00 joined" in router["process"].log_text(), "the targets", 5)
+        took_s = []
+
+        def call(index):
+            started_at = time.monotonic()
+            if index % 2:
+                response = f.chat(router["port"], fleet.key("team-0"), "tag")
+                assert not response.is_complete("tag", 16), response.status
+            else:
+                response = f.order(router["port"], fleet.key("team-0"), f.order_key(str(index)),
+                                   deadline_ms=2000)
+                assert response is None or response.status >= 500, response.status
+            took_s.append(time.monotonic() - started_at)
+
+        threads = [threading.Thread(target=call, args=(i,)) for i in range(20)]
+        for thread in threads:
+            thread.start()
+        peak_mb = 0
+        while any(thread.is_alive() for thread in threads):
+            peak_mb = max(peak_mb, f.memory_mb(router["process"].popen.pid))
+            time.sleep(0.01)
+        assert len(requests) >= 20, requests
+        assert len(took_s) == 20 and max(took_s) < 2.5, took_s
+        assert peak_mb < 128, peak_mb
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -564,12 +564,6 @@
         check(platform.call("/safe/").status == 200)
 
 
-# Returns the resident memory of a router in MB.
-def memory_mb(router):
-    with open("/proc/%d/status" % router["process"].popen.pid) as file:
-        return int(next(line for line in file if line.startswith("VmRSS:")).split()[1]) / 1000
-
-
 RESPONSE_HEAD = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -626,7 +620,7 @@
             started_at = time.monotonic()
             check(platform.call("/other/").status == 200)
             slowest_s = max(slowest_s, time.monotonic() - started_at)
-            peak_mb = max(peak_mb, memory_mb(platform.routers[0]))
+            peak_mb = max(peak_mb, f.memory_mb(platform.routers[0]["process"].popen.pid))
             time.sleep(0.01)
         check(len(took_s) == 20 and max(took_s) < 2.5, took_s)
         check(peak_mb < 128, peak_mb)
@@ -779,7 +773,7 @@
         peak_mb = 0
         while time.monotonic() < until:
             check(platform.call("/safe/").status == 200)
-            peak_mb = max(peak_mb, memory_mb(platform.routers[0]))
+            peak_mb = max(peak_mb, f.memory_mb(platform.routers[0]["process"].popen.pid))
         check("read_failed" in platform.log())
         check(peak_mb < 128, peak_mb)
         platform.configure(ROUTES + [route("new", "/new/", "safe", "plain")])
