--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -254,8 +254,10 @@
   uv_timer_t response_timer;
   uv_timer_t stop_timer;
   PlatformWatch *watch;
+  uint32_t requests;
   uint32_t read_requests;
-  GString *values; /* values that the watch passed to on_record */
+  bool fails_first_read; /* with status 503 */
+  GString *values;       /* values that the watch passed to on_record */
   char buffer[4096];
 } StoreServer;
 
@@ -305,6 +307,16 @@
   g_string_free (body, TRUE);
 }
 
+/* Another router has read that the topic has a record. */
+static void
+announce_record (uv_timer_t *timer)
+{
+  StoreServer *server = timer->data;
+  LimpetGossipBatch batch = { .first_offset = 1, .end_offset = 1 };
+
+  platform_watch_apply_batch (server->watch, &batch);
+}
+
 static void
 on_request (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -316,6 +328,7 @@
 
   if (count <= 0)
     return;
+  server->requests++;
   if (strstr (buffer->base, "log-newest") != NULL)
     {
       respond (server, "{\"items\":[],\"truncated\":false,\"end\":0}", 38);
@@ -323,6 +336,15 @@
     }
   if (++server->read_requests > 1)
     return;
+  if (server->fails_first_read)
+    {
+      static const char response[] = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+      uv_buf_t out = uv_buf_init ((char *)response, sizeof response - 1);
+
+      uv_try_write ((uv_stream_t *)&server->client, &out, 1);
+      uv_timer_start (&server->response_timer, announce_record, 100, 0);
+      return;
+    }
   /* Two of the requested records arrive by gossip before the response. */
   platform_watch_apply_batch (server->watch, &batch);
   uv_timer_start (&server->response_timer, respond_to_read, 30, 0);
@@ -373,51 +395,79 @@
   uv_stop (&server->loop);
 }
 
-/* Guards against a fault: records that arrived by gossip during a read were applied again
- * when the response arrived, and the offset advanced too far. */
+static const PlatformWatchOps watch_ops = {
+  .on_snapshot_begin = ignore_snapshot,
+  .on_snapshot_end = ignore_snapshot,
+  .on_record = append_value,
+  .on_store_read = ignore_read,
+  .next_read_delay_ms = delay_of_single_read,
+  .max_retry_delay_ms = delay_of_single_read,
+  .log_step = "test",
+};
+
+/* Runs a watch with the store server for 700 ms. */
 static void
-test_records_received_during_a_read_are_applied_once (void)
+run_watch (StoreServer *server)
 {
-  static const PlatformWatchOps ops = {
-    .on_snapshot_begin = ignore_snapshot,
-    .on_snapshot_end = ignore_snapshot,
-    .on_record = append_value,
-    .on_store_read = ignore_read,
-    .next_read_delay_ms = delay_of_single_read,
-    .max_retry_delay_ms = delay_of_single_read,
-    .log_step = "test",
-  };
-  StoreServer server = { .values = g_string_new (NULL) };
   PlatformAddress address = { .address = "127.0.0.1", .port = 0 };
-  LimpetGossipBatch empty_batch = { .first_offset = 3, .end_offset = 3 };
   struct sockaddr_in socket_address;
   int length = sizeof socket_address;
 
-  uv_loop_init (&server.loop);
-  uv_tcp_init (&server.loop, &server.listener);
-  uv_tcp_init (&server.loop, &server.client);
-  uv_timer_init (&server.loop, &server.response_timer);
-  uv_timer_init (&server.loop, &server.stop_timer);
-  server.listener.data = server.client.data = server.response_timer.data
-      = server.stop_timer.data = &server;
+  uv_loop_init (&server->loop);
+  uv_tcp_init (&server->loop, &server->listener);
+  uv_tcp_init (&server->loop, &server->client);
+  uv_timer_init (&server->loop, &server->response_timer);
+  uv_timer_init (&server->loop, &server->stop_timer);
+  server->listener.data = server->client.data = server->response_timer.data
+      = server->stop_timer.data = server;
   uv_ip4_addr ("127.0.0.1", 0, &socket_address);
-  uv_tcp_bind (&server.listener, (struct sockaddr *)&socket_address, 0);
-  uv_listen ((uv_stream_t *)&server.listener, 4, on_connection);
-  uv_tcp_getsockname (&server.listener, (struct sockaddr *)&socket_address, &length);
+  uv_tcp_bind (&server->listener, (struct sockaddr *)&socket_address, 0);
+  uv_listen ((uv_stream_t *)&server->listener, 4, on_connection);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&socket_address, &length);
   address.port = ntohs (socket_address.sin_port);
-  server.watch = platform_watch_new (&server.loop, &address, "t", &ops, &server);
-  uv_timer_start (&server.stop_timer, stop_loop, 400, 0);
-  uv_run (&server.loop, UV_RUN_DEFAULT);
+  server->watch = platform_watch_new (&server->loop, &address, "t", &watch_ops, server);
+  uv_timer_start (&server->stop_timer, stop_loop, 700, 0);
+  uv_run (&server->loop, UV_RUN_DEFAULT);
+}
+
+static void
+close_watch (StoreServer *server)
+{
+  platform_watch_close (server->watch);
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  uv_close ((uv_handle_t *)&server->client, NULL);
+  uv_close ((uv_handle_t *)&server->response_timer, NULL);
+  uv_close ((uv_handle_t *)&server->stop_timer, NULL);
+  uv_run (&server->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&server->loop);
+  g_string_free (server->values, TRUE);
+}
+
+/* Guards against a fault: records that arrived by gossip during a read were applied again
+ * when the response arrived, and the offset advanced too far. */
+static void
+test_records_received_during_a_read_are_applied_once (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipBatch empty_batch = { .first_offset = 3, .end_offset = 3 };
+
+  run_watch (&server);
   CU_ASSERT_STRING_EQUAL (server.values->str, "abc");
   CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &empty_batch), 3);
-  platform_watch_close (server.watch);
-  uv_close ((uv_handle_t *)&server.listener, NULL);
-  uv_close ((uv_handle_t *)&server.client, NULL);
-  uv_close ((uv_handle_t *)&server.response_timer, NULL);
-  uv_close ((uv_handle_t *)&server.stop_timer, NULL);
-  uv_run (&server.loop, UV_RUN_DEFAULT);
-  uv_loop_close (&server.loop);
-  g_string_free (server.values, TRUE);
+  close_watch (&server);
+}
+
+/* Guards against a fault: after an outage, a router waited for its next retry although
+ * another router had read that there is a new record. */
+static void
+test_a_new_record_is_read_before_the_retry_is_due (void)
+{
+  StoreServer server = { .values = g_string_new (NULL), .fails_first_read = true };
+
+  run_watch (&server);
+  /* A snapshot, the failed read, and the read of the new record. */
+  CU_ASSERT_EQUAL (server.requests, 3);
+  close_watch (&server);
 }
 
 void
@@ -432,4 +482,5 @@
   CU_ADD_TEST (suite, test_request_headers_are_decoded);
   CU_ADD_TEST (suite, test_router_headers_replace_those_of_the_client);
   CU_ADD_TEST (suite, test_records_received_during_a_read_are_applied_once);
+  CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
 }
