Failed attempts are logged with route, progress of the response and prompt parts

Change: route, response (none, head, events) and parts in each try line; the test of tracing by id checks them. No change to decisions. test_a_failed_request_can_be_traced_by_its_id passes.

--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -3,6 +3,7 @@
 #include "private/exchange.h"
 #include "private/upstream.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* A call that must not run twice reuses a pooled connection only if it has been idle for
@@ -335,6 +336,34 @@
          && limpet_dispatch_try_spend_retry (task->exchange->dispatch, &task->call);
 }
 
+/* Returns the ids of the call's shared prompt parts as hexadecimal numbers, separated by
+ * commas; "-" if there are none. The caller frees the text. */
+static char *
+format_shared_parts (const LimpetCall *call)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t i = 0; i + 1 < call->prompt_parts_count; i++)
+    g_string_append_printf (text, "%s%" PRIx64, i > 0 ? "," : "",
+                            call->prompt_parts[i].id);
+  return g_string_free (text->len > 0 ? text : g_string_assign (text, "-"), FALSE);
+}
+
+static void
+log_failed_attempt (const LimpetTask *task, LimpetStatus status, const char *cause)
+{
+  char *parts = format_shared_parts (&task->call);
+  const char *response = task->has_first_event        ? "events"
+                         : task->response.status != 0 ? "head"
+                                                      : "none";
+
+  limpet_log (LIMPET_LOG_NOTICE, "try", task->target->vm.id,
+              "id=%s failed=%s cause=\"%s\" route=%s response=%s parts=%s", task->call.id,
+              limpet_status_string[status], cause, task->call.route->name, response,
+              parts);
+  g_free (parts);
+}
+
 /* Submits the call again for another attempt, on none of the targets attempted so far. */
 static void
 resubmit (LimpetTask *task, const char *cause)
@@ -361,8 +390,7 @@
   limpet_relay_discard_body (task);
   if (task->events.last_id[0] != '\0')
     g_strlcpy (task->last_event_id, task->events.last_id, sizeof task->last_event_id);
-  limpet_log (LIMPET_LOG_NOTICE, "try", target->vm.id, "id=%s failed=%s cause=\"%s\"",
-              task->call.id, limpet_status_string[status], cause);
+  log_failed_attempt (task, status, cause);
   limpet_dispatch_record_result (task->exchange->dispatch, target, status);
   limpet_task_end_attempt (task, 0);
   task->may_have_run = task->may_have_run || sent;
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -834,11 +834,13 @@
         server = platform.add_server(on_request=on_request)
         platform.start()
         with platform.client() as client:
-            response = client.call("/unsafe/", "POST", body=b"", request_id="look-for-me")
+            response = client.call("/unsafe/", "POST", body=b"", request_id="look-for-me",
+                                   fields=[("Prompt-Prefix", "aa1:100,bb2:50,cc3:9")])
             check(response.status == 502)
         f.wait_for(lambda: "id=look-for-me outcome=broken status=502" in platform.log(),
                    "the log line of the request")
         lines = [line for line in platform.log().splitlines() if "look-for-me" in line]
         check(any("step=try peer=%s" % server.id in line and "failed=broken" in line
+                  and "route=unsafe response=none parts=aa1,bb2" in line
                   for line in lines), lines)
         check(platform.metric('limpetroad_call_total_ms_count{kind="unsafe"}') == 1)
