--- /dev/null
+++ b/test/test_crashing_parts.py
@@ -0,0 +1,126 @@
+"""Requests whose prompt has a part that crashes each server that begins to respond."""
+
+import threading
+import time
+
+from platform_fake import Platform, route
+from test_platform import check, stream_events
+
+CRASHING_PART = "bad0"
+FIRST_PART = "51"
+STABLE_WINDOW_S = 3   # stable_window_ms of the users' small sites
+RESTART_S = 1.0       # a crashed server is replaced after this time
+SERVERS = 6
+
+
+class CrashingFleet:
+    """Routers with servers that crash under CRASHING_PART, and clients.
+
+    arrivals: times at which requests with the part reached a server; crashes: times of the
+    crashes; served: (time, whether it was served) of each request without the part."""
+
+    def __init__(self, routers=3):
+        self.arrivals = []
+        self.crashes = []
+        self.served = []
+        self.stopped = threading.Event()
+        self.is_crashing = True
+        self.platform = Platform(start=False, routes=[
+            route("resume", "/resume/", "streaming", "model", resumable=True, max_attempts=3),
+            route("stream", "/stream/", "streaming", "model")])
+        for _ in range(SERVERS):
+            self.add_server()
+        self.platform.router_count = routers
+        self.platform.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.stopped.set()
+        self.platform.__exit__()
+
+    def add_server(self):
+        self.platform.add_server("model", on_request=self.on_request)
+
+    def on_request(self, server, message, connection):
+        parts = [part.split(":")[0] for part in message.fields["prompt-prefix"].split(",")]
+        if CRASHING_PART not in parts[:-1]:
+            stream_events(server, connection, message, 1, 3)
+            return True
+        self.arrivals.append(time.monotonic())
+        connection.sendall(server.head(message, 200, "Content-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n") + b"10\r\nid: 1\n")
+        time.sleep(0.02)
+        if self.is_crashing:
+            self.crash(server)
+        raise OSError("closed")
+
+    def crash(self, server):
+        if server not in self.platform.servers:
+            return  # another request has just crashed it
+        self.platform.servers.remove(server)
+        self.crashes.append(time.monotonic())
+        server.close()
+        threading.Timer(RESTART_S, self.replace, [server]).start()
+
+    def replace(self, server):
+        if not self.stopped.is_set():
+            server.remove()
+            self.add_server()
+
+    # Sends one request; returns whether it was served completely.
+    def request(self, path, number, has_part, router):
+        parts = [FIRST_PART + ":64", "c%d:500" % (number % 5), "e%x:20" % number]
+        if has_part:
+            parts.insert(1 + number % 2, CRASHING_PART + ":100")
+        try:
+            response = self.platform.call(path, "POST", body=b"p", router=router,
+                                          fields=[("Prompt-Prefix", ",".join(parts))])
+            return response.status == 200
+        except (OSError, ValueError):
+            return False
+
+    def send(self, has_part, interval_s, until):
+        """Sends requests to the routers in turn until the function until returns true."""
+        number = 0
+        while not until() and not self.stopped.is_set():
+            path = "/resume/" if number % 3 == 0 else "/stream/"
+            router = number % len(self.platform.routers)
+            served = self.request(path, number, has_part, router)
+            if not has_part:
+                self.served.append((time.monotonic(), served))
+            number += 1
+            time.sleep(interval_s)
+
+    def play(self, seconds):
+        """Sends requests with the part and without it for this time."""
+        end = time.monotonic() + seconds
+        senders = [threading.Thread(target=self.send, daemon=True,
+                                    args=(has_part, interval_s, lambda: time.monotonic() > end))
+                   for has_part, interval_s in ((True, 0.12), (True, 0.12), (False, 0.02),
+                                                (False, 0.02))]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    # Returns the number of requests with the part that reached a server after the time.
+    def arrivals_after(self, at):
+        return sum(arrived > at for arrived in self.arrivals)
+
+    # Returns the share of the requests without the part that were served, from the time on.
+    def served_after(self, at):
+        results = [served for sent, served in self.served if sent > at]
+        return sum(results) / max(1, len(results))
+
+
+def test_a_part_that_crashes_servers_is_kept_from_them():
+    """At most three requests with the part reach servers from 3 s after the fifth crash on."""
+    with CrashingFleet() as fleet:
+        fleet.play(10)
+        bound_at = (fleet.crashes[4] if len(fleet.crashes) > 4 else fleet.crashes[-1]) \
+            + STABLE_WINDOW_S
+        check(fleet.arrivals_after(bound_at) <= 3, len(fleet.crashes), len(fleet.arrivals),
+              fleet.arrivals_after(bound_at))
+        check(fleet.served_after(bound_at + STABLE_WINDOW_S) >= 0.5, len(fleet.served))
