--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -39,6 +39,8 @@
                                      service with a weight; not run */
   LIMPET_REFUSAL_FULL,            /**< no target had capacity in time; not run */
   LIMPET_REFUSAL_TARGET_FULL,     /**< the target refused the call; not run */
+  LIMPET_REFUSAL_QUARANTINED,     /**< the prompt has a part that crashes targets; not run
+                                   */
   LIMPET_REFUSAL_BROKEN,          /**< the target failed; the call may have run */
   LIMPET_REFUSAL_TIMEOUT,         /**< the deadline passed; the call may have run */
   LIMPET_REFUSAL_STOPPING,        /**< the router is stopping; the call may have run */
@@ -92,6 +94,11 @@
  *  must be set. */
 bool limpet_call_is_idempotent (const LimpetCall *call);
 
+/** Fills \p ids with the ids of the parts that may be shared, and returns their number.
+ */
+uint32_t limpet_call_shared_parts (const LimpetCall *call,
+                                   uint64_t ids[LIMPET_MAX_PROMPT_PARTS]);
+
 /** Returns the number of tokens in the parts that may be shared: all but the last. */
 int64_t limpet_call_shared_tokens (const LimpetCall *call);
 
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -4,6 +4,7 @@
 #include "limpetroad/target_response.h"
 #include "limpetroad/call.h"
 #include "limpetroad/http_head.h"
+#include "limpetroad/quarantine.h"
 #include "limpetroad/retry_budget.h"
 #include "limpetroad/route_table.h"
 #include "limpetroad/targets.h"
@@ -104,6 +105,11 @@
 /** Sets the number of routers that share the load, including this one. */
 void limpet_exchange_set_router_count (LimpetExchange *exchange, uint32_t count);
 
+/** Sets the quarantine of prompt parts, which is borrowed: the exchange records crashes
+ *  and successes there, and refuses calls with a quarantined part. */
+void limpet_exchange_set_quarantine (LimpetExchange *exchange,
+                                     LimpetQuarantine *quarantine);
+
 /** Sets a function to call for each response in which a target reports its load. */
 void limpet_exchange_set_load_observer (LimpetExchange *exchange,
                                         void (*observer) (void *user,
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -1,7 +1,7 @@
 #ifndef LIMPETROAD_GOSSIP_H
 #define LIMPETROAD_GOSSIP_H
 
-#include "limpetroad/clock.h"
+#include "limpetroad/quarantine.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -90,6 +90,10 @@
  *  default is 2,000 ms. A read counts as recent for a part of this time. */
 void limpet_gossip_set_max_staleness (LimpetGossip *gossip, LimpetMs max_staleness_ms);
 
+/** Sets the quarantine whose records are exchanged with the other routers. It is
+ * borrowed, and its tick must be called separately. */
+void limpet_gossip_set_quarantine (LimpetGossip *gossip, LimpetQuarantine *quarantine);
+
 /** Adds a router found in a registry and sends it a request for a digest. */
 void limpet_gossip_add_member (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 /** Processes a datagram from the router at \p sender. A malformed one is dropped and
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -4,6 +4,7 @@
 #include "limpetroad/logger.h"
 #include "private/gossip.pb-c.h"
 #include "private/gossip_loads.h"
+#include "private/gossip_suspects.h"
 
 #include <glib.h>
 #include <math.h>
@@ -30,6 +31,10 @@
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
+/* Quarantined parts in a regular digest, and the number of loads that take as many bytes
+ * as one of them. */
+#define MAX_DIGEST_SUSPECTS 1
+#define LOADS_PER_SUSPECT 8
 /* Limit for the records of one message, which keeps it within one packet. */
 #define MAX_BATCH_BYTES 1100
 /* Limit for the number of records in one message. A topic with more records is ignored.
@@ -69,6 +74,7 @@
   GRand *random;
   GArray *members; /* of Member */
   LimpetGossipLoads *loads;
+  LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
   LimpetMs last_digest_ms; /* when digests were last sent */
 };
@@ -123,6 +129,12 @@
   gossip->max_staleness_ms = max_staleness_ms;
 }
 
+void
+limpet_gossip_set_quarantine (LimpetGossip *gossip, LimpetQuarantine *quarantine)
+{
+  gossip->quarantine = quarantine;
+}
+
 static Member *
 find_member (LimpetGossip *gossip, uint32_t address)
 {
@@ -420,6 +432,38 @@
       gossip->ops->on_load (gossip->user, &load);
 }
 
+static void
+receive_suspects (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
+{
+  LimpetSuspectPart record;
+
+  for (size_t i = 0; gossip->quarantine != NULL && i < message->n_suspects; i++)
+    if (limpet_gossip_suspects_decode (message->suspects[i], now_ms, &record))
+      limpet_quarantine_receive (gossip->quarantine, &record, now_ms);
+    else
+      limpet_counter_add (LIMPET_COUNTER_PEER_MALFORMED, 1);
+}
+
+/* Sends the suspects that have changed to random routers, which pass on what is new to
+ * them. */
+static void
+push_suspects (LimpetGossip *gossip, LimpetMs now_ms)
+{
+  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  uint32_t count;
+
+  while ((count = limpet_quarantine_collect_changed (gossip->quarantine, records,
+                                                     LIMPET_GOSSIP_MAX_SUSPECTS))
+         > 0)
+    {
+      GossipMessage message = GOSSIP_MESSAGE__INIT;
+      LimpetGossipSuspects suspects;
+
+      limpet_gossip_suspects_encode (&suspects, records, count, now_ms, &message);
+      send_to_random_members (gossip, &message, push_fanout (gossip), 0);
+    }
+}
+
 static void send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 
 void
@@ -453,6 +497,7 @@
   for (size_t i = 0; i < message->n_topics; i++)
     receive_topic (gossip, message->topics[i], now_ms, sender);
   receive_loads (gossip, message, now_ms);
+  receive_suspects (gossip, message, now_ms);
   if (message->requests_digest)
     send_digest (gossip, sender, now_ms);
   gossip_message__free_unpacked (message, NULL);
@@ -495,15 +540,39 @@
   TopicUpdate topics[LIMPET_GOSSIP_TOPICS];
   TopicUpdate *topic_pointers[LIMPET_GOSSIP_TOPICS];
   uint32_t members[MAX_DIGEST_MEMBERS];
+  LimpetGossipSuspects suspects;
 } Digest;
 
+/* Adds up to max_count quarantined parts. Returns their number. */
+static uint32_t
+fill_suspects (LimpetGossip *gossip, Digest *digest, uint32_t max_count, LimpetMs now_ms)
+{
+  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  uint32_t count;
+
+  if (gossip->quarantine == NULL)
+    return 0;
+  count = limpet_quarantine_collect_next (gossip->quarantine, records, max_count);
+  limpet_gossip_suspects_encode (&digest->suspects, records, count, now_ms,
+                                 &digest->message);
+  return count;
+}
+
+/* Fills a digest with at most max_suspects quarantined parts. They take the place of
+ * loads, so that the digest does not grow. */
 static void
-fill_digest (LimpetGossip *gossip, Digest *digest, LimpetMs now_ms)
+fill_digest (LimpetGossip *gossip, Digest *digest, uint32_t max_suspects, LimpetMs now_ms)
 {
+  uint32_t suspects;
+
   gossip_message__init (&digest->message);
   digest->message.sender = gossip->own_address;
+  suspects = fill_suspects (gossip, digest, max_suspects, now_ms);
   digest->message.n_load_targets = limpet_gossip_loads_collect (
-      gossip->loads, digest->load_targets, digest->loads, now_ms);
+      gossip->loads,
+      LIMPET_GOSSIP_MAX_LOADS
+          - MIN (LIMPET_GOSSIP_MAX_LOADS, suspects * LOADS_PER_SUSPECT),
+      digest->load_targets, digest->loads, now_ms);
   digest->message.load_targets = digest->load_targets;
   digest->message.loads = (ProtobufCBinaryData){
     .data = digest->loads,
@@ -530,12 +599,14 @@
   digest->message.members = digest->members;
 }
 
+/* Sends a digest to a router that has just found this one, with as many quarantined parts
+ * as fit into a message. */
 static void
 send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms)
 {
   Digest digest;
 
-  fill_digest (gossip, &digest, now_ms);
+  fill_digest (gossip, &digest, LIMPET_GOSSIP_MAX_SUSPECTS, now_ms);
   send_message (gossip, &digest.message, address);
 }
 
@@ -568,11 +639,13 @@
 {
   Digest digest;
 
+  if (gossip->quarantine != NULL)
+    push_suspects (gossip, now_ms);
   if (now_ms - gossip->last_digest_ms < DIGEST_PERIOD_MS)
     return;
   gossip->last_digest_ms = now_ms;
   remove_expired_members (gossip, now_ms);
-  fill_digest (gossip, &digest, now_ms);
+  fill_digest (gossip, &digest, MAX_DIGEST_SUSPECTS, now_ms);
   send_to_random_members (gossip, &digest.message, DIGEST_FANOUT, 0);
 }
 
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &gossip_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   suspect_part__init
+                     (SuspectPart         *message)
+{
+  static const SuspectPart init_value = SUSPECT_PART__INIT;
+  *message = init_value;
+}
+size_t suspect_part__get_packed_size
+                     (const SuspectPart *message)
+{
+  assert(message->base.descriptor == &suspect_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t suspect_part__pack
+                     (const SuspectPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &suspect_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t suspect_part__pack_to_buffer
+                     (const SuspectPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &suspect_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+SuspectPart *
+       suspect_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (SuspectPart *)
+     protobuf_c_message_unpack (&suspect_part__descriptor,
+                                allocator, len, data);
+}
+void   suspect_part__free_unpacked
+                     (SuspectPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &suspect_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   topic_update__init
                      (TopicUpdate         *message)
 {
@@ -97,7 +142,7 @@
   assert(message->base.descriptor == &topic_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip_message__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gossip_message__field_descriptors[8] =
 {
   {
     "sender",
@@ -183,6 +228,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(GossipMessage, n_suspects),
+    offsetof(GossipMessage, suspects),
+    &suspect_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip_message__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
@@ -191,13 +248,14 @@
   3,   /* field[3] = members */
   4,   /* field[4] = requests_digest */
   0,   /* field[0] = sender */
+  7,   /* field[7] = suspects */
   2,   /* field[2] = topics */
 };
 static const ProtobufCIntRange gossip_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gossip_message__descriptor =
 {
@@ -207,13 +265,116 @@
   "GossipMessage",
   "",
   sizeof(GossipMessage),
-  7,
+  8,
   gossip_message__field_descriptors,
   gossip_message__field_indices_by_name,
   2,  gossip_message__number_ranges,
   (ProtobufCMessageInit) gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor suspect_part__field_descriptors[6] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(SuspectPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "depth",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(SuspectPart, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(SuspectPart, quarantined),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "success_age_plus_1_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(SuspectPart, success_age_plus_1_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed_targets",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(SuspectPart, n_crashed_targets),
+    offsetof(SuspectPart, crashed_targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_ages_ms",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(SuspectPart, n_crash_ages_ms),
+    offsetof(SuspectPart, crash_ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned suspect_part__field_indices_by_name[] = {
+  5,   /* field[5] = crash_ages_ms */
+  4,   /* field[4] = crashed_targets */
+  1,   /* field[1] = depth */
+  0,   /* field[0] = part */
+  2,   /* field[2] = quarantined */
+  3,   /* field[3] = success_age_plus_1_ms */
+};
+static const ProtobufCIntRange suspect_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor suspect_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "SuspectPart",
+  "SuspectPart",
+  "SuspectPart",
+  "",
+  sizeof(SuspectPart),
+  6,
+  suspect_part__field_descriptors,
+  suspect_part__field_indices_by_name,
+  1,  suspect_part__number_ranges,
+  (ProtobufCMessageInit) suspect_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor topic_update__field_descriptors[5] =
 {
   {
--- a/src/liblimpetroad/cluster_state/gossip_loads.c
+++ b/src/liblimpetroad/cluster_state/gossip_loads.c
@@ -124,13 +124,14 @@
 
 uint32_t
 limpet_gossip_loads_collect (LimpetGossipLoads *loads,
+                             uint32_t max_count,
                              uint32_t *target_hashes,
                              uint8_t *bytes,
                              LimpetMs now_ms)
 {
   GPtrArray *fresh = prune_and_list_fresh (loads, now_ms);
-  uint32_t count = MIN (fresh->len, LIMPET_GOSSIP_MAX_LOADS);
-  uint32_t newest_count = MIN (count, (uint32_t)(NEWEST_RATIO * LIMPET_GOSSIP_MAX_LOADS));
+  uint32_t count = MIN (fresh->len, max_count);
+  uint32_t newest_count = MIN (count, (uint32_t)(NEWEST_RATIO * max_count));
 
   g_ptr_array_sort (fresh, newest_first);
   if (fresh->len > newest_count)
--- /dev/null
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -0,0 +1,577 @@
+#include "limpetroad/quarantine.h"
+
+#include "limpetroad/logger.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <xxhash.h>
+
+/* A part is not suspect if a request with it was completed within this time before the
+ * crash, or later. When many targets crash at once, popular parts break at several of
+ * them. */
+#define SUCCESS_VALIDITY_MS 10000
+/* Time from the last crash needed to the quarantine, in which other routers can report
+ * successes. */
+#define CONFIRMATION_MS 1000
+/* A crash counts for this time as long as the part is not quarantined. */
+#define CRASH_VALIDITY_MS (5 * 60 * 1000)
+/* No request with a quarantined part is sent for QUARANTINE_MS after the last crash. After
+ * that, one more crash quarantines the part again, until PROBATION_MS have passed. */
+#define QUARANTINE_MS (10 * 60 * 1000)
+#define PROBATION_MS (60 * 60 * 1000)
+/* A cleared suspect is remembered for this time, so that a late message about its crashes
+ * does not make it suspect again. */
+#define CLEARED_VALIDITY_MS 20000
+/* A crash is added to a full record only if it is later than the others by this time, and
+ * routers tell each other only of successes that are later by this time. Smaller
+ * differences come from the latency of messages. */
+#define MIN_TIME_GAIN_MS 1000
+#define MAX_SUSPECTS 512
+/* Number of parts whose last success is remembered. A part may displace another one. */
+#define SUCCESS_SLOTS 8192
+
+typedef struct
+{
+  LimpetSuspectPart record;
+  LimpetMs sufficient_ms; /* when the crashes became sufficient; 0 if they are not */
+  LimpetMs changed_ms;    /* last change of the record */
+  bool is_changed;        /* other routers have to be told */
+  bool is_own;            /* this router observed one of the crashes */
+} Suspect;
+
+typedef struct
+{
+  uint64_t part;
+  LimpetMs at_ms;
+} Success;
+
+struct LimpetQuarantine
+{
+  void (*on_quarantined) (void *user, const LimpetSuspectPart *suspect);
+  void (*on_lifted) (void *user, uint64_t part);
+  void *user;
+  GHashTable *suspects; /* address of Suspect.record.part → Suspect */
+  uint32_t quarantined_count;
+  uint32_t next_collected; /* position of limpet_quarantine_collect_next() */
+  Success successes[SUCCESS_SLOTS];
+};
+
+LimpetQuarantine *
+limpet_quarantine_new (void (*on_quarantined) (void *user,
+                                               const LimpetSuspectPart *suspect),
+                       void (*on_lifted) (void *user, uint64_t part),
+                       void *user)
+{
+  LimpetQuarantine *quarantine = g_new0 (LimpetQuarantine, 1);
+
+  quarantine->on_quarantined = on_quarantined;
+  quarantine->on_lifted = on_lifted;
+  quarantine->user = user;
+  quarantine->suspects
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  return quarantine;
+}
+
+void
+limpet_quarantine_delete (LimpetQuarantine *quarantine)
+{
+  if (quarantine == NULL)
+    return;
+  g_hash_table_destroy (quarantine->suspects);
+  g_free (quarantine);
+}
+
+static Success *
+success_slot (LimpetQuarantine *quarantine, uint64_t part)
+{
+  return &quarantine->successes[XXH64 (&part, sizeof part, 0) % SUCCESS_SLOTS];
+}
+
+/* Returns the time of the last request with the part that this router completed; 0 if
+ * none is known. */
+static LimpetMs
+own_success_ms (LimpetQuarantine *quarantine, uint64_t part)
+{
+  const Success *success = success_slot (quarantine, part);
+
+  return success->part == part ? success->at_ms : 0;
+}
+
+static bool
+is_cleared_by (LimpetMs success_ms, LimpetMs crash_ms)
+{
+  return success_ms > 0 && success_ms + SUCCESS_VALIDITY_MS >= crash_ms;
+}
+
+static LimpetMs
+last_crash_ms (const Suspect *suspect)
+{
+  LimpetMs last_ms = 0;
+
+  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
+    last_ms = MAX (last_ms, suspect->record.crashes[i].at_ms);
+  return last_ms;
+}
+
+static bool
+has_crash_of (const Suspect *suspect, uint32_t target_hash)
+{
+  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
+    if (suspect->record.crashes[i].target_hash == target_hash)
+      return true;
+  return false;
+}
+
+/* Returns whether another, quarantined part accounts for the crash of the target. */
+static bool
+is_explained (LimpetQuarantine *quarantine, const Suspect *suspect, uint32_t target_hash)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (quarantine->quarantined_count == 0)
+    return false;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Suspect *other = value;
+
+      if (other != suspect && other->record.is_quarantined
+          && has_crash_of (other, target_hash))
+        return true;
+    }
+  return false;
+}
+
+static void
+record_change (Suspect *suspect, LimpetMs now_ms)
+{
+  suspect->is_changed = true;
+  suspect->changed_ms = now_ms;
+  if (suspect->record.crash_count < LIMPET_QUARANTINE_MIN_CRASHES)
+    suspect->sufficient_ms = 0;
+  else if (suspect->sufficient_ms == 0)
+    suspect->sufficient_ms = now_ms;
+}
+
+static void
+remove_crash (Suspect *suspect, uint32_t index)
+{
+  LimpetSuspectPart *record = &suspect->record;
+
+  record->crashes[index] = record->crashes[--record->crash_count];
+}
+
+static uint32_t
+oldest_crash (const Suspect *suspect)
+{
+  const LimpetSuspectPart *record = &suspect->record;
+  uint32_t oldest = 0;
+
+  for (uint32_t i = 1; i < record->crash_count; i++)
+    if (record->crashes[i].at_ms < record->crashes[oldest].at_ms)
+      oldest = i;
+  return oldest;
+}
+
+/* Adds a crash. The time of a known one stays as it is: the times of other routers differ
+ * by the latency of messages, and taking the later one would delay its expiry with each
+ * message. */
+static void
+add_crash (LimpetQuarantine *quarantine,
+           Suspect *suspect,
+           const LimpetPartCrash *crash,
+           LimpetMs now_ms)
+{
+  LimpetSuspectPart *record = &suspect->record;
+
+  if (is_cleared_by (record->success_ms, crash->at_ms)
+      || has_crash_of (suspect, crash->target_hash)
+      || is_explained (quarantine, suspect, crash->target_hash))
+    return;
+  if (record->crash_count == LIMPET_QUARANTINE_MAX_CRASHES)
+    {
+      if (crash->at_ms < last_crash_ms (suspect) + MIN_TIME_GAIN_MS)
+        return;
+      remove_crash (suspect, oldest_crash (suspect));
+    }
+  record->crashes[record->crash_count++] = *crash;
+  record_change (suspect, now_ms);
+}
+
+/* Removes the crashes for which is_removed returns true. Returns whether there were any.
+ */
+static bool
+remove_crashes (Suspect *suspect,
+                bool (*is_removed) (const LimpetPartCrash *crash, const void *data),
+                const void *data)
+{
+  uint32_t old_count = suspect->record.crash_count;
+
+  for (uint32_t i = 0; i < suspect->record.crash_count;)
+    if (is_removed (&suspect->record.crashes[i], data))
+      remove_crash (suspect, i);
+    else
+      i++;
+  return suspect->record.crash_count < old_count;
+}
+
+static bool
+is_before_success (const LimpetPartCrash *crash, const void *success_ms)
+{
+  return is_cleared_by (*(const LimpetMs *)success_ms, crash->at_ms);
+}
+
+static bool
+is_crash_of_suspect (const LimpetPartCrash *crash, const void *suspect)
+{
+  return has_crash_of (suspect, crash->target_hash);
+}
+
+static bool
+is_expired (const LimpetPartCrash *crash, const void *now_ms)
+{
+  return *(const LimpetMs *)now_ms - crash->at_ms > CRASH_VALIDITY_MS;
+}
+
+static void
+lift (LimpetQuarantine *quarantine, Suspect *suspect, const char *reason)
+{
+  suspect->record.is_quarantined = false;
+  quarantine->quarantined_count--;
+  limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
+              "part=%" PRIx64 " state=lifted reason=%s", suspect->record.part, reason);
+  if (suspect->is_own && quarantine->on_lifted != NULL)
+    quarantine->on_lifted (quarantine->user, suspect->record.part);
+}
+
+/* Records a success and removes the crashes that it clears. */
+static void
+add_success (LimpetQuarantine *quarantine,
+             Suspect *suspect,
+             LimpetMs success_ms,
+             LimpetMs now_ms)
+{
+  if (success_ms <= suspect->record.success_ms)
+    return;
+  if (!remove_crashes (suspect, is_before_success, &success_ms))
+    return;
+  suspect->record.success_ms = success_ms;
+  record_change (suspect, now_ms);
+  if (suspect->record.is_quarantined && suspect->record.crash_count == 0)
+    lift (quarantine, suspect, "success");
+}
+
+static Suspect *
+find_suspect (const LimpetQuarantine *quarantine, uint64_t part)
+{
+  return g_hash_table_lookup (quarantine->suspects, &part);
+}
+
+/* Makes room for another suspect by removing the one that changed longest ago. Returns
+ * false if all suspects are quarantined. */
+static bool
+remove_oldest_suspect (LimpetQuarantine *quarantine)
+{
+  GHashTableIter iter;
+  gpointer value;
+  const Suspect *oldest = NULL;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Suspect *suspect = value;
+
+      if (!suspect->record.is_quarantined
+          && (oldest == NULL || suspect->changed_ms < oldest->changed_ms))
+        oldest = suspect;
+    }
+  if (oldest == NULL)
+    return false;
+  limpet_log (LIMPET_LOG_WARNING, "quarantine", NULL,
+              "part=%" PRIx64 " state=forgotten reason=too_many_suspects",
+              oldest->record.part);
+  g_hash_table_remove (quarantine->suspects, &oldest->record.part);
+  return true;
+}
+
+/* Returns the suspect, which is added if it is new; NULL if there is no room. */
+static Suspect *
+ensure_suspect (LimpetQuarantine *quarantine,
+                uint64_t part,
+                uint32_t depth,
+                LimpetMs now_ms)
+{
+  Suspect *suspect = find_suspect (quarantine, part);
+
+  if (suspect != NULL)
+    return suspect;
+  if (g_hash_table_size (quarantine->suspects) >= MAX_SUSPECTS
+      && !remove_oldest_suspect (quarantine))
+    return NULL;
+  suspect = g_new0 (Suspect, 1);
+  suspect->record.part = part;
+  suspect->record.depth = depth;
+  suspect->changed_ms = now_ms;
+  g_hash_table_insert (quarantine->suspects, &suspect->record.part, suspect);
+  return suspect;
+}
+
+bool
+limpet_quarantine_find (const LimpetQuarantine *quarantine,
+                        const uint64_t *parts,
+                        uint32_t count,
+                        LimpetMs now_ms,
+                        uint64_t *part,
+                        LimpetMs *remaining_ms)
+{
+  if (quarantine->quarantined_count == 0)
+    return false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const Suspect *suspect = find_suspect (quarantine, parts[i]);
+
+      if (suspect == NULL || !suspect->record.is_quarantined)
+        continue;
+      *part = parts[i];
+      *remaining_ms = last_crash_ms (suspect) + QUARANTINE_MS - now_ms;
+      if (*remaining_ms > 0)
+        return true;
+    }
+  return false;
+}
+
+void
+limpet_quarantine_record_crash (LimpetQuarantine *quarantine,
+                                const uint64_t *parts,
+                                uint32_t count,
+                                uint32_t target_hash,
+                                LimpetMs now_ms)
+{
+  LimpetPartCrash crash = { .target_hash = target_hash, .at_ms = now_ms };
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      Suspect *suspect;
+
+      if (is_cleared_by (own_success_ms (quarantine, parts[i]), now_ms))
+        continue;
+      suspect = ensure_suspect (quarantine, parts[i], i, now_ms);
+      if (suspect == NULL)
+        continue;
+      suspect->is_own = true;
+      add_crash (quarantine, suspect, &crash, now_ms);
+    }
+}
+
+void
+limpet_quarantine_record_success (LimpetQuarantine *quarantine,
+                                  const uint64_t *parts,
+                                  uint32_t count,
+                                  LimpetMs now_ms)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      Suspect *suspect = find_suspect (quarantine, parts[i]);
+
+      *success_slot (quarantine, parts[i])
+          = (Success){ .part = parts[i], .at_ms = now_ms };
+      if (suspect != NULL)
+        add_success (quarantine, suspect, now_ms, now_ms);
+    }
+}
+
+static void
+log_state (const Suspect *suspect, const char *state, const char *source)
+{
+  limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
+              "part=%" PRIx64 " state=%s source=%s crashes=%u depth=%u",
+              suspect->record.part, state, source, suspect->record.crash_count,
+              suspect->record.depth);
+}
+
+/* Quarantines a part. The crashes that it accounts for no longer count for other parts:
+ * parts that occur in the same requests are not the cause as well. */
+static void
+quarantine_part (LimpetQuarantine *quarantine,
+                 Suspect *suspect,
+                 const char *source,
+                 LimpetMs now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  suspect->record.is_quarantined = true;
+  quarantine->quarantined_count++;
+  log_state (suspect, "quarantined", source);
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Suspect *other = value;
+
+      if (!other->record.is_quarantined
+          && remove_crashes (other, is_crash_of_suspect, suspect))
+        {
+          record_change (other, now_ms);
+          other->is_changed = false; /* other routers conclude the same */
+        }
+    }
+  record_change (suspect, now_ms);
+}
+
+/* Returns whether a record has a crash that a success clears of which the sender of the
+ * record does not know. */
+static bool
+lacks_success (const LimpetSuspectPart *received, LimpetMs success_ms)
+{
+  if (received->success_ms + MIN_TIME_GAIN_MS >= success_ms)
+    return false;
+  for (uint32_t i = 0; i < received->crash_count; i++)
+    if (is_cleared_by (success_ms, received->crashes[i].at_ms))
+      return true;
+  return false;
+}
+
+void
+limpet_quarantine_receive (LimpetQuarantine *quarantine,
+                           const LimpetSuspectPart *received,
+                           LimpetMs now_ms)
+{
+  Suspect *suspect = find_suspect (quarantine, received->part);
+
+  if (suspect == NULL && received->crash_count == 0)
+    return;
+  suspect = ensure_suspect (quarantine, received->part, received->depth, now_ms);
+  if (suspect == NULL)
+    return;
+  add_success (quarantine, suspect, received->success_ms, now_ms);
+  for (uint32_t i = 0; i < received->crash_count; i++)
+    add_crash (quarantine, suspect, &received->crashes[i], now_ms);
+  add_success (quarantine, suspect, own_success_ms (quarantine, received->part), now_ms);
+  if (lacks_success (received, suspect->record.success_ms))
+    suspect->is_changed = true;
+  if (received->is_quarantined && !suspect->record.is_quarantined
+      && suspect->record.crash_count >= LIMPET_QUARANTINE_MIN_CRASHES)
+    quarantine_part (quarantine, suspect, "peer", now_ms);
+}
+
+/* Returns whether a suspect is to be quarantined before another. The deeper part is in
+ * fewer prompts, so its quarantine affects fewer requests. */
+static bool
+precedes (const Suspect *suspect, const Suspect *other)
+{
+  if (suspect->record.depth != other->record.depth)
+    return suspect->record.depth > other->record.depth;
+  return suspect->record.crash_count > other->record.crash_count;
+}
+
+static Suspect *
+find_next (LimpetQuarantine *quarantine, LimpetMs now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  Suspect *next = NULL;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Suspect *suspect = value;
+
+      if (!suspect->record.is_quarantined && suspect->sufficient_ms > 0
+          && now_ms - suspect->sufficient_ms >= CONFIRMATION_MS
+          && (next == NULL || precedes (suspect, next)))
+        next = suspect;
+    }
+  return next;
+}
+
+/* Removes outdated crashes; returns whether the suspect can be forgotten. */
+static bool
+expire (LimpetQuarantine *quarantine, Suspect *suspect, LimpetMs now_ms)
+{
+  if (suspect->record.is_quarantined)
+    {
+      if (now_ms - last_crash_ms (suspect) <= PROBATION_MS)
+        return false;
+      lift (quarantine, suspect, "expired");
+      return true;
+    }
+  if (remove_crashes (suspect, is_expired, &now_ms)
+      && suspect->record.crash_count < LIMPET_QUARANTINE_MIN_CRASHES)
+    suspect->sufficient_ms = 0;
+  return suspect->record.crash_count == 0
+         && now_ms - suspect->changed_ms > CLEARED_VALIDITY_MS;
+}
+
+void
+limpet_quarantine_tick (LimpetQuarantine *quarantine, LimpetMs now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  Suspect *suspect;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (expire (quarantine, value, now_ms))
+      g_hash_table_iter_remove (&iter);
+  while ((suspect = find_next (quarantine, now_ms)) != NULL)
+    {
+      quarantine_part (quarantine, suspect, "own", now_ms);
+      if (suspect->is_own && quarantine->on_quarantined != NULL)
+        quarantine->on_quarantined (quarantine->user, &suspect->record);
+    }
+}
+
+uint32_t
+limpet_quarantine_collect_changed (LimpetQuarantine *quarantine,
+                                   LimpetSuspectPart *records,
+                                   uint32_t max_count)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (count < max_count && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Suspect *suspect = value;
+
+      if (!suspect->is_changed)
+        continue;
+      suspect->is_changed = false;
+      records[count++] = suspect->record;
+    }
+  return count;
+}
+
+uint32_t
+limpet_quarantine_collect_next (LimpetQuarantine *quarantine,
+                                LimpetSuspectPart *records,
+                                uint32_t max_count)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t total = quarantine->quarantined_count;
+  uint32_t count = 0;
+  uint32_t position = 0;
+
+  if (total == 0)
+    return 0;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (count < max_count && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Suspect *suspect = value;
+
+      if (suspect->record.is_quarantined
+          && (position++ + total - quarantine->next_collected % total) % total < max_count)
+        records[count++] = suspect->record;
+    }
+  quarantine->next_collected = (quarantine->next_collected + count) % total;
+  return count;
+}
+
+uint32_t
+limpet_quarantine_count (const LimpetQuarantine *quarantine)
+{
+  return quarantine->quarantined_count;
+}
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -11,6 +11,7 @@
   [LIMPET_REFUSAL_NO_TARGET] = "no_target",
   [LIMPET_REFUSAL_FULL] = "full",
   [LIMPET_REFUSAL_TARGET_FULL] = "target_full",
+  [LIMPET_REFUSAL_QUARANTINED] = "quarantined",
   [LIMPET_REFUSAL_BROKEN] = "broken",
   [LIMPET_REFUSAL_TIMEOUT] = "timeout",
   [LIMPET_REFUSAL_STOPPING] = "stopping",
@@ -23,6 +24,16 @@
          || (call->route->kind == LIMPET_ROUTE_KIND_STREAM && call->route->is_resumable);
 }
 
+uint32_t
+limpet_call_shared_parts (const LimpetCall *call, uint64_t ids[LIMPET_MAX_PROMPT_PARTS])
+{
+  uint32_t count = 0;
+
+  for (; count + 1 < call->prompt_parts_count; count++)
+    ids[count] = call->prompt_parts[count].id;
+  return count;
+}
+
 int64_t
 limpet_call_shared_tokens (const LimpetCall *call)
 {
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -112,9 +112,19 @@
   return true;
 }
 
+static bool
+check_quarantine (LimpetTask *task, LimpetRefusal *refusal)
+{
+  LimpetMs remaining_ms;
+
+  if (limpet_task_is_quarantined (task, &remaining_ms))
+    return refuse (refusal, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
+  return true;
+}
+
 static const CallFilter filters[]
-    = { check_stopping, acquire_table, read_call,  find_route,
-        authenticate,   set_times,     set_context };
+    = { check_stopping, acquire_table, read_call,   find_route,
+        authenticate,   set_times,     set_context, check_quarantine };
 
 bool
 limpet_call_run_filters (LimpetTask *task, LimpetRefusal *refusal)
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -84,6 +84,12 @@
   limpet_dispatch_set_router_count (exchange->dispatch, count);
 }
 
+void
+limpet_exchange_set_quarantine (LimpetExchange *exchange, LimpetQuarantine *quarantine)
+{
+  exchange->quarantine = quarantine;
+}
+
 void
 limpet_exchange_set_load_observer (LimpetExchange *exchange,
                                    void (*observer) (void *user,
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -261,6 +261,20 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Clears the prompt parts of the call of the suspicion that they crash targets. A
+ * response that only the close of the connection ended does not: a crash may have closed
+ * it. */
+static void
+record_success (const LimpetTask *task)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
+  uint32_t count = limpet_call_shared_parts (&task->call, parts);
+
+  if (quarantine != NULL && !task->ends_with_close)
+    limpet_quarantine_record_success (quarantine, parts, count, limpet_clock_boot_ms ());
+}
+
 void
 limpet_relay_complete (LimpetTask *task, bool reusable)
 {
@@ -286,8 +300,11 @@
       return;
     }
   if (is_success)
-    limpet_dispatch_record_result (task->exchange->dispatch, task->target,
-                                   LIMPET_STATUS_OK);
+    {
+      limpet_dispatch_record_result (task->exchange->dispatch, task->target,
+                                     LIMPET_STATUS_OK);
+      record_success (task);
+    }
   else if (limpet_task_retry_failure (task, max_idle_ms (task, reusable)))
     return;
   limpet_task_end_attempt (task, max_idle_ms (task, reusable));
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -34,8 +34,8 @@
   { LIMPET_REFUSAL_BODY_SIZE, 413 },   { LIMPET_REFUSAL_HEAD_SIZE, 431 },
   { LIMPET_REFUSAL_NOT_READY, 503 },   { LIMPET_REFUSAL_NO_TARGET, 503 },
   { LIMPET_REFUSAL_FULL, 503 },        { LIMPET_REFUSAL_TARGET_FULL, 503 },
-  { LIMPET_REFUSAL_BROKEN, 502 },      { LIMPET_REFUSAL_TIMEOUT, 504 },
-  { LIMPET_REFUSAL_STOPPING, 502 },
+  { LIMPET_REFUSAL_QUARANTINED, 503 }, { LIMPET_REFUSAL_BROKEN, 502 },
+  { LIMPET_REFUSAL_TIMEOUT, 504 },     { LIMPET_REFUSAL_STOPPING, 502 },
 };
 
 static void on_timer (uv_timer_t *timer);
@@ -364,10 +364,56 @@
   g_free (parts);
 }
 
+bool
+limpet_task_is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
+  uint32_t count = limpet_call_shared_parts (&task->call, parts);
+  uint64_t part;
+
+  if (quarantine == NULL
+      || !limpet_quarantine_find (quarantine, parts, count, limpet_clock_boot_ms (),
+                                  &part, remaining_ms))
+    return false;
+  limpet_log (LIMPET_LOG_INFO, "quarantine", NULL,
+              "id=%s part=%" PRIx64 " remaining_ms=%ld", task->call.id, part,
+              (long)*remaining_ms);
+  limpet_counter_add (LIMPET_COUNTER_QUARANTINED, 1);
+  return true;
+}
+
+/* A target that crashes closes its connections. The response to the request that caused
+ * the crash has no event yet; streams that were already being generated are bystanders.
+ */
+void
+limpet_task_record_disconnect (const LimpetTask *task)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
+  uint32_t count = limpet_call_shared_parts (&task->call, parts);
+
+  if (quarantine != NULL && !task->has_first_event)
+    limpet_quarantine_record_crash (quarantine, parts, count, task->target->id_hash,
+                                    limpet_clock_boot_ms ());
+}
+
 /* Submits the call again for another attempt, on none of the targets attempted so far. */
 static void
 resubmit (LimpetTask *task, const char *cause)
 {
+  LimpetMs remaining_ms;
+
+  if (limpet_task_is_quarantined (task, &remaining_ms))
+    {
+      if (task->head_sent)
+        limpet_relay_abort (task);
+      else
+        limpet_task_write_failure (
+            task, task->may_have_run ? LIMPET_REFUSAL_BROKEN : LIMPET_REFUSAL_QUARANTINED,
+            task->may_have_run ? 0 : remaining_ms);
+      return;
+    }
   limpet_log (LIMPET_LOG_INFO, "repeat",
               task->attempted_count > 0
                   ? task->attempted_targets[task->attempted_count - 1]->vm.id
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct GossipMessage GossipMessage;
+typedef struct SuspectPart SuspectPart;
 typedef struct TopicUpdate TopicUpdate;
 
 
@@ -55,10 +56,41 @@
    * three bytes for each of load_targets, see gossip_loads.h
    */
   ProtobufCBinaryData loads;
+  size_t n_suspects;
+  SuspectPart **suspects;
 };
 #define GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL} }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL }
+
+
+/*
+ * A prompt part that may crash targets, see quarantine.h.
+ */
+struct  SuspectPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  uint32_t depth;
+  protobuf_c_boolean quarantined;
+  /*
+   * time since a request with the part was completed, plus 1; 0 if none is known
+   */
+  uint32_t success_age_plus_1_ms;
+  /*
+   * hashes of target ids and incarnations
+   */
+  size_t n_crashed_targets;
+  uint32_t *crashed_targets;
+  /*
+   * one for each of crashed_targets
+   */
+  size_t n_crash_ages_ms;
+  uint32_t *crash_ages_ms;
+};
+#define SUSPECT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&suspect_part__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -110,6 +142,25 @@
 void   gossip_message__free_unpacked
                      (GossipMessage *message,
                       ProtobufCAllocator *allocator);
+/* SuspectPart methods */
+void   suspect_part__init
+                     (SuspectPart         *message);
+size_t suspect_part__get_packed_size
+                     (const SuspectPart   *message);
+size_t suspect_part__pack
+                     (const SuspectPart   *message,
+                      uint8_t             *out);
+size_t suspect_part__pack_to_buffer
+                     (const SuspectPart   *message,
+                      ProtobufCBuffer     *buffer);
+SuspectPart *
+       suspect_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   suspect_part__free_unpacked
+                     (SuspectPart *message,
+                      ProtobufCAllocator *allocator);
 /* TopicUpdate methods */
 void   topic_update__init
                      (TopicUpdate         *message);
@@ -134,6 +185,9 @@
 typedef void (*GossipMessage_Closure)
                  (const GossipMessage *message,
                   void *closure_data);
+typedef void (*SuspectPart_Closure)
+                 (const SuspectPart *message,
+                  void *closure_data);
 typedef void (*TopicUpdate_Closure)
                  (const TopicUpdate *message,
                   void *closure_data);
@@ -144,6 +198,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor gossip_message__descriptor;
+extern const ProtobufCMessageDescriptor suspect_part__descriptor;
 extern const ProtobufCMessageDescriptor topic_update__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/liblimpetroad/private/gossip_loads.h
+++ b/src/liblimpetroad/private/gossip_loads.h
@@ -31,9 +31,10 @@
                                   LimpetMs now_ms,
                                   LimpetGossipLoad *load);
 
-/* Selects up to LIMPET_GOSSIP_MAX_LOADS loads for a message: fills one hash and
+/* Selects up to max_count loads for a message: fills one hash and
  * LIMPET_GOSSIP_LOAD_BYTES bytes for each and returns their number. Drops old reports. */
 uint32_t limpet_gossip_loads_collect (LimpetGossipLoads *loads,
+                                      uint32_t max_count,
                                       uint32_t *target_hashes,
                                       uint8_t *bytes,
                                       LimpetMs now_ms);
--- a/src/liblimpetroad/shared/counters.c
+++ b/src/liblimpetroad/shared/counters.c
@@ -26,6 +26,7 @@
   [LIMPET_COUNTER_STALLS] = "stream_stalls_total",
   [LIMPET_COUNTER_TARGET_REFUSALS] = "target_refusals_total",
   [LIMPET_COUNTER_CALLER_LEFT] = "caller_left_total",
+  [LIMPET_COUNTER_QUARANTINED] = "quarantined_total",
   [LIMPET_COUNTER_TOKENS] = "tokens_total",
   [LIMPET_COUNTER_OFF_FIRST_CHOICE] = "off_first_choice_total",
   [LIMPET_COUNTER_SLOW_MARKS] = "slow_marks_total",
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -1,8 +1,8 @@
+#include "simulated_fleet.h"
 #include "tests.h"
 
 #include "limpetroad/backoff.h"
 #include "limpetroad/directory.h"
-#include "limpetroad/gossip.h"
 #include "private/gossip.pb-c.h"
 
 #include <glib.h>
@@ -144,175 +144,12 @@
   limpet_directory_delete (directory);
 }
 
-/* Number of simulated routers. */
-#define ROUTERS 73
 /* A release of a fifth of the users' largest site writes BURST_RECORDS entries of
  * ENTRY_BYTES. */
 #define BURST_RECORDS 22
 #define ENTRY_BYTES 250
-/* Hash of the busy engine. */
-#define BUSY_TARGET 4242
 /* The dispatcher reduces the loads of older reports. */
 #define MAX_REPORT_AGE_MS 1500
-/* Step of the simulated time; datagrams arrive one step after they are sent. */
-#define STEP_MS 10
-#define STORE_TOPIC 1
-#define DATAGRAM_HEADER_BYTES 28 /* IP and UDP */
-
-typedef struct
-{
-  uint32_t from;
-  uint32_t to;
-  GBytes *bytes;
-} Datagram;
-
-typedef struct
-{
-  LimpetGossip *gossip;
-  int64_t next_offset; /* offset after the last record that it has */
-  int64_t heard_end;   /* end of the topic in the last batch */
-  uint32_t address;
-  uint32_t load_reports;     /* number of load reports received */
-  LimpetMs busy_reported_ms; /* time of the last received report of BUSY_TARGET */
-} Router;
-
-static Router routers[ROUTERS];
-static GQueue datagrams = G_QUEUE_INIT;
-static GRand *loss_random;
-static double loss_ratio;
-static uint64_t sent_bytes; /* by all routers, including IP and UDP headers */
-
-static void
-send_datagram (void *user, uint32_t address, const uint8_t *data, size_t length)
-{
-  Datagram *datagram = g_new0 (Datagram, 1);
-
-  sent_bytes += length + DATAGRAM_HEADER_BYTES;
-  datagram->from = ((Router *)user)->address;
-  datagram->to = address;
-  datagram->bytes = g_bytes_new (data, length);
-  g_queue_push_tail (&datagrams, datagram);
-}
-
-static int64_t
-apply_batch (void *user, const LimpetGossipBatch *batch)
-{
-  Router *router = user;
-
-  router->heard_end = batch->end_offset;
-  if (batch->first_offset <= router->next_offset) /* no gap, as in platform/watch.c */
-    router->next_offset = MAX (router->next_offset, batch->first_offset + batch->count);
-  return router->next_offset;
-}
-
-static void
-record_load (void *user, const LimpetGossipLoad *load)
-{
-  Router *router = user;
-
-  router->load_reports++;
-  if (load->target_hash == BUSY_TARGET)
-    router->busy_reported_ms = load->at_ms;
-}
-
-static const LimpetGossipOps gossip_ops
-    = { .send = send_datagram, .on_batch = apply_batch, .on_load = record_load };
-
-/* Delivers the queued datagrams, and drops each with the probability loss_ratio.
- * Datagrams that routers send in response stay queued. */
-static void
-deliver (LimpetMs now_ms)
-{
-  for (guint count = datagrams.length; count > 0; count--)
-    {
-      Datagram *datagram = g_queue_pop_head (&datagrams);
-      gsize length = 0;
-      const uint8_t *data = g_bytes_get_data (datagram->bytes, &length);
-
-      if (datagram->to >= 1 && datagram->to <= ROUTERS
-          && g_rand_double (loss_random) >= loss_ratio)
-        limpet_gossip_receive (routers[datagram->to - 1].gossip, datagram->from, data,
-                               length, now_ms);
-      g_bytes_unref (datagram->bytes);
-      g_free (datagram);
-    }
-}
-
-static void
-start_routers (uint32_t seed)
-{
-  loss_random = g_rand_new_with_seed (seed);
-  loss_ratio = 0;
-  sent_bytes = 0;
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    {
-      routers[i] = (Router){ .address = i + 1 };
-      routers[i].gossip = limpet_gossip_new (&gossip_ops, &routers[i], i + 1, seed + i);
-    }
-  for (uint32_t i = 1; i < ROUTERS; i++) /* all find router 1 in the registry */
-    limpet_gossip_add_member (routers[i].gossip, 1, 1);
-}
-
-static void
-stop_routers (void)
-{
-  deliver (0);
-  while (datagrams.length > 0)
-    deliver (0);
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    limpet_gossip_delete (routers[i].gossip);
-  g_rand_free (loss_random);
-}
-
-/* Simulates the routers from from_ms to until_ms, while the store has the records of the
- * topic before offset *end. Returns the number of their reads. If max_age_ms is not NULL,
- * raises *max_age_ms to the highest limpet_gossip_topic_age_ms() of any router. */
-static uint32_t
-run_fleet (LimpetMs from_ms, LimpetMs until_ms, const int64_t *end, LimpetMs *max_age_ms)
-{
-  uint32_t reads = 0;
-
-  for (LimpetMs now_ms = from_ms; now_ms < until_ms; now_ms += STEP_MS)
-    {
-      deliver (now_ms);
-      for (uint32_t i = 0; i < ROUTERS; i++)
-        {
-          Router *router = &routers[i];
-          LimpetGossipRecord records[64];
-          LimpetGossipBatch batch = { .topic = STORE_TOPIC,
-                                      .first_offset = router->next_offset,
-                                      .records = records,
-                                      .end_offset = *end,
-                                      .read_ms = now_ms };
-
-          limpet_gossip_tick (router->gossip, now_ms);
-          if (max_age_ms != NULL)
-            *max_age_ms
-                = MAX (*max_age_ms,
-                       limpet_gossip_topic_age_ms (router->gossip, STORE_TOPIC, now_ms));
-          if (limpet_gossip_next_read_ms (router->gossip, STORE_TOPIC, now_ms) > 0)
-            continue;
-          for (; batch.count < MIN (64, *end - router->next_offset); batch.count++)
-            records[batch.count]
-                = (LimpetGossipRecord){ .bytes = (const uint8_t *)"record", .length = 6 };
-          router->next_offset += batch.count;
-          reads++;
-          limpet_gossip_publish_read (router->gossip, &batch, now_ms);
-        }
-    }
-  return reads;
-}
-
-/* Returns the number of routers that lack records before offset end. */
-static uint32_t
-count_outdated (int64_t end)
-{
-  uint32_t outdated = 0;
-
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    outdated += routers[i].next_offset < end;
-  return outdated;
-}
 
 static void
 test_few_routers_read_the_store (void)
@@ -361,8 +198,7 @@
                                                     .end_offset = BURST_RECORDS,
                                                     .read_ms = 5000 },
                               5000);
-  while (datagrams.length > 0)
-    deliver (5000);
+  deliver_all (5000);
   outdated = count_outdated (BURST_RECORDS);
   printf ("routers that lack records after a burst of %d entries: %u of %d\n",
           BURST_RECORDS, outdated, ROUTERS);
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -17,6 +17,7 @@
   add_fuzz_tests ();
   add_http_tests ();
   add_cluster_state_tests ();
+  add_quarantine_tests ();
   add_dispatch_tests ();
   add_stale_load_tests ();
   add_platform_tests ();
--- /dev/null
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -0,0 +1,284 @@
+#include "simulated_fleet.h"
+#include "tests.h"
+
+#include "limpetroad/quarantine.h"
+
+#include <glib.h>
+
+/* A prompt: the first part is in all requests of a team, the second one in those of a
+ * session. CRASHING is the part that crashes targets. */
+#define TEAM 0x11
+#define SESSION 0x22
+#define CRASHING 0xbad
+/* The users allow requests with the part until this time after the fifth crash. */
+#define STABLE_WINDOW_MS 3000
+
+static bool
+is_found (LimpetQuarantine *quarantine, uint64_t part, LimpetMs now_ms)
+{
+  LimpetMs remaining_ms;
+  uint64_t found;
+
+  return limpet_quarantine_find (quarantine, &part, 1, now_ms, &found, &remaining_ms);
+}
+
+static void
+tick_until (LimpetQuarantine *quarantine, LimpetMs from_ms, LimpetMs until_ms)
+{
+  for (LimpetMs now_ms = from_ms; now_ms <= until_ms; now_ms += 100)
+    limpet_quarantine_tick (quarantine, now_ms);
+}
+
+/* Records that a request with the parts TEAM and part broke at a target. */
+static void
+crash (LimpetQuarantine *quarantine, uint64_t part, uint32_t target, LimpetMs now_ms)
+{
+  const uint64_t parts[] = { TEAM, part };
+
+  limpet_quarantine_record_crash (quarantine, parts, 2, target, now_ms);
+}
+
+static void
+succeed (LimpetQuarantine *quarantine, uint64_t part, LimpetMs now_ms)
+{
+  const uint64_t parts[] = { TEAM, part };
+
+  limpet_quarantine_record_success (quarantine, parts, 2, now_ms);
+}
+
+static void
+test_only_the_part_that_crashes_targets_is_quarantined (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      LimpetMs now_ms = 20000 + 1000 * i;
+
+      crash (quarantine, CRASHING, i, now_ms);
+      crash (quarantine, SESSION + i, i, now_ms); /* bystanders */
+      succeed (quarantine, SESSION, now_ms + 100);
+      tick_until (quarantine, now_ms, now_ms + 900);
+    }
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, 24000));
+  CU_ASSERT_FALSE (is_found (quarantine, TEAM, 24000));
+  for (uint32_t i = 0; i < 4; i++)
+    CU_ASSERT_FALSE (is_found (quarantine, SESSION + i, 24000));
+  limpet_quarantine_delete (quarantine);
+}
+
+/* Two targets may crash by chance under a request and its retry. */
+static void
+test_two_crashes_do_not_quarantine_a_part (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+
+  for (uint32_t i = 0; i < 6; i++)
+    crash (quarantine, SESSION, i % 2, 20000 + 100 * i);
+  tick_until (quarantine, 20000, 30000);
+  CU_ASSERT_FALSE (is_found (quarantine, SESSION, 30000));
+  limpet_quarantine_delete (quarantine);
+}
+
+static void
+test_crashes_of_all_targets_do_not_quarantine_a_popular_part (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+
+  succeed (quarantine, SESSION, 15000);
+  for (uint32_t i = 0; i < 8; i++)
+    crash (quarantine, SESSION, i, 20000);
+  tick_until (quarantine, 20000, 30000);
+  CU_ASSERT_FALSE (is_found (quarantine, SESSION, 30000));
+  CU_ASSERT_FALSE (is_found (quarantine, TEAM, 30000));
+  limpet_quarantine_delete (quarantine);
+}
+
+/* Of two parts that only occur together, the one in fewer prompts is quarantined. */
+static void
+test_equal_evidence_quarantines_the_deeper_part (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+
+  for (uint32_t i = 0; i < 3; i++)
+    crash (quarantine, CRASHING, i, 20000 + 300 * i);
+  tick_until (quarantine, 20000, 25000);
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, 25000));
+  CU_ASSERT_FALSE (is_found (quarantine, TEAM, 25000));
+  for (uint32_t i = 3; i < 6; i++) /* the first part was the cause */
+    crash (quarantine, SESSION + i, i, 25000);
+  tick_until (quarantine, 25000, 27000);
+  CU_ASSERT_TRUE (is_found (quarantine, TEAM, 27000));
+  limpet_quarantine_delete (quarantine);
+}
+
+static void
+test_a_success_lifts_a_quarantine (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+
+  for (uint32_t i = 0; i < 3; i++)
+    crash (quarantine, SESSION, i, 20000);
+  tick_until (quarantine, 20000, 22000);
+  CU_ASSERT_TRUE (is_found (quarantine, SESSION, 22000));
+  succeed (quarantine, SESSION, 22500); /* of a request that was sent before */
+  CU_ASSERT_FALSE (is_found (quarantine, SESSION, 22500));
+  limpet_quarantine_delete (quarantine);
+}
+
+static void
+test_one_crash_after_a_quarantine_renews_it (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetMs later_ms = 20000 + 11 * 60 * 1000;
+
+  for (uint32_t i = 0; i < 3; i++)
+    crash (quarantine, CRASHING, i, 20000);
+  tick_until (quarantine, 20000, later_ms);
+  CU_ASSERT_FALSE (is_found (quarantine, CRASHING, later_ms));
+  crash (quarantine, CRASHING, 9, later_ms);
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, later_ms));
+  tick_until (quarantine, later_ms, later_ms + 61 * 60 * 1000);
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine), 0);
+  limpet_quarantine_delete (quarantine);
+}
+
+static void
+test_many_suspects_take_bounded_memory (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetSuspectPart records[1024];
+
+  for (uint64_t part = 1; part <= 5000; part++)
+    limpet_quarantine_record_crash (quarantine, &part, 1, 1, 20000 + (LimpetMs)part);
+  CU_ASSERT_TRUE (limpet_quarantine_collect_changed (quarantine, records, 1024) <= 512);
+  for (uint32_t i = 0; i < 3; i++)
+    crash (quarantine, CRASHING, i, 30000);
+  tick_until (quarantine, 30000, 32000);
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, 32000));
+  limpet_quarantine_delete (quarantine);
+}
+
+static uint32_t
+count_routers_that_quarantine (uint64_t part, LimpetMs now_ms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    count += is_found (routers[i].quarantine, part, now_ms);
+  return count;
+}
+
+/* Each crash is seen by another router, and a session by one router. */
+static void
+test_crashes_seen_by_different_routers_are_put_together (void)
+{
+  int64_t end = 1;
+
+  start_routers (31);
+  run_fleet (1, 20000, &end, NULL);
+  loss_ratio = 0.2;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      LimpetMs now_ms = 20000 + 500 * i;
+
+      crash (routers[7 * i].quarantine, CRASHING, i, now_ms);
+      for (uint32_t j = 0; j < ROUTERS; j += 5)
+        succeed (routers[j].quarantine, SESSION, now_ms);
+      run_fleet (now_ms, now_ms + 500, &end, NULL);
+    }
+  run_fleet (21500, 21000 + STABLE_WINDOW_MS, &end, NULL);
+  CU_ASSERT_EQUAL (count_routers_that_quarantine (CRASHING, 24000), ROUTERS);
+  CU_ASSERT_EQUAL (count_routers_that_quarantine (TEAM, 24000), 0);
+  stop_routers ();
+}
+
+/* A router that serves few requests of a session knows of no success. */
+static void
+test_a_success_at_another_router_clears_a_part (void)
+{
+  int64_t end = 1;
+
+  start_routers (32);
+  run_fleet (1, 20000, &end, NULL);
+  loss_ratio = 0.2;
+  succeed (routers[40].quarantine, SESSION, 20000);
+  for (uint32_t i = 0; i < 3; i++)
+    crash (routers[1 + i].quarantine, SESSION, i, 20000);
+  run_fleet (20000, 26000, &end, NULL);
+  CU_ASSERT_EQUAL (count_routers_that_quarantine (SESSION, 26000), 0);
+  CU_ASSERT_EQUAL (count_routers_that_quarantine (TEAM, 26000), 0);
+  stop_routers ();
+}
+
+static void
+test_a_router_that_starts_learns_the_quarantined_parts (void)
+{
+  int64_t end = 1;
+
+  start_routers (33);
+  run_fleet (1, 20000, &end, NULL);
+  succeed (routers[0].quarantine, SESSION, 20000);
+  for (uint64_t part = 0; part < 12; part++)
+    for (uint32_t i = 0; i < 3; i++)
+      crash (routers[i].quarantine, CRASHING + part, (uint32_t)part * 3 + i, 20000);
+  run_fleet (20000, 24000, &end, NULL);
+  restart_router (30, 34, 24000);
+  run_fleet (24000, 24000 + STABLE_WINDOW_MS, &end, NULL);
+  CU_ASSERT_TRUE (is_found (routers[30].quarantine, CRASHING, 27000));
+  CU_ASSERT_TRUE (is_found (routers[30].quarantine, CRASHING + 11, 27000));
+  stop_routers ();
+}
+
+/* The users limit the control traffic of a router to 4 KB/s (letter 1). */
+static void
+test_quarantined_parts_stay_within_the_traffic_limit (void)
+{
+  int64_t end = 1;
+  uint64_t before;
+
+  start_routers (35);
+  run_fleet (1, 20000, &end, NULL);
+  succeed (routers[0].quarantine, SESSION, 20000);
+  for (uint64_t part = 0; part < 8; part++)
+    for (uint32_t i = 0; i < 3; i++)
+      crash (routers[i].quarantine, CRASHING + part, (uint32_t)part * 3 + i, 20000);
+  run_fleet (20000, 24000, &end, NULL);
+  before = sent_bytes;
+  for (LimpetMs now_ms = 24000; now_ms < 28000; now_ms += 100)
+    {
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        for (uint32_t engine = 0; engine < 2; engine++)
+          {
+            LimpetGossipLoad load
+                = { .target_hash = 1000000007u * ((i * 2 + engine + 1) % 112 + 1),
+                    .inflight = 9,
+                    .at_ms = now_ms };
+
+            limpet_gossip_publish_load (routers[i].gossip, &load);
+          }
+      run_fleet (now_ms, now_ms + 100, &end, NULL);
+    }
+  printf ("bytes per router and second with quarantined parts=%lu\n",
+          (unsigned long)((sent_bytes - before) / 4 / ROUTERS));
+  CU_ASSERT_TRUE ((sent_bytes - before) / 4 / ROUTERS < 4096);
+  stop_routers ();
+}
+
+void
+add_quarantine_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("quarantine", NULL, NULL);
+
+  CU_ADD_TEST (suite, test_only_the_part_that_crashes_targets_is_quarantined);
+  CU_ADD_TEST (suite, test_two_crashes_do_not_quarantine_a_part);
+  CU_ADD_TEST (suite, test_crashes_of_all_targets_do_not_quarantine_a_popular_part);
+  CU_ADD_TEST (suite, test_equal_evidence_quarantines_the_deeper_part);
+  CU_ADD_TEST (suite, test_a_success_lifts_a_quarantine);
+  CU_ADD_TEST (suite, test_one_crash_after_a_quarantine_renews_it);
+  CU_ADD_TEST (suite, test_many_suspects_take_bounded_memory);
+  CU_ADD_TEST (suite, test_crashes_seen_by_different_routers_are_put_together);
+  CU_ADD_TEST (suite, test_a_success_at_another_router_clears_a_part);
+  CU_ADD_TEST (suite, test_a_router_that_starts_learns_the_quarantined_parts);
+  CU_ADD_TEST (suite, test_quarantined_parts_stay_within_the_traffic_limit);
+}
--- /dev/null
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -0,0 +1,173 @@
+#include "simulated_fleet.h"
+
+#include <glib.h>
+
+/* Interval of limpet_quarantine_tick(). */
+#define TICK_MS 100
+#define DATAGRAM_HEADER_BYTES 28 /* IP and UDP */
+
+typedef struct
+{
+  uint32_t from;
+  uint32_t to;
+  GBytes *bytes;
+} Datagram;
+
+Router routers[ROUTERS];
+static GQueue datagrams = G_QUEUE_INIT;
+static GRand *loss_random;
+double loss_ratio;
+uint64_t sent_bytes;
+
+static void
+send_datagram (void *user, uint32_t address, const uint8_t *data, size_t length)
+{
+  Datagram *datagram = g_new0 (Datagram, 1);
+
+  sent_bytes += length + DATAGRAM_HEADER_BYTES;
+  datagram->from = ((Router *)user)->address;
+  datagram->to = address;
+  datagram->bytes = g_bytes_new (data, length);
+  g_queue_push_tail (&datagrams, datagram);
+}
+
+static int64_t
+apply_batch (void *user, const LimpetGossipBatch *batch)
+{
+  Router *router = user;
+
+  router->heard_end = batch->end_offset;
+  if (batch->first_offset <= router->next_offset) /* no gap, as in platform/watch.c */
+    router->next_offset = MAX (router->next_offset, batch->first_offset + batch->count);
+  return router->next_offset;
+}
+
+static void
+record_load (void *user, const LimpetGossipLoad *load)
+{
+  Router *router = user;
+
+  router->load_reports++;
+  if (load->target_hash == BUSY_TARGET)
+    router->busy_reported_ms = load->at_ms;
+}
+
+static const LimpetGossipOps gossip_ops
+    = { .send = send_datagram, .on_batch = apply_batch, .on_load = record_load };
+
+void
+deliver (LimpetMs now_ms)
+{
+  for (guint count = datagrams.length; count > 0; count--)
+    {
+      Datagram *datagram = g_queue_pop_head (&datagrams);
+      gsize length = 0;
+      const uint8_t *data = g_bytes_get_data (datagram->bytes, &length);
+
+      if (datagram->to >= 1 && datagram->to <= ROUTERS
+          && g_rand_double (loss_random) >= loss_ratio)
+        limpet_gossip_receive (routers[datagram->to - 1].gossip, datagram->from, data,
+                               length, now_ms);
+      g_bytes_unref (datagram->bytes);
+      g_free (datagram);
+    }
+}
+
+void
+deliver_all (LimpetMs now_ms)
+{
+  while (datagrams.length > 0)
+    deliver (now_ms);
+}
+
+static void
+start_router (uint32_t index, uint32_t seed)
+{
+  Router *router = &routers[index];
+
+  *router = (Router){ .address = index + 1 };
+  router->gossip = limpet_gossip_new (&gossip_ops, router, index + 1, seed + index);
+  router->quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  limpet_gossip_set_quarantine (router->gossip, router->quarantine);
+}
+
+void
+start_routers (uint32_t seed)
+{
+  loss_random = g_rand_new_with_seed (seed);
+  loss_ratio = 0;
+  sent_bytes = 0;
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    start_router (i, seed);
+  for (uint32_t i = 1; i < ROUTERS; i++) /* all find router 1 in the registry */
+    limpet_gossip_add_member (routers[i].gossip, 1, 1);
+}
+
+void
+restart_router (uint32_t index, uint32_t seed, LimpetMs now_ms)
+{
+  limpet_gossip_delete (routers[index].gossip);
+  limpet_quarantine_delete (routers[index].quarantine);
+  start_router (index, seed);
+  limpet_gossip_add_member (routers[index].gossip, index == 0 ? 2 : 1, now_ms);
+}
+
+void
+stop_routers (void)
+{
+  deliver_all (0);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    {
+      limpet_gossip_delete (routers[i].gossip);
+      limpet_quarantine_delete (routers[i].quarantine);
+    }
+  g_rand_free (loss_random);
+}
+
+uint32_t
+run_fleet (LimpetMs from_ms, LimpetMs until_ms, const int64_t *end, LimpetMs *max_age_ms)
+{
+  uint32_t reads = 0;
+
+  for (LimpetMs now_ms = from_ms; now_ms < until_ms; now_ms += STEP_MS)
+    {
+      deliver (now_ms);
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        {
+          Router *router = &routers[i];
+          LimpetGossipRecord records[64];
+          LimpetGossipBatch batch = { .topic = STORE_TOPIC,
+                                      .first_offset = router->next_offset,
+                                      .records = records,
+                                      .end_offset = *end,
+                                      .read_ms = now_ms };
+
+          if (now_ms % TICK_MS == 0)
+            limpet_quarantine_tick (router->quarantine, now_ms);
+          limpet_gossip_tick (router->gossip, now_ms);
+          if (max_age_ms != NULL)
+            *max_age_ms
+                = MAX (*max_age_ms,
+                       limpet_gossip_topic_age_ms (router->gossip, STORE_TOPIC, now_ms));
+          if (limpet_gossip_next_read_ms (router->gossip, STORE_TOPIC, now_ms) > 0)
+            continue;
+          for (; batch.count < MIN (64, *end - router->next_offset); batch.count++)
+            records[batch.count]
+                = (LimpetGossipRecord){ .bytes = (const uint8_t *)"record", .length = 6 };
+          router->next_offset += batch.count;
+          reads++;
+          limpet_gossip_publish_read (router->gossip, &batch, now_ms);
+        }
+    }
+  return reads;
+}
+
+uint32_t
+count_outdated (int64_t end)
+{
+  uint32_t outdated = 0;
+
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    outdated += routers[i].next_offset < end;
+  return outdated;
+}
--- /dev/null
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -0,0 +1,53 @@
+#ifndef TEST_LIBLIMPETROAD_SIMULATED_FLEET_H
+#define TEST_LIBLIMPETROAD_SIMULATED_FLEET_H
+
+#include "limpetroad/gossip.h"
+
+/* Routers that exchange gossip in simulated time, with lost datagrams.
+ *
+ * start_routers() → run_fleet() → … → stop_routers(). */
+
+/* Number of simulated routers. */
+#define ROUTERS 73
+/* Step of the simulated time; datagrams arrive one step after they are sent. */
+#define STEP_MS 10
+/* The topic that routers read from the store. */
+#define STORE_TOPIC 1
+/* Hash of the target whose load reports are recorded in Router.busy_reported_ms. */
+#define BUSY_TARGET 4242
+
+typedef struct
+{
+  LimpetGossip *gossip;
+  LimpetQuarantine *quarantine;
+  int64_t next_offset; /* offset after the last record that it has */
+  int64_t heard_end;   /* end of the topic in the last batch */
+  uint32_t address;
+  uint32_t load_reports;     /* number of load reports received */
+  LimpetMs busy_reported_ms; /* time of the last received report of BUSY_TARGET */
+} Router;
+
+extern Router routers[ROUTERS];
+/* Probability with which each datagram is lost. */
+extern double loss_ratio;
+/* By all routers, including IP and UDP headers. */
+extern uint64_t sent_bytes;
+
+void start_routers (uint32_t seed);
+void stop_routers (void);
+/* Delivers the datagrams under way, and drops each with the probability loss_ratio.
+ * Datagrams that routers send in response stay queued. */
+void deliver (LimpetMs now_ms);
+/* Delivers the datagrams under way and those that routers send in response. */
+void deliver_all (LimpetMs now_ms);
+/* Replaces a router by one that knows nothing but the address of another router. */
+void restart_router (uint32_t index, uint32_t seed, LimpetMs now_ms);
+/* Simulates the routers from from_ms to until_ms, while the store has the records of the
+ * topic before offset *end. Returns the number of their reads. If max_age_ms is not NULL,
+ * raises *max_age_ms to the highest limpet_gossip_topic_age_ms() of any router. */
+uint32_t
+run_fleet (LimpetMs from_ms, LimpetMs until_ms, const int64_t *end, LimpetMs *max_age_ms);
+/* Returns the number of routers that lack records before offset end. */
+uint32_t count_outdated (int64_t end);
+
+#endif
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -12,6 +12,7 @@
 void add_fuzz_tests (void);
 void add_http_tests (void);
 void add_cluster_state_tests (void);
+void add_quarantine_tests (void);
 void add_dispatch_tests (void);
 void add_stale_load_tests (void);
 void add_platform_tests (void);
