Suspect parts are exchanged again after a partition

Cause: a crash of a target was pushed to other routers once. Where those datagrams were lost, for example between routers that are cut off or do not know each other yet, the routers kept parts of the evidence, and a part that crashes targets was quarantined only after a further crash. Seen in test_a_part_that_crashes_servers_is_kept_from_them when three cases ran at once, right after the start of the routers: they quarantined the part 1, 3 and 4 s after the first crashes, 15 crashes in all.

Change: the suspect in a digest is any with crashes, in turn, not only a quarantined one. A router that has just been found sends the quarantined ones first.

crashes_seen_during_a_partition_are_exchanged_after_it (three routers saw a crash each while all datagrams were lost) fails without the change and passes with it.

--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -13,9 +13,9 @@
  *  limpet_quarantine_new() → limpet_quarantine_find() before each attempt,
  *  limpet_quarantine_record_crash() and limpet_quarantine_record_success() after it,
  *  limpet_quarantine_receive() with the records of other routers,
- *  limpet_quarantine_tick() every 100 ms, limpet_quarantine_collect_changed() and
- *  limpet_quarantine_collect_next() for what other routers should know →
- *  limpet_quarantine_delete(). Opens no sockets, starts no threads, is not thread-safe.
+ *  limpet_quarantine_tick() every 100 ms, limpet_quarantine_collect_*() for what other
+ * routers should know → limpet_quarantine_delete(). Opens no sockets, starts no threads,
+ * is not thread-safe.
  *
  *  A target that crashes breaks all its requests, so one crash does not show which of
  *  them is the cause. A part is suspect while requests with it break off before their
@@ -69,8 +69,8 @@
                              uint64_t *part,
                              LimpetMs *remaining_ms);
 
-/** Records that a target closed the connection of a request with the shared parts \p parts
- *  (in prompt order) before the first event of the response. */
+/** Records that a target closed the connection of a request with the shared parts \p
+ * parts (in prompt order) before the first event of the response. */
 void limpet_quarantine_record_crash (LimpetQuarantine *quarantine,
                                      const uint64_t *parts,
                                      uint32_t count,
@@ -95,8 +95,12 @@
 uint32_t limpet_quarantine_collect_changed (LimpetQuarantine *quarantine,
                                             LimpetSuspectPart *records,
                                             uint32_t max_count);
-/** Fills \p records with quarantined parts, in turn over the calls, and returns their
- *  number. */
+/** Fills \p records with suspects that have crashes, the quarantined ones first, and
+ *  returns their number. */
+uint32_t limpet_quarantine_collect_first (const LimpetQuarantine *quarantine,
+                                          LimpetSuspectPart *records,
+                                          uint32_t max_count);
+/** The same, in turn over the calls. */
 uint32_t limpet_quarantine_collect_next (LimpetQuarantine *quarantine,
                                          LimpetSuspectPart *records,
                                          uint32_t max_count);
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -31,7 +31,7 @@
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
-/* Quarantined parts in a regular digest, and the number of loads that take as many bytes
+/* Suspects in a regular digest, and the number of loads that take as many bytes
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
 #define LOADS_PER_SUSPECT 8
@@ -543,31 +543,19 @@
   LimpetGossipSuspects suspects;
 } Digest;
 
-/* Adds up to max_count quarantined parts. Returns their number. */
-static uint32_t
-fill_suspects (LimpetGossip *gossip, Digest *digest, uint32_t max_count, LimpetMs now_ms)
-{
-  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
-  uint32_t count;
-
-  if (gossip->quarantine == NULL)
-    return 0;
-  count = limpet_quarantine_collect_next (gossip->quarantine, records, max_count);
-  limpet_gossip_suspects_encode (&digest->suspects, records, count, now_ms,
-                                 &digest->message);
-  return count;
-}
-
-/* Fills a digest with at most max_suspects quarantined parts. They take the place of
- * loads, so that the digest does not grow. */
+/* Fills a digest with some suspects. They take the place of loads, so that the digest
+ * does not grow. */
 static void
-fill_digest (LimpetGossip *gossip, Digest *digest, uint32_t max_suspects, LimpetMs now_ms)
+fill_digest (LimpetGossip *gossip,
+             Digest *digest,
+             const LimpetSuspectPart *records,
+             uint32_t suspects,
+             LimpetMs now_ms)
 {
-  uint32_t suspects;
-
   gossip_message__init (&digest->message);
   digest->message.sender = gossip->own_address;
-  suspects = fill_suspects (gossip, digest, max_suspects, now_ms);
+  limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
+                                 &digest->message);
   digest->message.n_load_targets = limpet_gossip_loads_collect (
       gossip->loads,
       LIMPET_GOSSIP_MAX_LOADS
@@ -599,14 +587,19 @@
   digest->message.members = digest->members;
 }
 
-/* Sends a digest to a router that has just found this one, with as many quarantined parts
- * as fit into a message. */
+/* Sends a digest to a router that has just found this one, with as many suspects as fit
+ * into a message. */
 static void
 send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms)
 {
+  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  uint32_t count = 0;
   Digest digest;
 
-  fill_digest (gossip, &digest, LIMPET_GOSSIP_MAX_SUSPECTS, now_ms);
+  if (gossip->quarantine != NULL)
+    count = limpet_quarantine_collect_first (gossip->quarantine, records,
+                                             LIMPET_GOSSIP_MAX_SUSPECTS);
+  fill_digest (gossip, &digest, records, count, now_ms);
   send_message (gossip, &digest.message, address);
 }
 
@@ -637,6 +630,8 @@
 void
 limpet_gossip_tick (LimpetGossip *gossip, LimpetMs now_ms)
 {
+  LimpetSuspectPart records[MAX_DIGEST_SUSPECTS];
+  uint32_t count = 0;
   Digest digest;
 
   if (gossip->quarantine != NULL)
@@ -645,7 +640,10 @@
     return;
   gossip->last_digest_ms = now_ms;
   remove_expired_members (gossip, now_ms);
-  fill_digest (gossip, &digest, MAX_DIGEST_SUSPECTS, now_ms);
+  if (gossip->quarantine != NULL)
+    count = limpet_quarantine_collect_next (gossip->quarantine, records,
+                                            MAX_DIGEST_SUSPECTS);
+  fill_digest (gossip, &digest, records, count, now_ms);
   send_to_random_members (gossip, &digest.message, DIGEST_FANOUT, 0);
 }
 
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -15,8 +15,9 @@
 #define CONFIRMATION_MS 1000
 /* A crash counts for this time as long as the part is not quarantined. */
 #define CRASH_VALIDITY_MS (5 * 60 * 1000)
-/* No request with a quarantined part is sent for QUARANTINE_MS after the last crash. After
- * that, one more crash quarantines the part again, until PROBATION_MS have passed. */
+/* No request with a quarantined part is sent for QUARANTINE_MS after the last crash.
+ * After that, one more crash quarantines the part again, until PROBATION_MS have passed.
+ */
 #define QUARANTINE_MS (10 * 60 * 1000)
 #define PROBATION_MS (60 * 60 * 1000)
 /* A cleared suspect is remembered for this time, so that a late message about its crashes
@@ -544,29 +545,64 @@
   return count;
 }
 
-uint32_t
-limpet_quarantine_collect_next (LimpetQuarantine *quarantine,
-                                LimpetSuspectPart *records,
-                                uint32_t max_count)
+/* Appends the suspects with crashes that are quarantined, or that are not. */
+static void
+list_suspects (const LimpetQuarantine *quarantine, bool is_quarantined, GPtrArray *list)
 {
   GHashTableIter iter;
   gpointer value;
-  uint32_t total = quarantine->quarantined_count;
-  uint32_t count = 0;
-  uint32_t position = 0;
 
-  if (total == 0)
-    return 0;
   g_hash_table_iter_init (&iter, quarantine->suspects);
-  while (count < max_count && g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Suspect *suspect = value;
 
-      if (suspect->record.is_quarantined
-          && (position++ + total - quarantine->next_collected % total) % total < max_count)
-        records[count++] = suspect->record;
+      if (suspect->record.crash_count > 0
+          && suspect->record.is_quarantined == is_quarantined)
+        g_ptr_array_add (list, value);
     }
-  quarantine->next_collected = (quarantine->next_collected + count) % total;
+}
+
+/* Fills records with suspects that have crashes, starting at a position of their list
+ * with the quarantined ones first. */
+static uint32_t
+collect_from (const LimpetQuarantine *quarantine,
+              uint32_t first,
+              LimpetSuspectPart *records,
+              uint32_t max_count)
+{
+  GPtrArray *list;
+  uint32_t count;
+
+  if (g_hash_table_size (quarantine->suspects) == 0)
+    return 0;
+  list = g_ptr_array_new ();
+  list_suspects (quarantine, true, list);
+  list_suspects (quarantine, false, list);
+  count = MIN (list->len, max_count);
+  for (uint32_t i = 0; i < count; i++)
+    records[i] = ((Suspect *)g_ptr_array_index (list, (first + i) % list->len))->record;
+  g_ptr_array_free (list, TRUE);
+  return count;
+}
+
+uint32_t
+limpet_quarantine_collect_first (const LimpetQuarantine *quarantine,
+                                 LimpetSuspectPart *records,
+                                 uint32_t max_count)
+{
+  return collect_from (quarantine, 0, records, max_count);
+}
+
+uint32_t
+limpet_quarantine_collect_next (LimpetQuarantine *quarantine,
+                                LimpetSuspectPart *records,
+                                uint32_t max_count)
+{
+  uint32_t count
+      = collect_from (quarantine, quarantine->next_collected, records, max_count);
+
+  quarantine->next_collected += count;
   return count;
 }
 
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -193,6 +193,25 @@
   stop_routers ();
 }
 
+/* Three routers could not tell anybody of a crash each; no fourth crash is needed. */
+static void
+test_crashes_seen_during_a_partition_are_exchanged_after_it (void)
+{
+  int64_t end = 1;
+
+  start_routers (36);
+  run_fleet (1, 20000, &end, NULL);
+  loss_ratio = 1;
+  crash (routers[3].quarantine, CRASHING, 1, 20000);
+  crash (routers[50].quarantine, CRASHING, 2, 20000);
+  crash (routers[20].quarantine, CRASHING, 3, 20000);
+  run_fleet (20000, 24000, &end, NULL);
+  loss_ratio = 0;
+  run_fleet (24000, 24000 + STABLE_WINDOW_MS, &end, NULL);
+  CU_ASSERT_EQUAL (count_routers_that_quarantine (CRASHING, 27000), ROUTERS);
+  stop_routers ();
+}
+
 /* A router that serves few requests of a session knows of no success. */
 static void
 test_a_success_at_another_router_clears_a_part (void)
@@ -278,6 +297,7 @@
   CU_ADD_TEST (suite, test_one_crash_after_a_quarantine_renews_it);
   CU_ADD_TEST (suite, test_many_suspects_take_bounded_memory);
   CU_ADD_TEST (suite, test_crashes_seen_by_different_routers_are_put_together);
+  CU_ADD_TEST (suite, test_crashes_seen_during_a_partition_are_exchanged_after_it);
   CU_ADD_TEST (suite, test_a_success_at_another_router_clears_a_part);
   CU_ADD_TEST (suite, test_a_router_that_starts_learns_the_quarantined_parts);
   CU_ADD_TEST (suite, test_quarantined_parts_stay_within_the_traffic_limit);
