A stream without a length that ends inside an event is broken

Cause: the close of the connection completed such a response, whatever its last bytes were. The torn event went to the caller as the end of a complete stream, a resumable stream did not go on elsewhere, and a crash under such a response did not count as one. Where a stream without a length failed later, the router closed the caller's connection in order, which completes it for the caller.

Change: such a stream is complete only if it ends after an event; otherwise the attempt has failed. The caller's connection is reset if its response has no other end than the close. Streams with chunks or a length are as before: their framing says whether they are complete.

The test's fleet waits until its routers know each other.

--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -26,8 +26,9 @@
   g_free (caller);
 }
 
-void
-limpet_caller_close (LimpetCaller *caller)
+/* Closes the connection, with a TCP reset if by_reset is set. */
+static void
+close_connection (LimpetCaller *caller, bool by_reset)
 {
   LimpetTask *task = caller->task;
 
@@ -36,11 +37,25 @@
   caller->is_closed = true;
   caller->task = NULL;
   g_queue_unlink (&caller->exchange->callers, &caller->link);
-  uv_close ((uv_handle_t *)&caller->tcp, on_closed);
+  /* A reset is not possible after a shutdown. */
+  if (!by_reset || uv_tcp_close_reset (&caller->tcp, on_closed) != 0)
+    uv_close ((uv_handle_t *)&caller->tcp, on_closed);
   if (task != NULL)
     limpet_task_caller_disconnected (task);
 }
 
+void
+limpet_caller_close (LimpetCaller *caller)
+{
+  close_connection (caller, false);
+}
+
+void
+limpet_caller_reset (LimpetCaller *caller)
+{
+  close_connection (caller, true);
+}
+
 static void
 on_shutdown (uv_shutdown_t *request, int status)
 {
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -275,6 +275,25 @@
     limpet_quarantine_record_success (quarantine, parts, count, limpet_clock_boot_ms ());
 }
 
+/* Returns whether a stream broke off although its connection was closed in order: a
+ * stream that only the close ends is complete if it ends after an event. */
+static bool
+is_broken_off (const LimpetTask *task)
+{
+  return task->is_streaming && task->ends_with_close
+         && (!task->has_first_event
+             || (task->events.text != NULL && task->events.text->len > 0));
+}
+
+/* Ends an attempt whose response cannot be used. */
+static void
+fail_attempt (LimpetTask *task, const char *cause)
+{
+  limpet_upstream_close (task->upstream);
+  task->upstream = NULL;
+  limpet_task_attempt_failed (task, LIMPET_STATUS_BROKEN, cause);
+}
+
 void
 limpet_relay_complete (LimpetTask *task, bool reusable)
 {
@@ -293,10 +312,13 @@
     }
   if ((is_success && !response->is_from_target) || response->is_encoded)
     {
-      limpet_upstream_close (task->upstream);
-      task->upstream = NULL;
-      limpet_task_attempt_failed (task, LIMPET_STATUS_BROKEN,
-                                  "the answer is not the target's own");
+      fail_attempt (task, "the answer is not the target's own");
+      return;
+    }
+  if (is_broken_off (task))
+    {
+      limpet_task_record_disconnect (task);
+      fail_attempt (task, "the stream ended inside an event");
       return;
     }
   if (is_success)
@@ -331,11 +353,14 @@
 limpet_relay_abort (LimpetTask *task)
 {
   LimpetCaller *caller = task->caller;
+  bool close_completes = task->head_sent && !task->is_chunked_to_caller;
 
   task->caller = NULL;
   if (caller != NULL)
     caller->task = NULL;
   limpet_task_finish (task, "broken");
-  if (caller != NULL)
+  if (caller != NULL && close_completes)
+    limpet_caller_reset (caller);
+  else if (caller != NULL)
     limpet_caller_close (caller);
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -113,6 +113,9 @@
 /* caller.c */
 void limpet_caller_accept (LimpetExchange *exchange);
 void limpet_caller_close (LimpetCaller *caller);
+/* Closes the connection with a TCP reset, so that a response that ends with the
+ * connection does not look complete. */
+void limpet_caller_reset (LimpetCaller *caller);
 /* Closes the connection or refuses the request if a time-out has expired. Also resumes
  * reading from the target once nothing is queued for the caller. */
 void limpet_caller_check_timeouts (LimpetCaller *caller, LimpetMs now_ms);
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -3,7 +3,9 @@
 import threading
 import time
 
+import fleet as f
 from platform_fake import Platform, route
+from run_all import table
 from test_platform import check, stream_events
 
 CRASHING_PART = "bad0"
@@ -16,10 +18,14 @@
 class CrashingFleet:
     """Routers with servers that crash under CRASHING_PART, and clients.
 
+    framing, start: framing fields and start of the body of the response that a server sends before
+    it crashes.
     arrivals: times at which requests with the part reached a server; crashes: times of the
     crashes; served: (time, whether it was served) of each request without the part."""
 
-    def __init__(self, routers=3):
+    def __init__(self, routers=3, framing="Transfer-Encoding: chunked", start=b"10\r\nid: 1\n"):
+        self.head = "Content-Type: text/event-stream\r\n%s\r\n\r\n" % framing
+        self.start = start
         self.arrivals = []
         self.crashes = []
         self.served = []
@@ -32,6 +38,9 @@
             self.add_server()
         self.platform.router_count = routers
         self.platform.start()
+        for index in range(routers):
+            f.wait_for(lambda: self.platform.metric("limpetroad_routers ", index) == routers,
+                       "the routers to find each other")
 
     def __enter__(self):
         return self
@@ -49,8 +58,7 @@
             stream_events(server, connection, message, 1, 3)
             return True
         self.arrivals.append(time.monotonic())
-        connection.sendall(server.head(message, 200, "Content-Type: text/event-stream\r\n"
-                                       "Transfer-Encoding: chunked\r\n\r\n") + b"10\r\nid: 1\n")
+        connection.sendall(server.head(message, 200, self.head) + self.start)
         time.sleep(0.02)
         if self.is_crashing:
             self.crash(server)
@@ -115,9 +123,12 @@
         return sum(results) / max(1, len(results))
 
 
-def test_a_part_that_crashes_servers_is_kept_from_them():
+@table([("chunked", "Transfer-Encoding: chunked", b"10\r\nid: 1\n"),
+        ("without_length", "Connection: close", b"id: 1\n"),
+        ("without_length_or_body", "Connection: close", b"")])
+def test_a_part_that_crashes_servers_is_kept_from_them(framing, start):
     """At most three requests with the part reach servers from 3 s after the fifth crash on."""
-    with CrashingFleet() as fleet:
+    with CrashingFleet(framing=framing, start=start) as fleet:
         fleet.play(10)
         bound_at = (fleet.crashes[4] if len(fleet.crashes) > 4 else fleet.crashes[-1]) \
             + STABLE_WINDOW_S
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -463,6 +463,53 @@
         check(sum(len(s.ran) for s in servers) == 1)
 
 
+# Sends the start of a stream that only the close of the connection ends.
+def stream_without_length(server, connection, message, data):
+    connection.sendall(server.head(message, 200, "Content-Type: text/event-stream\r\n"
+                                   "Connection: close\r\n\r\n") + data)
+    time.sleep(0.05)
+    raise OSError("closed")
+
+
+def test_a_stream_without_a_length_that_ends_inside_an_event_resumes():
+    def on_request(server, message, connection):
+        if "last-event-id" in message.fields:
+            check(message.fields["last-event-id"] == "2", message.fields)
+            stream_events(server, connection, message, 3, 4)
+            return True
+        stream_without_length(server, connection, message, event(1) + event(2) + b"id: 3\nda")
+
+    with Platform(start=False) as platform:
+        for _ in range(2):
+            platform.add_server("model", on_request=on_request)
+        platform.start()
+        with platform.client() as client:
+            client.send("/resume/", "POST", body=b"p")
+            body = client.file.read().partition(b"\r\n\r\n")[2]
+        check(body == b"".join(event(n) for n in range(1, 5)), body)
+
+
+@table([("after_events", event(1) + b"id: 2\n", b""), ("in_the_first_event", b"id: 1\n", b"502"),
+        ("before_the_first_event", b"", b"502")])
+def test_a_stream_without_a_length_that_ends_early_does_not_look_complete(data, status):
+    """Where the response has begun, the caller's connection is reset: an orderly close would
+    complete it."""
+    with Platform(start=False) as platform:
+        platform.add_server("model", on_request=lambda server, message, connection:
+                            stream_without_length(server, connection, message, data))
+        platform.start()
+        with platform.client() as client:
+            client.send("/stream/", "POST", body=b"p")
+            try:
+                line = client.file.readline()
+                check(status in line, line)
+                if not status:
+                    client.file.read()
+                    check(False, "the response looks complete")
+            except ConnectionResetError:
+                check(not status)
+
+
 def test_failures_that_are_not_consecutive_cause_no_backoff():
     """On the booking service every seventh response of a healthy server is a failure; only
     consecutive failures may put a server into backoff."""
