Quarantined prompt parts outlast a restart of all routers

Cause: the quarantine was held by the routers only. A restart of one router was covered by gossip.

Change: the router that observed the last crash writes the part to keyed.routers, the topic that each router reads at its start anyway, so no further call is made but one write for a part. Weighed: a topic of its own (a call for each start).

--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -51,13 +51,18 @@
   bool is_quarantined;
 } LimpetSuspectPart;
 
-/** Returns a quarantine without parts. \p on_quarantined is called for each part that is
- *  quarantined because of a crash that this router observed, and \p on_lifted when such a
- *  part is cleared; both may be NULL. */
-LimpetQuarantine *limpet_quarantine_new (
-    void (*on_quarantined) (void *user, const LimpetSuspectPart *suspect),
-    void (*on_lifted) (void *user, uint64_t part),
-    void *user);
+/** Callbacks, called from within the functions below; each may be NULL. */
+typedef struct
+{
+  /** A part has been quarantined. Of all routers, only those are called that observed the
+   *  last of its crashes. */
+  void (*on_quarantined) (void *user, const LimpetSuspectPart *suspect);
+  /** A request of this router has cleared a quarantined part. */
+  void (*on_cleared) (void *user, uint64_t part);
+} LimpetQuarantineOps;
+
+/** Returns a quarantine without parts. \p ops is borrowed. */
+LimpetQuarantine *limpet_quarantine_new (const LimpetQuarantineOps *ops, void *user);
 void limpet_quarantine_delete (LimpetQuarantine *quarantine);
 
 /** Returns whether one of \p parts is quarantined; if so, sets \p part to it and
@@ -82,7 +87,7 @@
                                        uint32_t count,
                                        LimpetMs now_ms);
 
-/** Merges a record of another router or of the store. */
+/** Merges a record from another router or from durable storage. */
 void limpet_quarantine_receive (LimpetQuarantine *quarantine,
                                 const LimpetSuspectPart *received,
                                 LimpetMs now_ms);
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -36,8 +36,8 @@
   LimpetSuspectPart record;
   LimpetMs sufficient_ms; /* when the crashes became sufficient; 0 if they are not */
   LimpetMs changed_ms;    /* last change of the record */
+  LimpetMs own_crash_ms;  /* last crash that this router observed; 0 if none */
   bool is_changed;        /* other routers have to be told */
-  bool is_own;            /* this router observed one of the crashes */
 } Suspect;
 
 typedef struct
@@ -48,8 +48,7 @@
 
 struct LimpetQuarantine
 {
-  void (*on_quarantined) (void *user, const LimpetSuspectPart *suspect);
-  void (*on_lifted) (void *user, uint64_t part);
+  const LimpetQuarantineOps *ops;
   void *user;
   GHashTable *suspects; /* address of Suspect.record.part → Suspect */
   uint32_t quarantined_count;
@@ -58,15 +57,11 @@
 };
 
 LimpetQuarantine *
-limpet_quarantine_new (void (*on_quarantined) (void *user,
-                                               const LimpetSuspectPart *suspect),
-                       void (*on_lifted) (void *user, uint64_t part),
-                       void *user)
+limpet_quarantine_new (const LimpetQuarantineOps *ops, void *user)
 {
   LimpetQuarantine *quarantine = g_new0 (LimpetQuarantine, 1);
 
-  quarantine->on_quarantined = on_quarantined;
-  quarantine->on_lifted = on_lifted;
+  quarantine->ops = ops;
   quarantine->user = user;
   quarantine->suspects
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -175,10 +170,10 @@
   return oldest;
 }
 
-/* Adds a crash. The time of a known one stays as it is: the times of other routers differ
- * by the latency of messages, and taking the later one would delay its expiry with each
- * message. */
-static void
+/* Adds a crash and returns true if it counts and is new. The time of a known one stays as
+ * it is: the times of other routers differ by the latency of messages, and taking the
+ * later one would delay its expiry with each message. */
+static bool
 add_crash (LimpetQuarantine *quarantine,
            Suspect *suspect,
            const LimpetPartCrash *crash,
@@ -189,15 +184,16 @@
   if (is_cleared_by (record->success_ms, crash->at_ms)
       || has_crash_of (suspect, crash->target_hash)
       || is_explained (quarantine, suspect, crash->target_hash))
-    return;
+    return false;
   if (record->crash_count == LIMPET_QUARANTINE_MAX_CRASHES)
     {
       if (crash->at_ms < last_crash_ms (suspect) + MIN_TIME_GAIN_MS)
-        return;
+        return false;
       remove_crash (suspect, oldest_crash (suspect));
     }
   record->crashes[record->crash_count++] = *crash;
   record_change (suspect, now_ms);
+  return true;
 }
 
 /* Removes the crashes for which is_removed returns true. Returns whether there were any.
@@ -242,8 +238,6 @@
   quarantine->quarantined_count--;
   limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
               "part=%" PRIx64 " state=lifted reason=%s", suspect->record.part, reason);
-  if (suspect->is_own && quarantine->on_lifted != NULL)
-    quarantine->on_lifted (quarantine->user, suspect->record.part);
 }
 
 /* Records a success and removes the crashes that it clears. */
@@ -360,8 +354,8 @@
       suspect = ensure_suspect (quarantine, parts[i], i, now_ms);
       if (suspect == NULL)
         continue;
-      suspect->is_own = true;
-      add_crash (quarantine, suspect, &crash, now_ms);
+      if (add_crash (quarantine, suspect, &crash, now_ms))
+        suspect->own_crash_ms = now_ms;
     }
 }
 
@@ -374,11 +368,15 @@
   for (uint32_t i = 0; i < count; i++)
     {
       Suspect *suspect = find_suspect (quarantine, parts[i]);
+      bool was_quarantined = suspect != NULL && suspect->record.is_quarantined;
 
       *success_slot (quarantine, parts[i])
           = (Success){ .part = parts[i], .at_ms = now_ms };
       if (suspect != NULL)
         add_success (quarantine, suspect, now_ms, now_ms);
+      if (was_quarantined && !suspect->record.is_quarantined
+          && quarantine->ops->on_cleared != NULL)
+        quarantine->ops->on_cleared (quarantine->user, parts[i]);
     }
 }
 
@@ -418,6 +416,9 @@
         }
     }
   record_change (suspect, now_ms);
+  if (suspect->own_crash_ms == last_crash_ms (suspect)
+      && quarantine->ops->on_quarantined != NULL)
+    quarantine->ops->on_quarantined (quarantine->user, &suspect->record);
 }
 
 /* Returns whether a record has a crash that a success clears of which the sender of the
@@ -453,7 +454,7 @@
     suspect->is_changed = true;
   if (received->is_quarantined && !suspect->record.is_quarantined
       && suspect->record.crash_count >= LIMPET_QUARANTINE_MIN_CRASHES)
-    quarantine_part (quarantine, suspect, "peer", now_ms);
+    quarantine_part (quarantine, suspect, "received", now_ms);
 }
 
 /* Returns whether a suspect is to be quarantined before another. The deeper part is in
@@ -516,11 +517,7 @@
     if (expire (quarantine, value, now_ms))
       g_hash_table_iter_remove (&iter);
   while ((suspect = find_next (quarantine, now_ms)) != NULL)
-    {
-      quarantine_part (quarantine, suspect, "own", now_ms);
-      if (suspect->is_own && quarantine->on_quarantined != NULL)
-        quarantine->on_quarantined (quarantine->user, &suspect->record);
-    }
+    quarantine_part (quarantine, suspect, "own_evidence", now_ms);
 }
 
 uint32_t
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -13,6 +13,8 @@
 /* The users allow requests with the part until this time after the fifth crash. */
 #define STABLE_WINDOW_MS 3000
 
+static const LimpetQuarantineOps quarantine_ops = { .on_quarantined = NULL };
+
 static bool
 is_found (LimpetQuarantine *quarantine, uint64_t part, LimpetMs now_ms)
 {
@@ -49,7 +51,7 @@
 static void
 test_only_the_part_that_crashes_targets_is_quarantined (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
 
   for (uint32_t i = 0; i < 4; i++)
     {
@@ -71,7 +73,7 @@
 static void
 test_two_crashes_do_not_quarantine_a_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
 
   for (uint32_t i = 0; i < 6; i++)
     crash (quarantine, SESSION, i % 2, 20000 + 100 * i);
@@ -83,7 +85,7 @@
 static void
 test_crashes_of_all_targets_do_not_quarantine_a_popular_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
 
   succeed (quarantine, SESSION, 15000);
   for (uint32_t i = 0; i < 8; i++)
@@ -98,7 +100,7 @@
 static void
 test_equal_evidence_quarantines_the_deeper_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
 
   for (uint32_t i = 0; i < 3; i++)
     crash (quarantine, CRASHING, i, 20000 + 300 * i);
@@ -115,7 +117,7 @@
 static void
 test_a_success_lifts_a_quarantine (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
 
   for (uint32_t i = 0; i < 3; i++)
     crash (quarantine, SESSION, i, 20000);
@@ -129,7 +131,7 @@
 static void
 test_one_crash_after_a_quarantine_renews_it (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
   LimpetMs later_ms = 20000 + 11 * 60 * 1000;
 
   for (uint32_t i = 0; i < 3; i++)
@@ -146,7 +148,7 @@
 static void
 test_many_suspects_take_bounded_memory (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
   LimpetSuspectPart records[1024];
 
   for (uint64_t part = 1; part <= 5000; part++)
@@ -159,6 +161,47 @@
   limpet_quarantine_delete (quarantine);
 }
 
+static void
+count_quarantined (void *user, const LimpetSuspectPart *suspect)
+{
+  (void)suspect;
+  (*(uint32_t *)user)++;
+}
+
+static void
+count_cleared (void *user, uint64_t part)
+{
+  (void)part;
+  (*(uint32_t *)user) += 100;
+}
+
+/* Of all routers one has to store a part, and none that only heard of it. */
+static void
+test_the_observer_of_the_last_crash_is_called_back (void)
+{
+  static const LimpetQuarantineOps ops
+      = { .on_quarantined = count_quarantined, .on_cleared = count_cleared };
+  uint32_t calls = 0;
+  uint32_t other_calls = 0;
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&ops, &calls);
+  LimpetQuarantine *other = limpet_quarantine_new (&ops, &other_calls);
+  LimpetSuspectPart record;
+
+  crash (other, CRASHING, 0, 20000);
+  for (uint32_t i = 0; i < 3; i++)
+    crash (quarantine, CRASHING, i, 20000 + 100 * i);
+  tick_until (quarantine, 20000, 22000);
+  CU_ASSERT_EQUAL (calls, 1);
+  limpet_quarantine_collect_first (quarantine, &record, 1);
+  limpet_quarantine_receive (other, &record, 22000);
+  CU_ASSERT_TRUE (is_found (other, CRASHING, 22000));
+  CU_ASSERT_EQUAL (other_calls, 0);
+  succeed (other, CRASHING, 23000);
+  CU_ASSERT_EQUAL (other_calls, 100);
+  limpet_quarantine_delete (quarantine);
+  limpet_quarantine_delete (other);
+}
+
 static uint32_t
 count_routers_that_quarantine (uint64_t part, LimpetMs now_ms)
 {
@@ -296,6 +339,7 @@
   CU_ADD_TEST (suite, test_a_success_lifts_a_quarantine);
   CU_ADD_TEST (suite, test_one_crash_after_a_quarantine_renews_it);
   CU_ADD_TEST (suite, test_many_suspects_take_bounded_memory);
+  CU_ADD_TEST (suite, test_the_observer_of_the_last_crash_is_called_back);
   CU_ADD_TEST (suite, test_crashes_seen_by_different_routers_are_put_together);
   CU_ADD_TEST (suite, test_crashes_seen_during_a_partition_are_exchanged_after_it);
   CU_ADD_TEST (suite, test_a_success_at_another_router_clears_a_part);
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -80,6 +80,8 @@
     deliver (now_ms);
 }
 
+static const LimpetQuarantineOps quarantine_ops = { .on_quarantined = NULL };
+
 static void
 start_router (uint32_t index, uint32_t seed)
 {
@@ -87,7 +89,7 @@
 
   *router = (Router){ .address = index + 1 };
   router->gossip = limpet_gossip_new (&gossip_ops, router, index + 1, seed + index);
-  router->quarantine = limpet_quarantine_new (NULL, NULL, NULL);
+  router->quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
   limpet_gossip_set_quarantine (router->gossip, router->quarantine);
 }
 
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -135,3 +135,35 @@
         check(fleet.arrivals_after(bound_at) <= 3, len(fleet.crashes), len(fleet.arrivals),
               fleet.arrivals_after(bound_at))
         check(fleet.served_after(bound_at + STABLE_WINDOW_S) >= 0.5, len(fleet.served))
+
+
+@table([("one", 1), ("all", 3)])
+def test_restarted_routers_know_the_part_that_crashes_servers(count):
+    """At most three requests with the part reach servers from 3 s after the restart on."""
+    with CrashingFleet() as fleet:
+        fleet.play(5)
+        for router in fleet.platform.routers[:count]:
+            router["process"].kill()
+        del fleet.platform.routers[:count]
+        for _ in range(count):
+            fleet.platform.add_router()
+        time.sleep(STABLE_WINDOW_S)
+        restarted_at = time.monotonic()
+        fleet.play(5)
+        check(fleet.arrivals_after(restarted_at) <= 3, fleet.arrivals_after(restarted_at))
+        check(fleet.served_after(restarted_at) >= 0.5, len(fleet.served))
+
+
+def test_malformed_records_of_quarantined_parts_are_ignored():
+    with Platform(start=False) as platform:
+        platform.add_server("model", on_request=lambda s, m, c: stream_events(s, c, m, 1, 3) or True)
+        for key, value in (("part:1", "{"), ("part:2", "[]"), ("part:", {"crashes": 7}),
+                           ("part:3", {"crashes": [{"target": "x"}] * 9}), ("r9", "no address"),
+                           ("part:4", {"depth": -1, "crashes": [{"at": -1, "target": -1}] * 3})):
+            platform.store.put("keyed.routers", key, value)
+        platform.start()
+        f.wait_for(lambda: "record ignored" in platform.log(), "the log line")
+        for part in range(1, 5):
+            response = platform.call("/stream/", "POST", body=b"p",
+                                     fields=[("Prompt-Prefix", "%d:9,77:9" % part)])
+            check(response.status == 200, part, response.line)
