A change of the limit that a server names is logged

No decision uses it yet. A response without the field ends the limit only if the target itself created the response.

--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -92,6 +92,12 @@
                                   LimpetTarget *target,
                                   int32_t inflight,
                                   LimpetMs at_ms);
+/** Records the rate limit that a response of the target named at \p at_ms, or NULL if it
+ *  named none. Reports older than the last one are ignored. */
+void limpet_dispatch_record_rate_limit (LimpetDispatch *dispatch,
+                                        LimpetTarget *target,
+                                        const double *per_s,
+                                        LimpetMs at_ms);
 /** Records that the first event of a stream arrived \p first_ms after its request was
  *  sent. */
 void limpet_dispatch_record_first_event (LimpetDispatch *dispatch,
--- a/include/limpetroad/target_response.h
+++ b/include/limpetroad/target_response.h
@@ -22,6 +22,9 @@
   int32_t running;        /**< requests that the target is running */
   int32_t waiting;        /**< requests in the target's queue */
   int32_t slots;          /**< requests that the target can run at once */
+  bool has_rate_limit;    /**< rate_limit_per_s is set */
+  /** Requests per second that the target takes from all routers together. */
+  double rate_limit_per_s;
   /** Time after which the target closes an idle connection; 0 if unknown. */
   LimpetMs keep_alive_ms;
 } LimpetTargetResponse;
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -38,6 +38,14 @@
   int32_t inflight; /**< requests in flight on the target */
 } LimpetTargetReport;
 
+/** Requests per second that a target takes from all routers together. */
+typedef struct
+{
+  bool is_set;
+  double per_s;
+  LimpetMs at_ms; /**< monotonic time of the response that named it, or that did not */
+} LimpetTargetRateLimit;
+
 /** One target. The VM fields never change; atomic fields may be accessed from any thread.
  *  Times are monotonic. */
 typedef struct
@@ -74,6 +82,7 @@
   double gap_ratio;
   bool is_slow; /**< marked as an outlier because of its gap ratio */
   LimpetTargetReport report;
+  LimpetTargetRateLimit rate_limit; /**< used by the dispatcher's thread only */
 } LimpetTarget;
 
 /** An immutable list of all targets, ordered by id. */
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -56,6 +56,10 @@
   if (task->response.is_for_other_call)
     return true;
   task->response_head_ms = now_ms;
+  if (task->response.has_rate_limit || task->response.is_from_target)
+    limpet_dispatch_record_rate_limit (
+        exchange->dispatch, task->target,
+        task->response.has_rate_limit ? &task->response.rate_limit_per_s : NULL, now_ms);
   if (task->response.has_load)
     {
       limpet_dispatch_record_load (exchange->dispatch, task->target,
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -403,6 +403,28 @@
   atomic_store (&target->peers_inflight, MAX (0, inflight - own));
 }
 
+void
+limpet_dispatch_record_rate_limit (LimpetDispatch *dispatch,
+                                   LimpetTarget *target,
+                                   const double *per_s,
+                                   LimpetMs at_ms)
+{
+  LimpetTargetRateLimit *known = &target->rate_limit;
+
+  (void)dispatch;
+  if (at_ms < known->at_ms)
+    return;
+  if (per_s != NULL && (!known->is_set || *per_s != known->per_s))
+    limpet_log (LIMPET_LOG_NOTICE, "limit", target->vm.id, "per_s=%.2f", *per_s);
+  if (per_s == NULL && known->is_set)
+    limpet_log (LIMPET_LOG_NOTICE, "limit", target->vm.id, "lifted");
+  *known = (LimpetTargetRateLimit){
+    .is_set = per_s != NULL,
+    .per_s = per_s != NULL ? *per_s : 0,
+    .at_ms = at_ms,
+  };
+}
+
 void
 limpet_dispatch_record_first_event (LimpetDispatch *dispatch,
                                     LimpetTarget *target,
