--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -15,9 +15,10 @@
         raise AssertionError(details)
 
 
-# Sends a stream with the events first to last; end: also the chunk that ends it.
-def stream_events(server, connection, message, first, last, end=True):
-    connection.sendall(server.head(message, 200, "Content-Type: text/event-stream\r\n"
+# Sends a stream with the events first to last; end: also the chunk that ends it; extra: more header
+# lines.
+def stream_events(server, connection, message, first, last, end=True, extra=""):
+    connection.sendall(server.head(message, 200, extra + "Content-Type: text/event-stream\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n"))
     for number in range(first, last + 1):
         connection.sendall(chunk(event(number)))
