--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -4,6 +4,7 @@
 #include "limpetroad/logger.h"
 #include "private/gossip.pb-c.h"
 #include "private/gossip_loads.h"
+#include "private/gossip_members.h"
 #include "private/gossip_suspects.h"
 
 #include <glib.h>
@@ -21,13 +22,6 @@
 /* A read without new records is forwarded only if it is more recent, by at least this
  * time, than the last read that this router knew of. */
 #define MIN_FORWARD_AGE_GAIN_MS 150
-/* A member is removed after MEMBER_TIMEOUT_MS without a message. One that has never sent
- * a message, and is known only from other routers or a registry, is removed after
- * UNCONFIRMED_TIMEOUT_MS. */
-#define MEMBER_TIMEOUT_MS 20000
-#define UNCONFIRMED_TIMEOUT_MS 8000
-/* Digests list only members that sent a message within this time. */
-#define MAX_SHARED_MEMBER_AGE_MS 4000
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
@@ -47,15 +41,6 @@
  * that began within this time may have been served in the other order. */
 #define READ_OVERLAP_MS 2000
 
-typedef struct
-{
-  uint32_t address;
-  /* Boot clock of its last message. For a member without one, the time when it was added,
-   * back-dated so that it is removed after UNCONFIRMED_TIMEOUT_MS. */
-  LimpetMs last_seen_ms;
-  bool is_confirmed; /* has sent a message */
-} Member;
-
 typedef struct
 {
   int64_t end;                /* offset up to which this router has the records */
@@ -72,7 +57,7 @@
   uint32_t own_address;
   LimpetMs max_staleness_ms;
   GRand *random;
-  GArray *members; /* of Member */
+  LimpetGossipMembers *members;
   LimpetGossipLoads *loads;
   LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
@@ -107,7 +92,7 @@
   gossip->own_address = own_address;
   gossip->max_staleness_ms = DEFAULT_MAX_STALENESS_MS;
   gossip->random = g_rand_new_with_seed_array (seeds, 2);
-  gossip->members = g_array_new (FALSE, FALSE, sizeof (Member));
+  gossip->members = limpet_gossip_members_new (own_address);
   gossip->loads = limpet_gossip_loads_new ();
   return gossip;
 }
@@ -118,7 +103,7 @@
   if (gossip == NULL)
     return;
   g_rand_free (gossip->random);
-  g_array_free (gossip->members, TRUE);
+  limpet_gossip_members_delete (gossip->members);
   limpet_gossip_loads_delete (gossip->loads);
   g_free (gossip);
 }
@@ -135,36 +120,6 @@
   gossip->quarantine = quarantine;
 }
 
-static Member *
-find_member (LimpetGossip *gossip, uint32_t address)
-{
-  for (guint i = 0; i < gossip->members->len; i++)
-    {
-      Member *member = &g_array_index (gossip->members, Member, i);
-
-      if (member->address == address)
-        return member;
-    }
-  return NULL;
-}
-
-/* Returns the member at address, which is added if it is new. Returns NULL for the own
- * address and for 0. */
-static Member *
-ensure_member (LimpetGossip *gossip, uint32_t address, LimpetMs last_seen_ms)
-{
-  Member *member = find_member (gossip, address);
-
-  if (member == NULL && address != gossip->own_address && address != 0)
-    {
-      Member added = { .address = address, .last_seen_ms = last_seen_ms };
-
-      g_array_append_val (gossip->members, added);
-      member = find_member (gossip, address);
-    }
-  return member;
-}
-
 static void
 send_message (LimpetGossip *gossip, GossipMessage *message, uint32_t address)
 {
@@ -186,18 +141,18 @@
                         uint32_t count,
                         uint32_t except)
 {
-  guint remaining = gossip->members->len;
+  uint32_t remaining = limpet_gossip_members_count (gossip->members);
 
   message->sender = gossip->own_address;
-  for (guint i = 0; i < gossip->members->len && count > 0; i++, remaining--)
+  for (uint32_t i = 0; remaining > 0 && count > 0; i++, remaining--)
     {
-      const Member *member = &g_array_index (gossip->members, Member, i);
+      uint32_t address = limpet_gossip_members_address (gossip->members, i);
 
       if ((uint32_t)g_rand_int_range (gossip->random, 0, (gint32)remaining) >= count)
         continue;
       count--;
-      if (member->address != except)
-        send_message (gossip, message, member->address);
+      if (address != except)
+        send_message (gossip, message, address);
     }
 }
 
@@ -237,10 +192,10 @@
   uint64_t seed = XXH64 (seed_input, sizeof seed_input,
                          (uint64_t)batch->topic << 32 | gossip->own_address);
 
-  for (guint i = 0; i < gossip->members->len; i++)
+  for (uint32_t i = 0; i < limpet_gossip_members_count (gossip->members); i++)
     {
       Receiver receiver
-          = { .address = g_array_index (gossip->members, Member, i).address };
+          = { .address = limpet_gossip_members_address (gossip->members, i) };
 
       if (receiver.address == except)
         continue;
@@ -474,7 +429,6 @@
                        LimpetMs now_ms)
 {
   GossipMessage *message = gossip_message__unpack (NULL, length, data);
-  Member *member;
 
   if (message == NULL || message->sender != sender)
     {
@@ -485,15 +439,10 @@
     }
   limpet_counter_add (LIMPET_COUNTER_DIGESTS_RECEIVED, 1);
   limpet_counter_add (LIMPET_COUNTER_PEER_RECEIVED_BYTES, length);
-  member = ensure_member (gossip, sender, now_ms);
-  if (member != NULL)
-    {
-      member->last_seen_ms = message->leaving ? now_ms - MEMBER_TIMEOUT_MS : now_ms;
-      member->is_confirmed = true;
-    }
+  limpet_gossip_members_record_message (gossip->members, sender, message->leaving,
+                                        now_ms);
   for (size_t i = 0; i < message->n_members; i++)
-    ensure_member (gossip, message->members[i],
-                   now_ms - MEMBER_TIMEOUT_MS + UNCONFIRMED_TIMEOUT_MS);
+    limpet_gossip_members_add (gossip->members, message->members[i], now_ms);
   for (size_t i = 0; i < message->n_topics; i++)
     receive_topic (gossip, message->topics[i], now_ms, sender);
   receive_loads (gossip, message, now_ms);
@@ -513,22 +462,12 @@
 static uint32_t
 collect_members (LimpetGossip *gossip, uint32_t *addresses, LimpetMs now_ms)
 {
-  uint32_t count = 0;
-  guint first
-      = gossip->members->len > 0
-            ? (guint)g_rand_int_range (gossip->random, 0, (gint32)gossip->members->len)
-            : 0;
-
-  for (guint i = 0; i < gossip->members->len && count < MAX_DIGEST_MEMBERS; i++)
-    {
-      const Member *member
-          = &g_array_index (gossip->members, Member, (first + i) % gossip->members->len);
+  uint32_t count = limpet_gossip_members_count (gossip->members);
+  uint32_t first
+      = count > 0 ? (uint32_t)g_rand_int_range (gossip->random, 0, (gint32)count) : 0;
 
-      if (member->is_confirmed
-          && now_ms - member->last_seen_ms < MAX_SHARED_MEMBER_AGE_MS)
-        addresses[count++] = member->address;
-    }
-  return count;
+  return limpet_gossip_members_collect (gossip->members, first, addresses,
+                                        MAX_DIGEST_MEMBERS, now_ms);
 }
 
 /* A digest with the arrays it points to, so that it can be sent to several members. */
@@ -608,25 +547,13 @@
 {
   GossipMessage message = GOSSIP_MESSAGE__INIT;
 
-  if (ensure_member (gossip, address, now_ms - MEMBER_TIMEOUT_MS + UNCONFIRMED_TIMEOUT_MS)
-      == NULL)
+  if (!limpet_gossip_members_add (gossip->members, address, now_ms))
     return;
   message.sender = gossip->own_address;
   message.requests_digest = true;
   send_message (gossip, &message, address);
 }
 
-static void
-remove_expired_members (LimpetGossip *gossip, LimpetMs now_ms)
-{
-  for (guint i = 0; i < gossip->members->len;)
-    if (now_ms - g_array_index (gossip->members, Member, i).last_seen_ms
-        > MEMBER_TIMEOUT_MS)
-      g_array_remove_index_fast (gossip->members, i);
-    else
-      i++;
-}
-
 void
 limpet_gossip_tick (LimpetGossip *gossip, LimpetMs now_ms)
 {
@@ -639,7 +566,7 @@
   if (now_ms - gossip->last_digest_ms < DIGEST_PERIOD_MS)
     return;
   gossip->last_digest_ms = now_ms;
-  remove_expired_members (gossip, now_ms);
+  limpet_gossip_members_expire (gossip->members, now_ms);
   if (gossip->quarantine != NULL)
     count = limpet_quarantine_collect_next (gossip->quarantine, records,
                                             MAX_DIGEST_SUSPECTS);
@@ -653,21 +580,18 @@
   GossipMessage message = GOSSIP_MESSAGE__INIT;
 
   message.leaving = true;
-  send_to_random_members (gossip, &message, gossip->members->len, 0);
+  send_to_random_members (gossip, &message, limpet_gossip_members_count (gossip->members),
+                          0);
 }
 
 uint32_t
 limpet_gossip_router_count (const LimpetGossip *gossip)
 {
-  return gossip->members->len + 1;
+  return limpet_gossip_members_count (gossip->members) + 1;
 }
 
 uint32_t
 limpet_gossip_responding_count (const LimpetGossip *gossip)
 {
-  uint32_t count = 0;
-
-  for (guint i = 0; i < gossip->members->len; i++)
-    count += g_array_index (gossip->members, Member, i).is_confirmed;
-  return count;
+  return limpet_gossip_members_responding_count (gossip->members);
 }
--- /dev/null
+++ b/src/liblimpetroad/cluster_state/gossip_members.c
@@ -0,0 +1,168 @@
+#include "private/gossip_members.h"
+
+#include <glib.h>
+#include <xxhash.h>
+
+/* A member is removed after MEMBER_TIMEOUT_MS without a message. One that has never sent
+ * a message, and is known only from other routers or a registry, is removed after
+ * UNCONFIRMED_TIMEOUT_MS. */
+#define MEMBER_TIMEOUT_MS 20000
+#define UNCONFIRMED_TIMEOUT_MS 8000
+/* Only members that sent a message within this time are told to other routers. */
+#define MAX_SHARED_MEMBER_AGE_MS 4000
+
+typedef struct
+{
+  uint32_t address;
+  /* Time of its last message. For a member without one, the time when it was added,
+   * back-dated so that it is removed after UNCONFIRMED_TIMEOUT_MS. */
+  LimpetMs last_seen_ms;
+  bool is_confirmed; /* has sent a message */
+} Member;
+
+struct LimpetGossipMembers
+{
+  uint32_t own_address;
+  GArray *members; /* of Member */
+};
+
+LimpetGossipMembers *
+limpet_gossip_members_new (uint32_t own_address)
+{
+  LimpetGossipMembers *members = g_new0 (LimpetGossipMembers, 1);
+
+  members->own_address = own_address;
+  members->members = g_array_new (FALSE, FALSE, sizeof (Member));
+  return members;
+}
+
+void
+limpet_gossip_members_delete (LimpetGossipMembers *members)
+{
+  g_array_free (members->members, TRUE);
+  g_free (members);
+}
+
+static Member *
+find_member (LimpetGossipMembers *members, uint32_t address)
+{
+  for (guint i = 0; i < members->members->len; i++)
+    {
+      Member *member = &g_array_index (members->members, Member, i);
+
+      if (member->address == address)
+        return member;
+    }
+  return NULL;
+}
+
+/* Returns the member at address, which is added if it is new. Returns NULL for the own
+ * address and for 0. */
+static Member *
+ensure_member (LimpetGossipMembers *members, uint32_t address, LimpetMs last_seen_ms)
+{
+  Member *member = find_member (members, address);
+
+  if (member == NULL && address != members->own_address && address != 0)
+    {
+      Member added = { .address = address, .last_seen_ms = last_seen_ms };
+
+      g_array_append_val (members->members, added);
+      member = find_member (members, address);
+    }
+  return member;
+}
+
+bool
+limpet_gossip_members_add (LimpetGossipMembers *members,
+                           uint32_t address,
+                           LimpetMs now_ms)
+{
+  return ensure_member (members, address,
+                        now_ms - MEMBER_TIMEOUT_MS + UNCONFIRMED_TIMEOUT_MS)
+         != NULL;
+}
+
+void
+limpet_gossip_members_record_message (LimpetGossipMembers *members,
+                                      uint32_t address,
+                                      bool is_leaving,
+                                      LimpetMs now_ms)
+{
+  Member *member = ensure_member (members, address, now_ms);
+
+  if (member == NULL)
+    return;
+  member->last_seen_ms = is_leaving ? now_ms - MEMBER_TIMEOUT_MS : now_ms;
+  member->is_confirmed = true;
+}
+
+void
+limpet_gossip_members_expire (LimpetGossipMembers *members, LimpetMs now_ms)
+{
+  for (guint i = 0; i < members->members->len;)
+    if (now_ms - g_array_index (members->members, Member, i).last_seen_ms
+        > MEMBER_TIMEOUT_MS)
+      g_array_remove_index_fast (members->members, i);
+    else
+      i++;
+}
+
+uint32_t
+limpet_gossip_members_count (const LimpetGossipMembers *members)
+{
+  return members->members->len;
+}
+
+uint32_t
+limpet_gossip_members_responding_count (const LimpetGossipMembers *members)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < members->members->len; i++)
+    count += g_array_index (members->members, Member, i).is_confirmed;
+  return count;
+}
+
+uint32_t
+limpet_gossip_members_address (const LimpetGossipMembers *members, uint32_t index)
+{
+  return g_array_index (members->members, Member, index).address;
+}
+
+uint32_t
+limpet_gossip_members_collect (const LimpetGossipMembers *members,
+                               uint32_t first,
+                               uint32_t *addresses,
+                               uint32_t max_count,
+                               LimpetMs now_ms)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < members->members->len && count < max_count; i++)
+    {
+      const Member *member = &g_array_index (members->members, Member,
+                                             (first + i) % members->members->len);
+
+      if (member->is_confirmed
+          && now_ms - member->last_seen_ms < MAX_SHARED_MEMBER_AGE_MS)
+        addresses[count++] = member->address;
+    }
+  return count;
+}
+
+uint32_t
+limpet_gossip_members_rank (const LimpetGossipMembers *members, uint32_t key)
+{
+  uint64_t own_score
+      = XXH64 (&members->own_address, sizeof members->own_address, key);
+  uint32_t rank = 0;
+
+  for (guint i = 0; i < members->members->len; i++)
+    {
+      const Member *member = &g_array_index (members->members, Member, i);
+
+      rank += XXH64 (&member->address, sizeof member->address, key) > own_score;
+    }
+  return rank;
+}
--- /dev/null
+++ b/src/liblimpetroad/private/gossip_members.h
@@ -0,0 +1,46 @@
+#ifndef LIMPETROAD_PRIVATE_GOSSIP_MEMBERS_H
+#define LIMPETROAD_PRIVATE_GOSSIP_MEMBERS_H
+
+#include "limpetroad/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The other routers that a router knows, by their IPv4 addresses (network byte order).
+ * Times are of the boot clock. */
+typedef struct LimpetGossipMembers LimpetGossipMembers;
+
+LimpetGossipMembers *limpet_gossip_members_new (uint32_t own_address);
+void limpet_gossip_members_delete (LimpetGossipMembers *members);
+
+/* Adds a router known from a registry or another router. Returns false for the own
+ * address and for 0. */
+bool limpet_gossip_members_add (LimpetGossipMembers *members,
+                                uint32_t address,
+                                LimpetMs now_ms);
+/* Records a message from a router, which is added if it is new. */
+void limpet_gossip_members_record_message (LimpetGossipMembers *members,
+                                           uint32_t address,
+                                           bool is_leaving,
+                                           LimpetMs now_ms);
+/* Removes routers that stopped sending messages. */
+void limpet_gossip_members_expire (LimpetGossipMembers *members, LimpetMs now_ms);
+
+uint32_t limpet_gossip_members_count (const LimpetGossipMembers *members);
+/* Returns the number of members that have sent a message. */
+uint32_t limpet_gossip_members_responding_count (const LimpetGossipMembers *members);
+/* Returns the address of a member; index is below the count. */
+uint32_t limpet_gossip_members_address (const LimpetGossipMembers *members,
+                                        uint32_t index);
+/* Fills addresses with members that sent a message lately, from the member at index first
+ * on, and returns their number. */
+uint32_t limpet_gossip_members_collect (const LimpetGossipMembers *members,
+                                        uint32_t first,
+                                        uint32_t *addresses,
+                                        uint32_t max_count,
+                                        LimpetMs now_ms);
+/* Returns the number of members that precede this router in the order of all routers that
+ * belongs to key. */
+uint32_t limpet_gossip_members_rank (const LimpetGossipMembers *members, uint32_t key);
+
+#endif
