Routers keep to the rate limit that a target names, each to its part

Cause: no router read the limit. Class: a budget of the whole fleet that nobody divides: read by each router for itself, it would be exceeded as many times as there are routers.

Change: a target's limit L is shared by the first 2 L + 2 routers in an order that all agree on (rendezvous of address and target), at an equal part each, one request at a time: in 4 s at most 2 L + 2 + 4 L requests, within the users' 6 L + 5 without a message. Limits and their ends go to the others by gossip, since routers without a part never hear from the target. A limit that nobody confirms for 30 s is forgotten; at least one request in 10 s shows its end. Also when no target is left, a paced one gets nothing (the policies ignore backoff then).

--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -105,6 +105,11 @@
 /** Sets the number of routers that share the load, including this one. */
 void limpet_exchange_set_router_count (LimpetExchange *exchange, uint32_t count);
 
+/** Sets a function that returns how many live routers precede this one in an order of all
+ *  routers that depends on \p key, and on which all routers agree. */
+void limpet_exchange_set_router_rank (LimpetExchange *exchange,
+                                      uint32_t (*rank) (void *user, uint32_t key),
+                                      void *user);
 /** Sets the quarantine of prompt parts, which is borrowed: the exchange records crashes
  *  and successes there, and refuses calls with a quarantined part. */
 void limpet_exchange_set_quarantine (LimpetExchange *exchange,
@@ -122,6 +127,19 @@
                                        int32_t inflight,
                                        LimpetMs at_ms);
 
+/** Sets a function to call for each response of a target with a rate limit, or whose
+ * limit has just ended. */
+void limpet_exchange_set_limit_observer (LimpetExchange *exchange,
+                                         void (*observer) (void *user,
+                                                           const LimpetTarget *target),
+                                         void *user);
+/** Records a rate limit that another router received at the monotonic time \p at_ms, or
+ *  NULL if the target with \p id_hash named none. Unknown targets are ignored. */
+void limpet_exchange_record_peer_limit (LimpetExchange *exchange,
+                                        uint32_t id_hash,
+                                        const double *per_s,
+                                        LimpetMs at_ms);
+
 /** Listens for callers on an IPv4 address and a TCP port. On failure sets \p error and
  *  returns LIMPET_STATUS_INTERNAL. */
 LimpetStatus limpet_exchange_init (LimpetExchange *exchange,
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -64,6 +64,15 @@
   LimpetMs at_ms;   /**< time of the report, by the boot clock of this machine */
 } LimpetGossipLoad;
 
+/** Rate limit that a target named to some router, or its end. */
+typedef struct
+{
+  uint32_t target_hash;
+  bool is_set;    /**< false if the target no longer names a limit */
+  double per_s;   /**< requests per second from all routers together */
+  LimpetMs at_ms; /**< time of the response, by the boot clock of this machine */
+} LimpetGossipLimit;
+
 /** Callbacks, called from within the functions below. Their arguments are valid during
  *  the call only. */
 typedef struct
@@ -75,6 +84,8 @@
   int64_t (*on_batch) (void *user, const LimpetGossipBatch *batch);
   /** Delivers a load report that another router received. */
   void (*on_load) (void *user, const LimpetGossipLoad *load);
+  /** Delivers a rate limit, or its end, that another router received. */
+  void (*on_limit) (void *user, const LimpetGossipLimit *limit);
 } LimpetGossipOps;
 
 /** Returns the gossip state of the router at \p own_address (IPv4, network byte order).
@@ -120,6 +131,14 @@
 /** Records a load report that this router received, to be sent with the next digests. */
 void limpet_gossip_publish_load (LimpetGossip *gossip, const LimpetGossipLoad *load);
 
+/** Records the rate limit in a response that this router received. If it has changed, it
+ *  is sent to other routers with the next tick. The end of an unknown limit is ignored.
+ */
+void limpet_gossip_publish_limit (LimpetGossip *gossip, const LimpetGossipLimit *limit);
+/** Returns the number of known routers that precede this one in an order of all routers
+ *  that depends on \p key. Routers with the same members agree on the order. */
+uint32_t limpet_gossip_rank (const LimpetGossip *gossip, uint32_t key);
+
 /** Sends digests if they are due, and removes routers that stopped sending messages. */
 void limpet_gossip_tick (LimpetGossip *gossip, LimpetMs now_ms);
 /** Notifies all known routers that this one stops. */
--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -45,6 +45,8 @@
 #define LIMPET_STALL_TIMEOUT_MS 2000
 /* An idle upstream connection is closed after this time. */
 #define LIMPET_POOL_IDLE_MS 5000
+/* A rate limit of a target that no response has confirmed for this time is forgotten. */
+#define LIMPET_RATE_LIMIT_VALIDITY_MS 30000
 /* A connection whose sent data is not acknowledged for this long is closed. */
 #define LIMPET_TCP_USER_TIMEOUT_MS 1500
 
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -43,7 +43,8 @@
 {
   bool is_set;
   double per_s;
-  LimpetMs at_ms; /**< monotonic time of the response that named it, or that did not */
+  LimpetMs at_ms;   /**< monotonic time of the response that named it, or that did not */
+  double own_per_s; /**< this router's part; 0 if it has none or there is no limit */
 } LimpetTargetRateLimit;
 
 /** One target. The VM fields never change; atomic fields may be accessed from any thread.
@@ -65,6 +66,8 @@
   _Atomic LimpetMs full_until_ms;
   /** Gets no request before this time, because an exchange failed. */
   _Atomic LimpetMs failed_until_ms;
+  /** Gets no request before this time, because of its rate limit. */
+  _Atomic LimpetMs next_send_ms;
   _Atomic int32_t failures; /**< consecutive failed exchanges */
   /** Weight out of LIMPET_WEIGHT_FULL, from this router's latency samples. */
   _Atomic int32_t own_weight;
@@ -130,6 +133,10 @@
 /** Returns whether the target may get new requests at \p now_ms (monotonic clock). */
 bool limpet_target_is_open (const LimpetTarget *target, LimpetMs now_ms);
 
+/** Returns whether the target must not get a request at \p now_ms (monotonic clock)
+ *  because of its rate limit. */
+bool limpet_target_is_paced (const LimpetTarget *target, LimpetMs now_ms);
+
 /** Marks the target as leaving for the rest of its incarnation. \p source is logged as
  *  the origin of the report. */
 void limpet_target_mark_leaving (LimpetTarget *target, const char *source);
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -3,6 +3,7 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
 #include "private/gossip.pb-c.h"
+#include "private/gossip_limits.h"
 #include "private/gossip_loads.h"
 #include "private/gossip_members.h"
 #include "private/gossip_suspects.h"
@@ -25,6 +26,10 @@
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
+/* Rate limits in a regular digest, and the number of loads that take as many bytes as all
+ * of them. */
+#define MAX_DIGEST_LIMITS 6
+#define LOADS_PER_LIMITS 14
 /* Suspects in a regular digest, and the number of loads that take as many bytes
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
@@ -59,6 +64,7 @@
   GRand *random;
   LimpetGossipMembers *members;
   LimpetGossipLoads *loads;
+  LimpetGossipLimits *limits;
   LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
   LimpetMs last_digest_ms; /* when digests were last sent */
@@ -94,6 +100,7 @@
   gossip->random = g_rand_new_with_seed_array (seeds, 2);
   gossip->members = limpet_gossip_members_new (own_address);
   gossip->loads = limpet_gossip_loads_new ();
+  gossip->limits = limpet_gossip_limits_new ();
   return gossip;
 }
 
@@ -105,6 +112,7 @@
   g_rand_free (gossip->random);
   limpet_gossip_members_delete (gossip->members);
   limpet_gossip_loads_delete (gossip->loads);
+  limpet_gossip_limits_delete (gossip->limits);
   g_free (gossip);
 }
 
@@ -419,6 +427,29 @@
     }
 }
 
+static void
+receive_limits (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
+{
+  LimpetGossipLimit limit;
+
+  for (size_t i = 0; i < message->n_limits; i++)
+    if (limpet_gossip_limits_receive (gossip->limits, message->limits[i], now_ms, &limit))
+      gossip->ops->on_limit (gossip->user, &limit);
+}
+
+/* Sends the limits that have changed to random routers, which pass on what is new to
+ * them. */
+static void
+push_limits (LimpetGossip *gossip, LimpetMs now_ms)
+{
+  LimpetGossipEncodedLimits limits;
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+
+  while (limpet_gossip_limits_collect_changed (gossip->limits, &limits, now_ms, &message)
+         > 0)
+    send_to_random_members (gossip, &message, push_fanout (gossip), 0);
+}
+
 static void send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 
 void
@@ -447,6 +478,7 @@
     receive_topic (gossip, message->topics[i], now_ms, sender);
   receive_loads (gossip, message, now_ms);
   receive_suspects (gossip, message, now_ms);
+  receive_limits (gossip, message, now_ms);
   if (message->requests_digest)
     send_digest (gossip, sender, now_ms);
   gossip_message__free_unpacked (message, NULL);
@@ -459,6 +491,18 @@
       gossip->loads, load, (uint8_t)g_rand_int_range (gossip->random, 0, UINT8_MAX + 1));
 }
 
+void
+limpet_gossip_publish_limit (LimpetGossip *gossip, const LimpetGossipLimit *limit)
+{
+  limpet_gossip_limits_record_own (gossip->limits, limit);
+}
+
+uint32_t
+limpet_gossip_rank (const LimpetGossip *gossip, uint32_t key)
+{
+  return limpet_gossip_members_rank (gossip->members, key);
+}
+
 static uint32_t
 collect_members (LimpetGossip *gossip, uint32_t *addresses, LimpetMs now_ms)
 {
@@ -480,10 +524,11 @@
   TopicUpdate *topic_pointers[LIMPET_GOSSIP_TOPICS];
   uint32_t members[MAX_DIGEST_MEMBERS];
   LimpetGossipSuspects suspects;
+  LimpetGossipEncodedLimits limits;
 } Digest;
 
-/* Fills a digest with some suspects. They take the place of loads, so that the digest
- * does not grow. */
+/* Fills a digest with some suspects and limits. They take the place of loads, so that the
+ * digest does not grow. */
 static void
 fill_digest (LimpetGossip *gossip,
              Digest *digest,
@@ -491,14 +536,19 @@
              uint32_t suspects,
              LimpetMs now_ms)
 {
+  uint32_t replaced_loads = suspects * LOADS_PER_SUSPECT;
+
   gossip_message__init (&digest->message);
   digest->message.sender = gossip->own_address;
   limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
                                  &digest->message);
+  if (limpet_gossip_limits_collect_next (gossip->limits, &digest->limits,
+                                         MAX_DIGEST_LIMITS, now_ms, &digest->message)
+      > 0)
+    replaced_loads += LOADS_PER_LIMITS;
   digest->message.n_load_targets = limpet_gossip_loads_collect (
       gossip->loads,
-      LIMPET_GOSSIP_MAX_LOADS
-          - MIN (LIMPET_GOSSIP_MAX_LOADS, suspects * LOADS_PER_SUSPECT),
+      LIMPET_GOSSIP_MAX_LOADS - MIN (LIMPET_GOSSIP_MAX_LOADS, replaced_loads),
       digest->load_targets, digest->loads, now_ms);
   digest->message.load_targets = digest->load_targets;
   digest->message.loads = (ProtobufCBinaryData){
@@ -563,6 +613,7 @@
 
   if (gossip->quarantine != NULL)
     push_suspects (gossip, now_ms);
+  push_limits (gossip, now_ms);
   if (now_ms - gossip->last_digest_ms < DIGEST_PERIOD_MS)
     return;
   gossip->last_digest_ms = now_ms;
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &gossip_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   target_limit__init
+                     (TargetLimit         *message)
+{
+  static const TargetLimit init_value = TARGET_LIMIT__INIT;
+  *message = init_value;
+}
+size_t target_limit__get_packed_size
+                     (const TargetLimit *message)
+{
+  assert(message->base.descriptor == &target_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t target_limit__pack
+                     (const TargetLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &target_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t target_limit__pack_to_buffer
+                     (const TargetLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &target_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+TargetLimit *
+       target_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (TargetLimit *)
+     protobuf_c_message_unpack (&target_limit__descriptor,
+                                allocator, len, data);
+}
+void   target_limit__free_unpacked
+                     (TargetLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &target_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   suspect_part__init
                      (SuspectPart         *message)
 {
@@ -142,7 +187,7 @@
   assert(message->base.descriptor == &topic_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip_message__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gossip_message__field_descriptors[9] =
 {
   {
     "sender",
@@ -240,9 +285,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(GossipMessage, n_limits),
+    offsetof(GossipMessage, limits),
+    &target_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip_message__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
+  8,   /* field[8] = limits */
   5,   /* field[5] = load_targets */
   6,   /* field[6] = loads */
   3,   /* field[3] = members */
@@ -255,7 +313,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gossip_message__descriptor =
 {
@@ -265,13 +323,90 @@
   "GossipMessage",
   "",
   sizeof(GossipMessage),
-  8,
+  9,
   gossip_message__field_descriptors,
   gossip_message__field_indices_by_name,
   2,  gossip_message__number_ranges,
   (ProtobufCMessageInit) gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor target_limit__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lifted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, lifted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned target_limit__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = lifted */
+  2,   /* field[2] = per_s */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange target_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor target_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "TargetLimit",
+  "TargetLimit",
+  "TargetLimit",
+  "",
+  sizeof(TargetLimit),
+  4,
+  target_limit__field_descriptors,
+  target_limit__field_indices_by_name,
+  1,  target_limit__number_ranges,
+  (ProtobufCMessageInit) target_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor suspect_part__field_descriptors[6] =
 {
   {
--- a/src/liblimpetroad/cluster_state/gossip_members.c
+++ b/src/liblimpetroad/cluster_state/gossip_members.c
@@ -154,8 +154,7 @@
 uint32_t
 limpet_gossip_members_rank (const LimpetGossipMembers *members, uint32_t key)
 {
-  uint64_t own_score
-      = XXH64 (&members->own_address, sizeof members->own_address, key);
+  uint64_t own_score = XXH64 (&members->own_address, sizeof members->own_address, key);
   uint32_t rank = 0;
 
   for (guint i = 0; i < members->members->len; i++)
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -293,6 +293,12 @@
          && now_ms >= atomic_load (&target->failed_until_ms);
 }
 
+bool
+limpet_target_is_paced (const LimpetTarget *target, LimpetMs now_ms)
+{
+  return now_ms < atomic_load (&target->next_send_ms);
+}
+
 void
 limpet_target_mark_leaving (LimpetTarget *target, const char *source)
 {
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -84,6 +84,38 @@
   limpet_dispatch_set_router_count (exchange->dispatch, count);
 }
 
+void
+limpet_exchange_set_router_rank (LimpetExchange *exchange,
+                                 uint32_t (*rank) (void *user, uint32_t key),
+                                 void *user)
+{
+  limpet_dispatch_set_router_rank (exchange->dispatch, rank, user);
+}
+
+void
+limpet_exchange_set_limit_observer (LimpetExchange *exchange,
+                                    void (*observer) (void *user,
+                                                      const LimpetTarget *target),
+                                    void *user)
+{
+  exchange->limit_observer = observer;
+  exchange->limit_observer_user = user;
+}
+
+void
+limpet_exchange_record_peer_limit (LimpetExchange *exchange,
+                                   uint32_t id_hash,
+                                   const double *per_s,
+                                   LimpetMs at_ms)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (exchange->targets);
+  LimpetTarget *target = limpet_target_view_find (view, id_hash);
+
+  if (target != NULL)
+    limpet_dispatch_record_rate_limit (exchange->dispatch, target, per_s, at_ms);
+  limpet_target_view_release (view);
+}
+
 void
 limpet_exchange_set_quarantine (LimpetExchange *exchange, LimpetQuarantine *quarantine)
 {
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -42,6 +42,20 @@
                               head->fields[i].value);
 }
 
+static void
+record_rate_limit (LimpetTask *task, LimpetMs now_ms)
+{
+  LimpetExchange *exchange = task->exchange;
+  const LimpetTargetResponse *response = &task->response;
+  bool was_limited = task->target->rate_limit.is_set;
+
+  limpet_dispatch_record_rate_limit (
+      exchange->dispatch, task->target,
+      response->has_rate_limit ? &response->rate_limit_per_s : NULL, now_ms);
+  if ((was_limited || response->has_rate_limit) && exchange->limit_observer != NULL)
+    exchange->limit_observer (exchange->limit_observer_user, task->target);
+}
+
 bool
 limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head)
 {
@@ -57,9 +71,7 @@
     return true;
   task->response_head_ms = now_ms;
   if (task->response.has_rate_limit || task->response.is_from_target)
-    limpet_dispatch_record_rate_limit (
-        exchange->dispatch, task->target,
-        task->response.has_rate_limit ? &task->response.rate_limit_per_s : NULL, now_ms);
+    record_rate_limit (task, now_ms);
   if (task->response.has_load)
     {
       limpet_dispatch_record_load (exchange->dispatch, task->target,
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -40,6 +40,8 @@
   LimpetRouteTable *table;
   void (*load_observer) (void *user, const LimpetTarget *target);
   void *load_observer_user;
+  void (*limit_observer) (void *user, const LimpetTarget *target);
+  void *limit_observer_user;
   uv_tcp_t listener;
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct GossipMessage GossipMessage;
+typedef struct TargetLimit TargetLimit;
 typedef struct SuspectPart SuspectPart;
 typedef struct TopicUpdate TopicUpdate;
 
@@ -58,10 +59,37 @@
   ProtobufCBinaryData loads;
   size_t n_suspects;
   SuspectPart **suspects;
+  size_t n_limits;
+  TargetLimit **limits;
 };
 #define GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL }
+
+
+/*
+ * Requests per second that a target takes from all routers together.
+ */
+struct  TargetLimit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the target's id and incarnation
+   */
+  uint32_t target;
+  /*
+   * the target no longer names a limit
+   */
+  protobuf_c_boolean lifted;
+  float per_s;
+  /*
+   * time since the response that named it, or that did not
+   */
+  uint32_t age_ms;
+};
+#define TARGET_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&target_limit__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -142,6 +170,25 @@
 void   gossip_message__free_unpacked
                      (GossipMessage *message,
                       ProtobufCAllocator *allocator);
+/* TargetLimit methods */
+void   target_limit__init
+                     (TargetLimit         *message);
+size_t target_limit__get_packed_size
+                     (const TargetLimit   *message);
+size_t target_limit__pack
+                     (const TargetLimit   *message,
+                      uint8_t             *out);
+size_t target_limit__pack_to_buffer
+                     (const TargetLimit   *message,
+                      ProtobufCBuffer     *buffer);
+TargetLimit *
+       target_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   target_limit__free_unpacked
+                     (TargetLimit *message,
+                      ProtobufCAllocator *allocator);
 /* SuspectPart methods */
 void   suspect_part__init
                      (SuspectPart         *message);
@@ -185,6 +232,9 @@
 typedef void (*GossipMessage_Closure)
                  (const GossipMessage *message,
                   void *closure_data);
+typedef void (*TargetLimit_Closure)
+                 (const TargetLimit *message,
+                  void *closure_data);
 typedef void (*SuspectPart_Closure)
                  (const SuspectPart *message,
                   void *closure_data);
@@ -198,6 +248,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor gossip_message__descriptor;
+extern const ProtobufCMessageDescriptor target_limit__descriptor;
 extern const ProtobufCMessageDescriptor suspect_part__descriptor;
 extern const ProtobufCMessageDescriptor topic_update__descriptor;
 
--- a/src/liblimpetroad/private/policy_helpers.h
+++ b/src/liblimpetroad/private/policy_helpers.h
@@ -5,8 +5,8 @@
 
 /* Functions that the policies share. */
 
-/* Returns whether the target belongs to the request's group, accepts new requests and is
- * not excluded. Free slots and load bounds are not checked. */
+/* Returns whether the target belongs to the request's group, accepts new requests, also
+ * by its rate limit, and is not excluded. Free slots and load bounds are not checked. */
 bool limpet_policy_is_eligible (const LimpetPolicyRequest *request,
                                 const LimpetTarget *target,
                                 LimpetMs now_ms);
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -5,6 +5,7 @@
 #include "limpetroad/outlier.h"
 #include "limpetroad/popularity.h"
 #include "limpetroad/retry_budget.h"
+#include "private/target_rate.h"
 
 #include <string.h>
 
@@ -49,6 +50,8 @@
   uint64_t next_order;
   double release_gap_ms; /* moving average of the time between releases */
   LimpetMs last_release_ms;
+  uint32_t (*router_rank) (void *user, uint32_t key);
+  void *router_rank_user;
   bool is_serving; /* serve_queue() is running; callbacks must not enter it again */
 };
 
@@ -112,6 +115,15 @@
   dispatch->routers = MAX (1, count);
 }
 
+void
+limpet_dispatch_set_router_rank (LimpetDispatch *dispatch,
+                                 uint32_t (*rank) (void *user, uint32_t key),
+                                 void *user)
+{
+  dispatch->router_rank = rank;
+  dispatch->router_rank_user = user;
+}
+
 /* Returns the retry budget of the call's service, set to the current limits. */
 static LimpetRetryBudget *
 get_budget (LimpetDispatch *dispatch, const LimpetCall *call)
@@ -195,6 +207,7 @@
     {
       limpet_target_ref (target);
       atomic_fetch_add (&target->own_inflight, 1);
+      limpet_target_rate_record_send (target, now_ms);
     }
   limpet_target_view_release (view);
   return target;
@@ -403,26 +416,27 @@
   atomic_store (&target->peers_inflight, MAX (0, inflight - own));
 }
 
+/* Sets this router's part of a target's rate limit. */
+static void
+update_rate (LimpetDispatch *dispatch, LimpetTarget *target, LimpetMs now_ms)
+{
+  uint32_t rank
+      = dispatch->router_rank != NULL
+            ? dispatch->router_rank (dispatch->router_rank_user, target->id_hash)
+            : 0;
+
+  limpet_target_rate_update (target, dispatch->routers, rank, now_ms);
+}
+
 void
 limpet_dispatch_record_rate_limit (LimpetDispatch *dispatch,
                                    LimpetTarget *target,
                                    const double *per_s,
                                    LimpetMs at_ms)
 {
-  LimpetTargetRateLimit *known = &target->rate_limit;
-
-  (void)dispatch;
-  if (at_ms < known->at_ms)
-    return;
-  if (per_s != NULL && (!known->is_set || *per_s != known->per_s))
-    limpet_log (LIMPET_LOG_NOTICE, "limit", target->vm.id, "per_s=%.2f", *per_s);
-  if (per_s == NULL && known->is_set)
-    limpet_log (LIMPET_LOG_NOTICE, "limit", target->vm.id, "lifted");
-  *known = (LimpetTargetRateLimit){
-    .is_set = per_s != NULL,
-    .per_s = per_s != NULL ? *per_s : 0,
-    .at_ms = at_ms,
-  };
+  if ((per_s != NULL || target->rate_limit.is_set)
+      && limpet_target_rate_set (target, per_s, at_ms))
+    update_rate (dispatch, target, limpet_clock_mono_ms ());
 }
 
 void
@@ -483,6 +497,17 @@
   limpet_target_view_release (view);
 }
 
+static void
+update_rates (LimpetDispatch *dispatch, LimpetMs now_ms)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  for (uint32_t i = 0; i < view->count; i++)
+    if (view->targets[i]->rate_limit.is_set)
+      update_rate (dispatch, view->targets[i], now_ms);
+  limpet_target_view_release (view);
+}
+
 static void
 detect_slow_engines (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
@@ -496,6 +521,7 @@
 limpet_dispatch_tick (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
   decay_reports (dispatch, now_ms);
+  update_rates (dispatch, now_ms);
   detect_slow_engines (dispatch, now_ms);
   serve_queue (dispatch);
   refuse_overdue (dispatch, now_ms);
--- a/src/liblimpetroad/routing/policy.c
+++ b/src/liblimpetroad/routing/policy.c
@@ -85,7 +85,8 @@
                            const LimpetTarget *target,
                            LimpetMs now_ms)
 {
-  return is_member (request, target, now_ms) && !is_excluded (request, target);
+  return is_member (request, target, now_ms) && !limpet_target_is_paced (target, now_ms)
+         && !is_excluded (request, target);
 }
 
 static bool
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -52,8 +52,16 @@
     router->busy_reported_ms = load->at_ms;
 }
 
-static const LimpetGossipOps gossip_ops
-    = { .send = send_datagram, .on_batch = apply_batch, .on_load = record_load };
+static void
+record_limit (void *user, const LimpetGossipLimit *limit)
+{
+  ((Router *)user)->limit = *limit;
+}
+
+static const LimpetGossipOps gossip_ops = { .send = send_datagram,
+                                            .on_batch = apply_batch,
+                                            .on_load = record_load,
+                                            .on_limit = record_limit };
 
 void
 deliver (LimpetMs now_ms)
