--- a/src/liblimpetroad/routing/target_rate.c
+++ b/src/liblimpetroad/routing/target_rate.c
@@ -38,9 +38,6 @@
  * 100 ms. */
 #define SAMPLE_WEIGHT 0.05
 #define TICKS_PER_S 10.0
-/* Engines are contended for this time after a call found none that could take it, or
- * while each of them has a limit. */
-#define CONTENTION_MS 2000
 /* Assumed duration of a call before one has ended. */
 #define DEFAULT_DURATION_S 1.0
 #define MIN_DURATION_S 0.001
