A response to HEAD on a stream's route is complete without an event

Found by reading the change: a stream without a length has been broken off if it ends before its first event, and a response to HEAD never has one. Callers would have got 502. Such a response is not read as a stream. test_a_head_request_to_a_stream_has_no_body_and_is_complete failed (502) and passes. With it tests of a limit of zero, which passed at once.

--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -24,7 +24,7 @@
 is_event_stream (const LimpetTask *task)
 {
   return task->call.route->kind == LIMPET_ROUTE_KIND_STREAM
-         && task->response.status == 200;
+         && task->response.status == 200 && strcmp (task->head->method, "HEAD") != 0;
 }
 
 /* Copies the status and the end-to-end fields. The fields that frame the body are written
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -490,6 +490,20 @@
         check(body == b"".join(event(n) for n in range(1, 5)), body)
 
 
+def test_a_head_request_to_a_stream_has_no_body_and_is_complete():
+    def on_request(server, message, connection):
+        connection.sendall(server.head(message, 200, "Content-Type: text/event-stream\r\n\r\n"))
+        return True
+
+    with Platform(start=False) as platform:
+        platform.add_server("model", on_request=on_request)
+        platform.start()
+        with platform.client() as client:
+            client.send("/stream/", "HEAD")
+            line = client.file.readline()
+            check(b"200" in line, line)
+
+
 @table([("after_events", event(1) + b"id: 2\n", b""), ("in_the_first_event", b"id: 1\n", b"502"),
         ("before_the_first_event", b"", b"502")])
 def test_a_stream_without_a_length_that_ends_early_does_not_look_complete(data, status):
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -110,6 +110,19 @@
                   per_s, len(fleet.arrivals[server_id]))
 
 
+@table([("beside_others", [0, None]), ("alone", [0])])
+def test_a_limit_of_zero_leaves_single_requests(limits):
+    with LimitedFleet(limits) as fleet:
+        started_at = time.monotonic()
+        fleet.play(8)
+        fleet.check_limits(started_at + STABLE_WINDOW_S)
+        fleet.limits = {server_id: None for server_id in fleet.limits}
+        fleet.play(12)
+        lifted_at = time.monotonic()
+        fleet.play(3)
+        check(fleet.served_after(lifted_at) > 0.95, fleet.served_after(lifted_at))
+
+
 def test_a_server_that_names_no_limit_any_more_gets_its_part_again():
     with LimitedFleet([1.0, None]) as fleet:
         fleet.play(5)
