Failed attempts are logged with a hash of their request

The logs of the incident name the route of an attempt, and nothing that tells two requests of a route apart, so the hypotheses of the postmortem cannot be told from each other. The hash covers what a server receives but the id: method, host, path, team, prompt and body. No decision uses it.

--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -88,6 +88,9 @@
   /** Id of the last shared prompt part, or of the only part; 0 without parts. */
   uint64_t context;
   uint64_t seed; /**< hash of the id, for pseudo-random choices */
+  /** Hash of what a target receives: method, host, path, team, prompt and body. Equal for
+   *  requests that differ only in their ids. */
+  uint64_t fingerprint;
 } LimpetCall;
 
 /** Returns whether \p call may be sent again even if it may already have run. The route
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -112,6 +112,37 @@
   return true;
 }
 
+static void
+update_hash (XXH64_state_t *state, const void *data, size_t length)
+{
+  uint64_t size = length;
+
+  XXH64_update (state, &size, sizeof size);
+  XXH64_update (state, data, length);
+}
+
+/* Hashes the team instead of its key, because a team may use several keys. */
+static bool
+set_fingerprint (LimpetTask *task, LimpetRefusal *refusal)
+{
+  LimpetCall *call = &task->call;
+  const char *team = call->team != NULL ? call->team->name : "";
+  XXH64_state_t *state = XXH64_createState ();
+
+  (void)refusal;
+  XXH64_reset (state, 0);
+  update_hash (state, task->head->method, strlen (task->head->method));
+  update_hash (state, call->host, strlen (call->host));
+  update_hash (state, call->path, strlen (call->path));
+  update_hash (state, team, strlen (team));
+  for (uint32_t i = 0; i < call->prompt_parts_count; i++)
+    update_hash (state, &call->prompt_parts[i].id, sizeof call->prompt_parts[i].id);
+  update_hash (state, task->body->data, task->body->len);
+  call->fingerprint = XXH64_digest (state);
+  XXH64_freeState (state);
+  return true;
+}
+
 static bool
 check_quarantine (LimpetTask *task, LimpetRefusal *refusal)
 {
@@ -123,8 +154,8 @@
 }
 
 static const CallFilter filters[]
-    = { check_stopping, acquire_table, read_call,   find_route,
-        authenticate,   set_times,     set_context, check_quarantine };
+    = { check_stopping, acquire_table, read_call,       find_route,      authenticate,
+        set_times,      set_context,   set_fingerprint, check_quarantine };
 
 bool
 limpet_call_run_filters (LimpetTask *task, LimpetRefusal *refusal)
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -358,9 +358,10 @@
                                                       : "none";
 
   limpet_log (LIMPET_LOG_NOTICE, "try", task->target->vm.id,
-              "id=%s failed=%s cause=\"%s\" route=%s response=%s parts=%s", task->call.id,
-              limpet_status_string[status], cause, task->call.route->name, response,
-              parts);
+              "id=%s failed=%s cause=\"%s\" route=%s response=%s request=%" PRIx64
+              " parts=%s",
+              task->call.id, limpet_status_string[status], cause, task->call.route->name,
+              response, task->call.fingerprint, parts);
   g_free (parts);
 }
 
