Test: a request that crashes servers and comes again is kept from them (fails)

Two cases of a kind are those of the incident (safe, plain service); the others are its likely variants: unsafe, streams, the same id again, three such requests at once, a server that falls silent, routers restarted.

--- /dev/null
+++ b/test/test_crashing_requests.py
@@ -0,0 +1,215 @@
+"""One request that crashes each server that begins to run it, and comes again and again."""
+
+import threading
+import time
+
+import fleet as f
+from platform_fake import Platform, route
+from run_all import table
+from test_platform import check, stream_events
+
+STABLE_WINDOW_S = 3   # stable_window_ms of the users' small sites
+RESTART_S = 2.0       # a crashed server is replaced after this time
+SERVERS = 4
+# Marks a request that crashes servers: in its path, its body or the last part of its prompt.
+CRASHING = "bad"
+
+
+class Kind:
+    """A kind of request. method, path, body, prompt: of request number N, with N for a %d."""
+
+    def __init__(self, path, method="POST", body=None, prompt=None):
+        self.path = path
+        self.method = method
+        self.body = body
+        self.prompt = prompt
+
+    # Returns the arguments of Client.call(); mark distinguishes the requests of the kind.
+    def call(self, mark):
+        fields = [("Prompt-Prefix", self.prompt.replace("MARK", mark))] if self.prompt else []
+        return {"path": self.path.replace("MARK", mark), "method": self.method, "fields": fields,
+                "body": self.body.replace("MARK", mark).encode() if self.body else None}
+
+
+SAFE_POST = Kind("/safe/1", body="MARK")
+SAFE_GET = Kind("/safe/MARK", method="GET")
+UNSAFE = Kind("/unsafe/1", body="MARK")
+SHORT = Kind("/short/1", body="MARK")
+STREAM = Kind("/stream/1", prompt="51:64,c1:500,MARK:20")
+RESUMABLE = Kind("/resume/1", prompt="51:64,c1:500,MARK:20")
+
+
+class CrashingFleet:
+    """Routers with servers of one service that crash under some requests, and clients.
+
+    arrivals: (time, mark) of the requests that reached a server and crash it; crashes: (time, mark)
+    of the crashes; served: (time, whether it was served) of the sound requests. silent: a crashed
+    server leaves its connections open."""
+
+    def __init__(self, kind, routers=3, silent=False):
+        self.kind = kind
+        self.silent = silent
+        self.arrivals = []
+        self.crashes = []
+        self.served = []
+        self.stopped = threading.Event()
+        self.platform = Platform(start=False, routes=[
+            route("safe", "/safe/", "safe", "plain"),
+            route("unsafe", "/unsafe/", "unsafe", "plain"),
+            route("short", "/short/", "unsafe", "plain", timeout_ms=400),
+            route("stream", "/stream/", "streaming", "model"),
+            route("resume", "/resume/", "streaming", "model", resumable=True)])
+        self.service = "model" if kind.prompt else "plain"
+        for _ in range(SERVERS):
+            self.add_server()
+        self.platform.router_count = routers
+        self.platform.start()
+        self.wait_for_routers(routers)
+
+    def wait_for_routers(self, count):
+        for index in range(count):
+            f.wait_for(lambda: self.platform.metric("limpetroad_routers ", index) == count,
+                       "the routers to find each other")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        self.stopped.set()
+        self.platform.__exit__()
+
+    def add_server(self):
+        self.platform.add_server(self.service, on_request=self.on_request)
+
+    def on_request(self, server, message, connection):
+        prompt = message.fields.get("prompt-prefix", "")
+        text = message.line.split()[1] + " " + message.body.decode() + prompt.split(",")[-1]
+        if CRASHING not in text:
+            if self.kind.prompt:
+                stream_events(server, connection, message, 1, 3)
+            else:
+                time.sleep(0.03)
+                server.reply(connection, message)
+            return True
+        mark = text[text.index(CRASHING):].split(":")[0].split(" ")[0]
+        self.arrivals.append((time.monotonic(), mark))
+        if self.kind.prompt:
+            connection.sendall(server.head(
+                message, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        time.sleep(0.03)
+        self.crash(server, mark)
+        if self.silent:
+            self.stopped.wait(30)
+        raise OSError("closed")
+
+    def crash(self, server, mark):
+        if server not in self.platform.servers:
+            return  # another request has just crashed it
+        self.platform.servers.remove(server)
+        self.crashes.append((time.monotonic(), mark))
+        if self.silent:
+            server.listener.socket.close()
+        else:
+            server.close()
+        threading.Timer(RESTART_S, self.replace, [server]).start()
+
+    def replace(self, server):
+        if not self.stopped.is_set():
+            server.remove()
+            self.add_server()
+
+    # Sends one request; returns whether it was served completely.
+    def request(self, mark, router, request_id=None):
+        try:
+            call = self.kind.call(mark)
+            return self.platform.call(call.pop("path"), call.pop("method"), router=router,
+                                      request_id=request_id, **call).status == 200
+        except (OSError, ValueError):
+            return False
+
+    # Sends crashing requests to the routers in turn, 150 ms after each response.
+    def send_crashing(self, marks, request_id, end):
+        number = 0
+        while time.monotonic() < end and not self.stopped.is_set():
+            self.request(marks[number % len(marks)], number % len(self.platform.routers), request_id)
+            number += 1
+            time.sleep(0.15)
+
+    # Sends sound requests, every second one of them the same.
+    def send_sound(self, end):
+        number = 0
+        while time.monotonic() < end and not self.stopped.is_set():
+            mark = "900d" if number % 2 else "%x" % (0x1000 + number)
+            sent = time.monotonic()
+            self.served.append((sent, self.request(mark, number % len(self.platform.routers))))
+            number += 1
+            time.sleep(0.02)
+
+    def play(self, seconds, marks=("bad",), request_id=None):
+        end = time.monotonic() + seconds
+        senders = [threading.Thread(target=self.send_crashing, args=(marks, request_id, end)),
+                   threading.Thread(target=self.send_crashing, args=(marks, request_id, end)),
+                   threading.Thread(target=self.send_sound, args=(end,)),
+                   threading.Thread(target=self.send_sound, args=(end,))]
+        for sender in senders:
+            sender.daemon = True
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    # Returns the number of arrivals of the request with the mark after the time.
+    def arrivals_after(self, at, mark="bad"):
+        return sum(sent > at for sent, arrived in self.arrivals if arrived == mark)
+
+    # Returns the time of the third crash under the request with the mark, or of its last one.
+    def third_crash(self, mark="bad"):
+        times = [at for at, crashed in self.crashes if crashed == mark]
+        return times[2] if len(times) > 2 else times[-1]
+
+    # Returns the share of the sound requests that were served, from the time on.
+    def served_after(self, at):
+        results = [served for sent, served in self.served if sent > at]
+        return sum(results) / max(1, len(results))
+
+    def check_kept_away(self, marks=("bad",)):
+        for mark in marks:
+            late = self.arrivals_after(self.third_crash(mark) + STABLE_WINDOW_S, mark)
+            check(late <= 3, mark, late, len(self.crashes))
+        quiet_at = max(self.third_crash(mark) for mark in marks) + 2 * STABLE_WINDOW_S
+        check(self.served_after(quiet_at) >= 0.9, self.served_after(quiet_at))
+
+
+@table([("safe_post", SAFE_POST, None), ("safe_get", SAFE_GET, None), ("unsafe", UNSAFE, None),
+        ("stream", STREAM, None), ("resumable", RESUMABLE, None), ("same_id", SAFE_POST, "5a3e")])
+def test_a_request_that_crashes_servers_is_kept_from_them(kind, request_id):
+    """At most three repeats reach servers from 3 s after the third crash on."""
+    with CrashingFleet(kind) as fleet:
+        fleet.play(12, request_id=request_id)
+        fleet.check_kept_away()
+
+
+def test_several_requests_that_crash_servers_are_kept_from_them():
+    marks = ("bad1", "bad2", "bad3")
+    with CrashingFleet(SAFE_POST) as fleet:
+        fleet.play(20, marks=marks)
+        fleet.check_kept_away(marks)
+
+
+def test_a_request_that_silences_servers_is_kept_from_them():
+    with CrashingFleet(SHORT, silent=True) as fleet:
+        fleet.play(14)
+        fleet.check_kept_away()
+
+
+@table([("one", 1), ("all", 3)])
+def test_restarted_routers_know_the_request_that_crashes_servers(count):
+    with CrashingFleet(SAFE_GET) as fleet:
+        fleet.play(6)
+        for router in fleet.platform.routers[:count]:
+            router["process"].kill()
+        del fleet.platform.routers[:count]
+        for _ in range(count):
+            fleet.platform.add_router()
+        fleet.wait_for_routers(3)
+        fleet.play(6)
+        fleet.check_kept_away()
