--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -39,8 +39,7 @@
                                      service with a weight; not run */
   LIMPET_REFUSAL_FULL,            /**< no target had capacity in time; not run */
   LIMPET_REFUSAL_TARGET_FULL,     /**< the target refused the call; not run */
-  LIMPET_REFUSAL_QUARANTINED,     /**< the prompt has a part that crashes targets; not run
-                                   */
+  LIMPET_REFUSAL_QUARANTINED,     /**< such calls crash targets; not run */
   LIMPET_REFUSAL_BROKEN,          /**< the target failed; the call may have run */
   LIMPET_REFUSAL_TIMEOUT,         /**< the deadline passed; the call may have run */
   LIMPET_REFUSAL_STOPPING,        /**< the router is stopping; the call may have run */
@@ -93,14 +92,20 @@
   uint64_t fingerprint;
 } LimpetCall;
 
+/** What calls that crash targets may have in common. */
+typedef struct
+{
+  uint64_t parts[LIMPET_MAX_PROMPT_PARTS]; /**< ids of the parts that may be shared */
+  uint32_t parts_count;
+  uint64_t request; /**< LimpetCall.fingerprint; 0 if unknown */
+} LimpetFingerprints;
+
 /** Returns whether \p call may be sent again even if it may already have run. The route
  *  must be set. */
 bool limpet_call_is_idempotent (const LimpetCall *call);
 
-/** Fills \p ids with the ids of the parts that may be shared, and returns their number.
- */
-uint32_t limpet_call_shared_parts (const LimpetCall *call,
-                                   uint64_t ids[LIMPET_MAX_PROMPT_PARTS]);
+/** Returns the fingerprints of \p call. */
+LimpetFingerprints limpet_call_fingerprints (const LimpetCall *call);
 
 /** Returns the number of tokens in the parts that may be shared: all but the last. */
 int64_t limpet_call_shared_tokens (const LimpetCall *call);
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -105,7 +105,7 @@
 /** Sets the number of routers that share the load, including this one. */
 void limpet_exchange_set_router_count (LimpetExchange *exchange, uint32_t count);
 
-/** Sets the quarantine of prompt parts, which is borrowed: the exchange records crashes
+/** Sets the quarantine, which is borrowed: the exchange records crashes
  *  and successes there, and refuses calls with a quarantined part. */
 void limpet_exchange_set_quarantine (LimpetExchange *exchange,
                                      LimpetQuarantine *quarantine);
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -398,7 +398,7 @@
 static void
 receive_suspects (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
 {
-  LimpetSuspectPart record;
+  LimpetSuspect record;
 
   for (size_t i = 0; gossip->quarantine != NULL && i < message->n_suspects; i++)
     if (limpet_gossip_suspects_decode (message->suspects[i], now_ms, &record))
@@ -412,7 +412,7 @@
 static void
 push_suspects (LimpetGossip *gossip, LimpetMs now_ms)
 {
-  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  LimpetSuspect records[LIMPET_GOSSIP_MAX_SUSPECTS];
   uint32_t count;
 
   while ((count = limpet_quarantine_collect_changed (gossip->quarantine, records,
@@ -526,7 +526,7 @@
 static void
 fill_digest (LimpetGossip *gossip,
              Digest *digest,
-             const LimpetSuspectPart *records,
+             const LimpetSuspect *records,
              uint32_t suspects,
              LimpetMs now_ms)
 {
@@ -575,7 +575,7 @@
 static void
 send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms)
 {
-  LimpetSuspectPart records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  LimpetSuspect records[LIMPET_GOSSIP_MAX_SUSPECTS];
   uint32_t count = 0;
   Digest digest;
 
@@ -601,7 +601,7 @@
 void
 limpet_gossip_tick (LimpetGossip *gossip, LimpetMs now_ms)
 {
-  LimpetSuspectPart records[MAX_DIGEST_SUSPECTS];
+  LimpetSuspect records[MAX_DIGEST_SUSPECTS];
   uint32_t count = 0;
   Digest digest;
 
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -97,49 +97,49 @@
   assert(message->base.descriptor == &target_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   suspect_part__init
-                     (SuspectPart         *message)
+void   suspect_record__init
+                     (SuspectRecord         *message)
 {
-  static const SuspectPart init_value = SUSPECT_PART__INIT;
+  static const SuspectRecord init_value = SUSPECT_RECORD__INIT;
   *message = init_value;
 }
-size_t suspect_part__get_packed_size
-                     (const SuspectPart *message)
+size_t suspect_record__get_packed_size
+                     (const SuspectRecord *message)
 {
-  assert(message->base.descriptor == &suspect_part__descriptor);
+  assert(message->base.descriptor == &suspect_record__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t suspect_part__pack
-                     (const SuspectPart *message,
+size_t suspect_record__pack
+                     (const SuspectRecord *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &suspect_part__descriptor);
+  assert(message->base.descriptor == &suspect_record__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t suspect_part__pack_to_buffer
-                     (const SuspectPart *message,
+size_t suspect_record__pack_to_buffer
+                     (const SuspectRecord *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &suspect_part__descriptor);
+  assert(message->base.descriptor == &suspect_record__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-SuspectPart *
-       suspect_part__unpack
+SuspectRecord *
+       suspect_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (SuspectPart *)
-     protobuf_c_message_unpack (&suspect_part__descriptor,
+  return (SuspectRecord *)
+     protobuf_c_message_unpack (&suspect_record__descriptor,
                                 allocator, len, data);
 }
-void   suspect_part__free_unpacked
-                     (SuspectPart *message,
+void   suspect_record__free_unpacked
+                     (SuspectRecord *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &suspect_part__descriptor);
+  assert(message->base.descriptor == &suspect_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   topic_update__init
@@ -280,7 +280,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(GossipMessage, n_suspects),
     offsetof(GossipMessage, suspects),
-    &suspect_part__descriptor,
+    &suspect_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -407,15 +407,15 @@
   (ProtobufCMessageInit) target_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor suspect_part__field_descriptors[6] =
+static const ProtobufCFieldDescriptor suspect_record__field_descriptors[6] =
 {
   {
-    "part",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(SuspectPart, part),
+    offsetof(SuspectRecord, id),
     NULL,
     NULL,
     0,             /* flags */
@@ -427,7 +427,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(SuspectPart, depth),
+    offsetof(SuspectRecord, depth),
     NULL,
     NULL,
     0,             /* flags */
@@ -439,7 +439,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(SuspectPart, quarantined),
+    offsetof(SuspectRecord, quarantined),
     NULL,
     NULL,
     0,             /* flags */
@@ -451,7 +451,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(SuspectPart, success_age_plus_1_ms),
+    offsetof(SuspectRecord, success_age_plus_1_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -462,8 +462,8 @@
     5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(SuspectPart, n_crashed_targets),
-    offsetof(SuspectPart, crashed_targets),
+    offsetof(SuspectRecord, n_crashed_targets),
+    offsetof(SuspectRecord, crashed_targets),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -474,40 +474,40 @@
     6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(SuspectPart, n_crash_ages_ms),
-    offsetof(SuspectPart, crash_ages_ms),
+    offsetof(SuspectRecord, n_crash_ages_ms),
+    offsetof(SuspectRecord, crash_ages_ms),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned suspect_part__field_indices_by_name[] = {
+static const unsigned suspect_record__field_indices_by_name[] = {
   5,   /* field[5] = crash_ages_ms */
   4,   /* field[4] = crashed_targets */
   1,   /* field[1] = depth */
-  0,   /* field[0] = part */
+  0,   /* field[0] = id */
   2,   /* field[2] = quarantined */
   3,   /* field[3] = success_age_plus_1_ms */
 };
-static const ProtobufCIntRange suspect_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange suspect_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor suspect_part__descriptor =
+const ProtobufCMessageDescriptor suspect_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "SuspectPart",
-  "SuspectPart",
-  "SuspectPart",
+  "SuspectRecord",
+  "SuspectRecord",
+  "SuspectRecord",
   "",
-  sizeof(SuspectPart),
+  sizeof(SuspectRecord),
   6,
-  suspect_part__field_descriptors,
-  suspect_part__field_indices_by_name,
-  1,  suspect_part__number_ranges,
-  (ProtobufCMessageInit) suspect_part__init,
+  suspect_record__field_descriptors,
+  suspect_record__field_indices_by_name,
+  1,  suspect_record__number_ranges,
+  (ProtobufCMessageInit) suspect_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor topic_update__field_descriptors[5] =
--- a/src/liblimpetroad/cluster_state/gossip_suspects.c
+++ b/src/liblimpetroad/cluster_state/gossip_suspects.c
@@ -18,46 +18,46 @@
 
 void
 limpet_gossip_suspects_encode (LimpetGossipSuspects *suspects,
-                               const LimpetSuspectPart *records,
+                               const LimpetSuspect *records,
                                uint32_t count,
                                LimpetMs now_ms,
                                GossipMessage *message)
 {
   for (uint32_t i = 0; i < count; i++)
     {
-      const LimpetSuspectPart *record = &records[i];
-      SuspectPart *part = &suspects->parts[i];
+      const LimpetSuspect *record = &records[i];
+      SuspectRecord *encoded = &suspects->records[i];
 
-      suspect_part__init (part);
-      part->part = record->part;
-      part->depth = record->depth;
-      part->quarantined = record->is_quarantined;
-      part->success_age_plus_1_ms
+      suspect_record__init (encoded);
+      encoded->id = record->id;
+      encoded->depth = record->depth;
+      encoded->quarantined = record->is_quarantined;
+      encoded->success_age_plus_1_ms
           = record->success_ms > 0 ? age_of (record->success_ms, now_ms) + 1 : 0;
       for (uint32_t j = 0; j < record->crash_count; j++)
         {
           suspects->targets[i][j] = record->crashes[j].target_hash;
           suspects->ages_ms[i][j] = age_of (record->crashes[j].at_ms, now_ms);
         }
-      part->n_crashed_targets = part->n_crash_ages_ms = record->crash_count;
-      part->crashed_targets = suspects->targets[i];
-      part->crash_ages_ms = suspects->ages_ms[i];
-      suspects->pointers[i] = part;
+      encoded->n_crashed_targets = encoded->n_crash_ages_ms = record->crash_count;
+      encoded->crashed_targets = suspects->targets[i];
+      encoded->crash_ages_ms = suspects->ages_ms[i];
+      suspects->pointers[i] = encoded;
     }
   message->suspects = suspects->pointers;
   message->n_suspects = count;
 }
 
 bool
-limpet_gossip_suspects_decode (const SuspectPart *received,
+limpet_gossip_suspects_decode (const SuspectRecord *received,
                                LimpetMs now_ms,
-                               LimpetSuspectPart *record)
+                               LimpetSuspect *record)
 {
   if (received->n_crashed_targets > LIMPET_QUARANTINE_MAX_CRASHES
       || received->n_crash_ages_ms != received->n_crashed_targets)
     return false;
-  *record = (LimpetSuspectPart){
-    .part = received->part,
+  *record = (LimpetSuspect){
+    .id = received->id,
     .depth = received->depth,
     .is_quarantined = received->quarantined,
     .crash_count = (uint32_t)received->n_crashed_targets,
@@ -65,7 +65,7 @@
   if (received->success_age_plus_1_ms > 0)
     record->success_ms = time_of (received->success_age_plus_1_ms - 1, now_ms);
   for (uint32_t i = 0; i < record->crash_count; i++)
-    record->crashes[i] = (LimpetPartCrash){
+    record->crashes[i] = (LimpetSuspectCrash){
       .target_hash = received->crashed_targets[i],
       .at_ms = time_of (received->crash_ages_ms[i], now_ms),
     };
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -4,22 +4,35 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <math.h>
 #include <xxhash.h>
 
-/* A part is not suspect if a request with it was completed within this time before the
- * crash, or later. When many targets crash at once, popular parts break at several of
- * them. */
+/* A fingerprint is not suspect if a call with it was completed within this time before
+ * the crash, or later. When many targets crash at once, popular parts and requests break
+ * at several of them. */
 #define SUCCESS_VALIDITY_MS 10000
 /* Time from the last crash needed to the quarantine, in which other routers can report
  * successes. */
 #define CONFIRMATION_MS 1000
-/* A crash counts for this time as long as the part is not quarantined. */
+/* A crash counts for this time as long as the suspect is not quarantined. */
 #define CRASH_VALIDITY_MS (5 * 60 * 1000)
-/* No request with a quarantined part is sent for QUARANTINE_MS after the last crash.
- * After that, one more crash quarantines the part again, until PROBATION_MS have passed.
- */
-#define QUARANTINE_MS (10 * 60 * 1000)
+/* The quarantine lasts QUARANTINE_FACTOR times as long as the suspect has crashed
+ * targets, within these limits, from its last crash on. After that, one more crash
+ * quarantines it again, until PROBATION_MS have passed. */
+#define QUARANTINE_FACTOR 4
+#define MIN_QUARANTINE_MS (2 * 60 * 1000)
+#define MAX_QUARANTINE_MS (30 * 60 * 1000)
 #define PROBATION_MS (60 * 60 * 1000)
+/* Limit of the random time that a router adds to a quarantine. */
+#define MAX_RELEASE_DELAY_MS 30000
+/* After a quarantine, no second call is admitted for this time, in which the outcome of
+ * the first one becomes known. */
+#define PROBE_MS 5000
+/* When a request is quarantined, others that broke at the same targets may be a second
+ * cause. Another request keeps up to this many crashes, so that its next one is enough;
+ * a part, which affects more calls, keeps one crash of each quarantined request. */
+#define KEPT_REQUEST_CRASHES (LIMPET_QUARANTINE_MIN_CRASHES - 1)
+#define KEPT_PART_CRASHES 1
 /* A cleared suspect is remembered for this time, so that a late message about its crashes
  * does not make it suspect again. */
 #define CLEARED_VALIDITY_MS 20000
@@ -28,21 +41,23 @@
  * differences come from the latency of messages. */
 #define MIN_TIME_GAIN_MS 1000
 #define MAX_SUSPECTS 512
-/* Number of parts whose last success is remembered. A part may displace another one. */
+/* Number of fingerprints whose last success is remembered. One may displace another. */
 #define SUCCESS_SLOTS 8192
 
 typedef struct
 {
-  LimpetSuspectPart record;
-  LimpetMs sufficient_ms; /* when the crashes became sufficient; 0 if they are not */
-  LimpetMs changed_ms;    /* last change of the record */
-  LimpetMs own_crash_ms;  /* last crash that this router observed; 0 if none */
-  bool is_changed;        /* other routers have to be told */
+  LimpetSuspect record;
+  LimpetMs sufficient_ms;    /* when the crashes became sufficient; 0 if they are not */
+  LimpetMs changed_ms;       /* last change of the record */
+  LimpetMs own_crash_ms;     /* last crash that this router observed; 0 if none */
+  LimpetMs probe_ms;         /* when a call was last admitted after the quarantine */
+  LimpetMs release_delay_ms; /* random time added to the quarantine */
+  bool is_changed;           /* other routers have to be told */
 } Suspect;
 
 typedef struct
 {
-  uint64_t part;
+  uint64_t id;
   LimpetMs at_ms;
 } Success;
 
@@ -50,17 +65,21 @@
 {
   const LimpetQuarantineOps *ops;
   void *user;
-  GHashTable *suspects; /* address of Suspect.record.part → Suspect */
-  uint32_t quarantined_count;
+  GHashTable *suspects; /* address of Suspect.record.id → Suspect */
+  GRand *random;
+  uint32_t quarantined_parts;
+  uint32_t quarantined_requests;
   uint32_t next_collected; /* position of limpet_quarantine_collect_next() */
   Success successes[SUCCESS_SLOTS];
 };
 
 LimpetQuarantine *
-limpet_quarantine_new (const LimpetQuarantineOps *ops, void *user)
+limpet_quarantine_new (const LimpetQuarantineOps *ops, void *user, uint64_t seed)
 {
   LimpetQuarantine *quarantine = g_new0 (LimpetQuarantine, 1);
+  guint32 seeds[2] = { (guint32)seed, (guint32)(seed >> 32) };
 
+  quarantine->random = g_rand_new_with_seed_array (seeds, 2);
   quarantine->ops = ops;
   quarantine->user = user;
   quarantine->suspects
@@ -74,23 +93,64 @@
   if (quarantine == NULL)
     return;
   g_hash_table_destroy (quarantine->suspects);
+  g_rand_free (quarantine->random);
   g_free (quarantine);
 }
 
+static bool
+is_request (const Suspect *suspect)
+{
+  return suspect->record.depth == LIMPET_QUARANTINE_REQUEST_DEPTH;
+}
+
+/* Key of the suspect's id in log lines. */
+static const char *
+log_key (const Suspect *suspect)
+{
+  return is_request (suspect) ? "request" : "part";
+}
+
+static uint32_t *
+quarantined_count (LimpetQuarantine *quarantine, const Suspect *suspect)
+{
+  return is_request (suspect) ? &quarantine->quarantined_requests
+                              : &quarantine->quarantined_parts;
+}
+
+/* The fingerprints as a list, from the most general to the most specific. */
+static uint32_t
+fingerprint_count (const LimpetFingerprints *fingerprints)
+{
+  return fingerprints->parts_count + (fingerprints->request != 0);
+}
+
+static uint64_t
+fingerprint_id (const LimpetFingerprints *fingerprints, uint32_t index)
+{
+  return index < fingerprints->parts_count ? fingerprints->parts[index]
+                                           : fingerprints->request;
+}
+
+static uint32_t
+fingerprint_depth (const LimpetFingerprints *fingerprints, uint32_t index)
+{
+  return index < fingerprints->parts_count ? index : LIMPET_QUARANTINE_REQUEST_DEPTH;
+}
+
 static Success *
-success_slot (LimpetQuarantine *quarantine, uint64_t part)
+success_slot (LimpetQuarantine *quarantine, uint64_t id)
 {
-  return &quarantine->successes[XXH64 (&part, sizeof part, 0) % SUCCESS_SLOTS];
+  return &quarantine->successes[XXH64 (&id, sizeof id, 0) % SUCCESS_SLOTS];
 }
 
-/* Returns the time of the last request with the part that this router completed; 0 if
+/* Returns the time of the last call with the fingerprint that this router completed; 0 if
  * none is known. */
 static LimpetMs
-own_success_ms (LimpetQuarantine *quarantine, uint64_t part)
+own_success_ms (LimpetQuarantine *quarantine, uint64_t id)
 {
-  const Success *success = success_slot (quarantine, part);
+  const Success *success = success_slot (quarantine, id);
 
-  return success->part == part ? success->at_ms : 0;
+  return success->id == id ? success->at_ms : 0;
 }
 
 static bool
@@ -109,6 +169,26 @@
   return last_ms;
 }
 
+static LimpetMs
+first_crash_ms (const Suspect *suspect)
+{
+  LimpetMs first_ms = last_crash_ms (suspect);
+
+  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
+    first_ms = MIN (first_ms, suspect->record.crashes[i].at_ms);
+  return first_ms;
+}
+
+static LimpetMs
+quarantined_until_ms (const Suspect *suspect)
+{
+  LimpetMs last_ms = last_crash_ms (suspect);
+  LimpetMs duration_ms = QUARANTINE_FACTOR * (last_ms - first_crash_ms (suspect));
+
+  return last_ms + CLAMP (duration_ms, MIN_QUARANTINE_MS, MAX_QUARANTINE_MS)
+         + suspect->release_delay_ms;
+}
+
 static bool
 has_crash_of (const Suspect *suspect, uint32_t target_hash)
 {
@@ -118,14 +198,14 @@
   return false;
 }
 
-/* Returns whether another, quarantined part accounts for the crash of the target. */
+/* Returns whether another, quarantined suspect accounts for the crash of the target. */
 static bool
 is_explained (LimpetQuarantine *quarantine, const Suspect *suspect, uint32_t target_hash)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (quarantine->quarantined_count == 0)
+  if (quarantine->quarantined_parts + quarantine->quarantined_requests == 0)
     return false;
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -153,7 +233,7 @@
 static void
 remove_crash (Suspect *suspect, uint32_t index)
 {
-  LimpetSuspectPart *record = &suspect->record;
+  LimpetSuspect *record = &suspect->record;
 
   record->crashes[index] = record->crashes[--record->crash_count];
 }
@@ -161,7 +241,7 @@
 static uint32_t
 oldest_crash (const Suspect *suspect)
 {
-  const LimpetSuspectPart *record = &suspect->record;
+  const LimpetSuspect *record = &suspect->record;
   uint32_t oldest = 0;
 
   for (uint32_t i = 1; i < record->crash_count; i++)
@@ -170,20 +250,22 @@
   return oldest;
 }
 
-/* Adds a crash and returns true if it counts and is new. The time of a known one stays as
+/* Adds a crash and returns true if it is new, no success clears it, and it has no other
+ * known cause unless takes_explained is set. The time of a known one stays as
  * it is: the times of other routers differ by the latency of messages, and taking the
  * later one would delay its expiry with each message. */
 static bool
 add_crash (LimpetQuarantine *quarantine,
            Suspect *suspect,
-           const LimpetPartCrash *crash,
+           const LimpetSuspectCrash *crash,
+           bool takes_explained,
            LimpetMs now_ms)
 {
-  LimpetSuspectPart *record = &suspect->record;
+  LimpetSuspect *record = &suspect->record;
 
   if (is_cleared_by (record->success_ms, crash->at_ms)
       || has_crash_of (suspect, crash->target_hash)
-      || is_explained (quarantine, suspect, crash->target_hash))
+      || (!takes_explained && is_explained (quarantine, suspect, crash->target_hash)))
     return false;
   if (record->crash_count == LIMPET_QUARANTINE_MAX_CRASHES)
     {
@@ -196,48 +278,64 @@
   return true;
 }
 
-/* Removes the crashes for which is_removed returns true. Returns whether there were any.
- */
+/* Removes the crashes for which is_removed returns true, but for the first kept_count of
+ * them. Returns whether any was removed. */
 static bool
 remove_crashes (Suspect *suspect,
-                bool (*is_removed) (const LimpetPartCrash *crash, const void *data),
+                uint32_t kept_count,
+                bool (*is_removed) (const LimpetSuspectCrash *crash, const void *data),
                 const void *data)
 {
   uint32_t old_count = suspect->record.crash_count;
 
   for (uint32_t i = 0; i < suspect->record.crash_count;)
-    if (is_removed (&suspect->record.crashes[i], data))
-      remove_crash (suspect, i);
-    else
+    if (!is_removed (&suspect->record.crashes[i], data))
       i++;
+    else if (kept_count > 0)
+      {
+        kept_count--;
+        i++;
+      }
+    else
+      remove_crash (suspect, i);
   return suspect->record.crash_count < old_count;
 }
 
 static bool
-is_before_success (const LimpetPartCrash *crash, const void *success_ms)
+is_before_success (const LimpetSuspectCrash *crash, const void *success_ms)
 {
   return is_cleared_by (*(const LimpetMs *)success_ms, crash->at_ms);
 }
 
 static bool
-is_crash_of_suspect (const LimpetPartCrash *crash, const void *suspect)
+is_crash_of_suspect (const LimpetSuspectCrash *crash, const void *suspect)
 {
   return has_crash_of (suspect, crash->target_hash);
 }
 
 static bool
-is_expired (const LimpetPartCrash *crash, const void *now_ms)
+is_expired (const LimpetSuspectCrash *crash, const void *now_ms)
 {
   return *(const LimpetMs *)now_ms - crash->at_ms > CRASH_VALIDITY_MS;
 }
 
+/* Few routers draw a short delay, so that the first one to try has time to tell the
+ * others. */
+static LimpetMs
+draw_release_delay_ms (LimpetQuarantine *quarantine)
+{
+  return (LimpetMs)(MAX_RELEASE_DELAY_MS
+                    * pow (g_rand_double (quarantine->random), 0.25));
+}
+
 static void
 lift (LimpetQuarantine *quarantine, Suspect *suspect, const char *reason)
 {
   suspect->record.is_quarantined = false;
-  quarantine->quarantined_count--;
+  (*quarantined_count (quarantine, suspect))--;
   limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
-              "part=%" PRIx64 " state=lifted reason=%s", suspect->record.part, reason);
+              "%s=%" PRIx64 " state=lifted reason=%s", log_key (suspect),
+              suspect->record.id, reason);
 }
 
 /* Records a success and removes the crashes that it clears. */
@@ -249,7 +347,7 @@
 {
   if (success_ms <= suspect->record.success_ms)
     return;
-  if (!remove_crashes (suspect, is_before_success, &success_ms))
+  if (!remove_crashes (suspect, 0, is_before_success, &success_ms))
     return;
   suspect->record.success_ms = success_ms;
   record_change (suspect, now_ms);
@@ -258,9 +356,9 @@
 }
 
 static Suspect *
-find_suspect (const LimpetQuarantine *quarantine, uint64_t part)
+find_suspect (const LimpetQuarantine *quarantine, uint64_t id)
 {
-  return g_hash_table_lookup (quarantine->suspects, &part);
+  return g_hash_table_lookup (quarantine->suspects, &id);
 }
 
 /* Makes room for another suspect by removing the one that changed longest ago. Returns
@@ -284,20 +382,20 @@
   if (oldest == NULL)
     return false;
   limpet_log (LIMPET_LOG_WARNING, "quarantine", NULL,
-              "part=%" PRIx64 " state=forgotten reason=too_many_suspects",
-              oldest->record.part);
-  g_hash_table_remove (quarantine->suspects, &oldest->record.part);
+              "%s=%" PRIx64 " state=forgotten reason=too_many_suspects", log_key (oldest),
+              oldest->record.id);
+  g_hash_table_remove (quarantine->suspects, &oldest->record.id);
   return true;
 }
 
 /* Returns the suspect, which is added if it is new; NULL if there is no room. */
 static Suspect *
 ensure_suspect (LimpetQuarantine *quarantine,
-                uint64_t part,
+                uint64_t id,
                 uint32_t depth,
                 LimpetMs now_ms)
 {
-  Suspect *suspect = find_suspect (quarantine, part);
+  Suspect *suspect = find_suspect (quarantine, id);
 
   if (suspect != NULL)
     return suspect;
@@ -305,78 +403,120 @@
       && !remove_oldest_suspect (quarantine))
     return NULL;
   suspect = g_new0 (Suspect, 1);
-  suspect->record.part = part;
+  suspect->record.id = id;
   suspect->record.depth = depth;
   suspect->changed_ms = now_ms;
-  g_hash_table_insert (quarantine->suspects, &suspect->record.part, suspect);
+  g_hash_table_insert (quarantine->suspects, &suspect->record.id, suspect);
   return suspect;
 }
 
-bool
+/* Returns the time until calls with the suspect are admitted again; 0 or less if they
+ * are. */
+static LimpetMs
+remaining_ms_of (const Suspect *suspect, LimpetMs now_ms)
+{
+  if (suspect->record.is_quarantined)
+    return quarantined_until_ms (suspect) - now_ms;
+  if (is_request (suspect) && suspect->sufficient_ms > 0)
+    return MAX (1, suspect->sufficient_ms + CONFIRMATION_MS - now_ms);
+  return 0;
+}
+
+const LimpetSuspect *
 limpet_quarantine_find (const LimpetQuarantine *quarantine,
-                        const uint64_t *parts,
-                        uint32_t count,
+                        const LimpetFingerprints *fingerprints,
                         LimpetMs now_ms,
-                        uint64_t *part,
                         LimpetMs *remaining_ms)
 {
-  if (quarantine->quarantined_count == 0)
-    return false;
-  for (uint32_t i = 0; i < count; i++)
+  if (g_hash_table_size (quarantine->suspects) == 0)
+    return NULL;
+  for (uint32_t i = 0; i < fingerprint_count (fingerprints); i++)
     {
-      const Suspect *suspect = find_suspect (quarantine, parts[i]);
+      const Suspect *suspect
+          = find_suspect (quarantine, fingerprint_id (fingerprints, i));
 
-      if (suspect == NULL || !suspect->record.is_quarantined)
+      if (suspect == NULL)
         continue;
-      *part = parts[i];
-      *remaining_ms = last_crash_ms (suspect) + QUARANTINE_MS - now_ms;
+      *remaining_ms = remaining_ms_of (suspect, now_ms);
       if (*remaining_ms > 0)
-        return true;
+        return &suspect->record;
     }
-  return false;
+  return NULL;
+}
+
+const LimpetSuspect *
+limpet_quarantine_admit (LimpetQuarantine *quarantine,
+                         const LimpetFingerprints *fingerprints,
+                         LimpetMs now_ms,
+                         LimpetMs *remaining_ms)
+{
+  const LimpetSuspect *found
+      = limpet_quarantine_find (quarantine, fingerprints, now_ms, remaining_ms);
+
+  if (found != NULL
+      || quarantine->quarantined_parts + quarantine->quarantined_requests == 0)
+    return found;
+  for (uint32_t i = 0; i < fingerprint_count (fingerprints); i++)
+    {
+      Suspect *suspect = find_suspect (quarantine, fingerprint_id (fingerprints, i));
+
+      if (suspect == NULL || !suspect->record.is_quarantined)
+        continue;
+      *remaining_ms = suspect->probe_ms + PROBE_MS - now_ms;
+      if (suspect->probe_ms > 0 && *remaining_ms > 0)
+        return &suspect->record;
+      suspect->probe_ms = now_ms;
+      limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL, "%s=%" PRIx64 " state=probed",
+                  log_key (suspect), suspect->record.id);
+    }
+  return NULL;
 }
 
 void
 limpet_quarantine_record_crash (LimpetQuarantine *quarantine,
-                                const uint64_t *parts,
-                                uint32_t count,
+                                const LimpetFingerprints *fingerprints,
                                 uint32_t target_hash,
                                 LimpetMs now_ms)
 {
-  LimpetPartCrash crash = { .target_hash = target_hash, .at_ms = now_ms };
+  LimpetSuspectCrash crash = { .target_hash = target_hash, .at_ms = now_ms };
 
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < fingerprint_count (fingerprints); i++)
     {
+      uint64_t id = fingerprint_id (fingerprints, i);
       Suspect *suspect;
 
-      if (is_cleared_by (own_success_ms (quarantine, parts[i]), now_ms))
+      if (is_cleared_by (own_success_ms (quarantine, id), now_ms))
         continue;
-      suspect = ensure_suspect (quarantine, parts[i], i, now_ms);
+      suspect
+          = ensure_suspect (quarantine, id, fingerprint_depth (fingerprints, i), now_ms);
       if (suspect == NULL)
         continue;
-      if (add_crash (quarantine, suspect, &crash, now_ms))
-        suspect->own_crash_ms = now_ms;
+      if (!add_crash (quarantine, suspect, &crash, suspect->record.is_quarantined,
+                      now_ms))
+        continue;
+      suspect->own_crash_ms = now_ms;
+      if (suspect->record.is_quarantined && quarantine->ops->on_quarantined != NULL)
+        quarantine->ops->on_quarantined (quarantine->user, &suspect->record);
     }
 }
 
 void
 limpet_quarantine_record_success (LimpetQuarantine *quarantine,
-                                  const uint64_t *parts,
-                                  uint32_t count,
+                                  const LimpetFingerprints *fingerprints,
                                   LimpetMs now_ms)
 {
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < fingerprint_count (fingerprints); i++)
     {
-      Suspect *suspect = find_suspect (quarantine, parts[i]);
+      uint64_t id = fingerprint_id (fingerprints, i);
+      Suspect *suspect = find_suspect (quarantine, id);
       bool was_quarantined = suspect != NULL && suspect->record.is_quarantined;
 
-      *success_slot (quarantine, parts[i])
-          = (Success){ .part = parts[i], .at_ms = now_ms };
+      *success_slot (quarantine, id) = (Success){ .id = id, .at_ms = now_ms };
       if (suspect != NULL)
         add_success (quarantine, suspect, now_ms, now_ms);
       if (was_quarantined && !suspect->record.is_quarantined
           && quarantine->ops->on_cleared != NULL)
-        quarantine->ops->on_cleared (quarantine->user, parts[i]);
+        quarantine->ops->on_cleared (quarantine->user, &suspect->record);
     }
 }
 
@@ -384,24 +524,41 @@
 log_state (const Suspect *suspect, const char *state, const char *source)
 {
   limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
-              "part=%" PRIx64 " state=%s source=%s crashes=%u depth=%u",
-              suspect->record.part, state, source, suspect->record.crash_count,
+              "%s=%" PRIx64 " state=%s source=%s crashes=%u depth=%u", log_key (suspect),
+              suspect->record.id, state, source, suspect->record.crash_count,
               suspect->record.depth);
 }
 
-/* Quarantines a part. The crashes that it accounts for no longer count for other parts:
- * parts that occur in the same requests are not the cause as well. */
+/* Returns how many crashes another suspect keeps that the quarantined one accounts for.
+ */
+static uint32_t
+kept_crashes (const Suspect *quarantined, const Suspect *other)
+{
+  uint32_t unexplained = 0;
+
+  if (!is_request (quarantined))
+    return 0;
+  if (!is_request (other))
+    return KEPT_PART_CRASHES;
+  for (uint32_t i = 0; i < other->record.crash_count; i++)
+    unexplained += !has_crash_of (quarantined, other->record.crashes[i].target_hash);
+  return KEPT_REQUEST_CRASHES - MIN (KEPT_REQUEST_CRASHES, unexplained);
+}
+
+/* Quarantines a suspect. The crashes that it accounts for no longer count for others that
+ * broke at the same targets. */
 static void
-quarantine_part (LimpetQuarantine *quarantine,
-                 Suspect *suspect,
-                 const char *source,
-                 LimpetMs now_ms)
+quarantine_suspect (LimpetQuarantine *quarantine,
+                    Suspect *suspect,
+                    const char *source,
+                    LimpetMs now_ms)
 {
   GHashTableIter iter;
   gpointer value;
 
   suspect->record.is_quarantined = true;
-  quarantine->quarantined_count++;
+  suspect->release_delay_ms = draw_release_delay_ms (quarantine);
+  (*quarantined_count (quarantine, suspect))++;
   log_state (suspect, "quarantined", source);
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -409,7 +566,8 @@
       Suspect *other = value;
 
       if (!other->record.is_quarantined
-          && remove_crashes (other, is_crash_of_suspect, suspect))
+          && remove_crashes (other, kept_crashes (suspect, other), is_crash_of_suspect,
+                             suspect))
         {
           record_change (other, now_ms);
           other->is_changed = false; /* other routers conclude the same */
@@ -424,7 +582,7 @@
 /* Returns whether a record has a crash that a success clears of which the sender of the
  * record does not know. */
 static bool
-lacks_success (const LimpetSuspectPart *received, LimpetMs success_ms)
+lacks_success (const LimpetSuspect *received, LimpetMs success_ms)
 {
   if (received->success_ms + MIN_TIME_GAIN_MS >= success_ms)
     return false;
@@ -436,29 +594,32 @@
 
 void
 limpet_quarantine_receive (LimpetQuarantine *quarantine,
-                           const LimpetSuspectPart *received,
+                           const LimpetSuspect *received,
                            LimpetMs now_ms)
 {
-  Suspect *suspect = find_suspect (quarantine, received->part);
+  Suspect *suspect = find_suspect (quarantine, received->id);
+  bool is_quarantined_request
+      = received->is_quarantined && received->depth == LIMPET_QUARANTINE_REQUEST_DEPTH;
 
   if (suspect == NULL && received->crash_count == 0)
     return;
-  suspect = ensure_suspect (quarantine, received->part, received->depth, now_ms);
+  suspect = ensure_suspect (quarantine, received->id, received->depth, now_ms);
   if (suspect == NULL)
     return;
   add_success (quarantine, suspect, received->success_ms, now_ms);
   for (uint32_t i = 0; i < received->crash_count; i++)
-    add_crash (quarantine, suspect, &received->crashes[i], now_ms);
-  add_success (quarantine, suspect, own_success_ms (quarantine, received->part), now_ms);
+    add_crash (quarantine, suspect, &received->crashes[i], is_quarantined_request,
+               now_ms);
+  add_success (quarantine, suspect, own_success_ms (quarantine, received->id), now_ms);
   if (lacks_success (received, suspect->record.success_ms))
     suspect->is_changed = true;
   if (received->is_quarantined && !suspect->record.is_quarantined
       && suspect->record.crash_count >= LIMPET_QUARANTINE_MIN_CRASHES)
-    quarantine_part (quarantine, suspect, "received", now_ms);
+    quarantine_suspect (quarantine, suspect, "received", now_ms);
 }
 
-/* Returns whether a suspect is to be quarantined before another. The deeper part is in
- * fewer prompts, so its quarantine affects fewer requests. */
+/* Returns whether a suspect is to be quarantined before another. The deeper one is in
+ * fewer calls, so its quarantine affects fewer. */
 static bool
 precedes (const Suspect *suspect, const Suspect *other)
 {
@@ -498,7 +659,7 @@
       lift (quarantine, suspect, "expired");
       return true;
     }
-  if (remove_crashes (suspect, is_expired, &now_ms)
+  if (remove_crashes (suspect, 0, is_expired, &now_ms)
       && suspect->record.crash_count < LIMPET_QUARANTINE_MIN_CRASHES)
     suspect->sufficient_ms = 0;
   return suspect->record.crash_count == 0
@@ -517,12 +678,12 @@
     if (expire (quarantine, value, now_ms))
       g_hash_table_iter_remove (&iter);
   while ((suspect = find_next (quarantine, now_ms)) != NULL)
-    quarantine_part (quarantine, suspect, "own_evidence", now_ms);
+    quarantine_suspect (quarantine, suspect, "own_evidence", now_ms);
 }
 
 uint32_t
 limpet_quarantine_collect_changed (LimpetQuarantine *quarantine,
-                                   LimpetSuspectPart *records,
+                                   LimpetSuspect *records,
                                    uint32_t max_count)
 {
   GHashTableIter iter;
@@ -565,7 +726,7 @@
 static uint32_t
 collect_from (const LimpetQuarantine *quarantine,
               uint32_t first,
-              LimpetSuspectPart *records,
+              LimpetSuspect *records,
               uint32_t max_count)
 {
   GPtrArray *list;
@@ -585,7 +746,7 @@
 
 uint32_t
 limpet_quarantine_collect_first (const LimpetQuarantine *quarantine,
-                                 LimpetSuspectPart *records,
+                                 LimpetSuspect *records,
                                  uint32_t max_count)
 {
   return collect_from (quarantine, 0, records, max_count);
@@ -593,7 +754,7 @@
 
 uint32_t
 limpet_quarantine_collect_next (LimpetQuarantine *quarantine,
-                                LimpetSuspectPart *records,
+                                LimpetSuspect *records,
                                 uint32_t max_count)
 {
   uint32_t count
@@ -604,7 +765,7 @@
 }
 
 uint32_t
-limpet_quarantine_count (const LimpetQuarantine *quarantine)
+limpet_quarantine_count (const LimpetQuarantine *quarantine, bool are_requests)
 {
-  return quarantine->quarantined_count;
+  return are_requests ? quarantine->quarantined_requests : quarantine->quarantined_parts;
 }
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -24,14 +24,15 @@
          || (call->route->kind == LIMPET_ROUTE_KIND_STREAM && call->route->is_resumable);
 }
 
-uint32_t
-limpet_call_shared_parts (const LimpetCall *call, uint64_t ids[LIMPET_MAX_PROMPT_PARTS])
+LimpetFingerprints
+limpet_call_fingerprints (const LimpetCall *call)
 {
-  uint32_t count = 0;
+  LimpetFingerprints fingerprints = { .request = call->fingerprint };
+  uint32_t *count = &fingerprints.parts_count;
 
-  for (; count + 1 < call->prompt_parts_count; count++)
-    ids[count] = call->prompt_parts[count].id;
-  return count;
+  for (; *count + 1 < call->prompt_parts_count; (*count)++)
+    fingerprints.parts[*count] = call->prompt_parts[*count].id;
+  return fingerprints;
 }
 
 int64_t
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -148,7 +148,7 @@
 {
   LimpetMs remaining_ms;
 
-  if (limpet_task_is_quarantined (task, &remaining_ms))
+  if (!limpet_task_is_admitted (task, &remaining_ms))
     return refuse (refusal, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
   return true;
 }
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -277,18 +277,17 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Clears the prompt parts of the call of the suspicion that they crash targets. A
+/* Clears the fingerprints of the call of the suspicion that they crash targets. A
  * response that only the close of the connection ended does not: a crash may have closed
  * it. */
 static void
 record_success (const LimpetTask *task)
 {
   LimpetQuarantine *quarantine = task->exchange->quarantine;
-  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
-  uint32_t count = limpet_call_shared_parts (&task->call, parts);
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
 
   if (quarantine != NULL && !task->ends_with_close)
-    limpet_quarantine_record_success (quarantine, parts, count, limpet_clock_boot_ms ());
+    limpet_quarantine_record_success (quarantine, &fingerprints, limpet_clock_boot_ms ());
 }
 
 /* Returns whether a stream broke off although its connection was closed in order: a
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -62,10 +62,23 @@
     }
 }
 
+static bool is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms);
+static void refuse_quarantined (LimpetTask *task, LimpetMs remaining_ms);
+
+/* The call may have been quarantined while it waited for a slot. */
 static void
 on_target (void *user, LimpetTarget *target)
 {
-  limpet_task_send (user, target);
+  LimpetTask *task = user;
+  LimpetMs remaining_ms;
+
+  if (!is_quarantined (task, &remaining_ms))
+    {
+      limpet_task_send (task, target);
+      return;
+    }
+  limpet_dispatch_release (task->exchange->dispatch, target);
+  refuse_quarantined (task, remaining_ms);
 }
 
 static void
@@ -365,25 +378,61 @@
   g_free (parts);
 }
 
-bool
-limpet_task_is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms)
+static bool
+log_quarantined (const LimpetTask *task,
+                 const LimpetSuspect *suspect,
+                 LimpetMs remaining_ms)
 {
-  LimpetQuarantine *quarantine = task->exchange->quarantine;
-  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
-  uint32_t count = limpet_call_shared_parts (&task->call, parts);
-  uint64_t part;
-
-  if (quarantine == NULL
-      || !limpet_quarantine_find (quarantine, parts, count, limpet_clock_boot_ms (),
-                                  &part, remaining_ms))
+  if (suspect == NULL)
     return false;
   limpet_log (LIMPET_LOG_INFO, "quarantine", NULL,
-              "id=%s part=%" PRIx64 " remaining_ms=%ld", task->call.id, part,
-              (long)*remaining_ms);
+              "id=%s %s=%" PRIx64 " remaining_ms=%ld", task->call.id,
+              suspect->depth == LIMPET_QUARANTINE_REQUEST_DEPTH ? "request" : "part",
+              suspect->id, (long)remaining_ms);
   limpet_counter_add (LIMPET_COUNTER_QUARANTINED, 1);
   return true;
 }
 
+bool
+limpet_task_is_admitted (const LimpetTask *task, LimpetMs *remaining_ms)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+
+  return quarantine == NULL
+         || !log_quarantined (task,
+                              limpet_quarantine_admit (quarantine, &fingerprints,
+                                                       limpet_clock_boot_ms (),
+                                                       remaining_ms),
+                              *remaining_ms);
+}
+
+/* Returns whether an admitted call must not be sent any more. */
+static bool
+is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms)
+{
+  const LimpetQuarantine *quarantine = task->exchange->quarantine;
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+
+  return quarantine != NULL
+         && log_quarantined (task,
+                             limpet_quarantine_find (quarantine, &fingerprints,
+                                                     limpet_clock_boot_ms (),
+                                                     remaining_ms),
+                             *remaining_ms);
+}
+
+static void
+refuse_quarantined (LimpetTask *task, LimpetMs remaining_ms)
+{
+  if (task->head_sent)
+    limpet_relay_abort (task);
+  else if (task->may_have_run)
+    limpet_task_write_failure (task, LIMPET_REFUSAL_BROKEN, 0);
+  else
+    limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
+}
+
 /* A target that crashes closes its connections. The response to the request that caused
  * the crash has no event yet; streams that were already being generated are bystanders.
  */
@@ -391,11 +440,10 @@
 limpet_task_record_disconnect (const LimpetTask *task)
 {
   LimpetQuarantine *quarantine = task->exchange->quarantine;
-  uint64_t parts[LIMPET_MAX_PROMPT_PARTS];
-  uint32_t count = limpet_call_shared_parts (&task->call, parts);
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
 
   if (quarantine != NULL && !task->has_first_event)
-    limpet_quarantine_record_crash (quarantine, parts, count, task->target->id_hash,
+    limpet_quarantine_record_crash (quarantine, &fingerprints, task->target->id_hash,
                                     limpet_clock_boot_ms ());
 }
 
@@ -405,14 +453,9 @@
 {
   LimpetMs remaining_ms;
 
-  if (limpet_task_is_quarantined (task, &remaining_ms))
+  if (is_quarantined (task, &remaining_ms))
     {
-      if (task->head_sent)
-        limpet_relay_abort (task);
-      else
-        limpet_task_write_failure (
-            task, task->may_have_run ? LIMPET_REFUSAL_BROKEN : LIMPET_REFUSAL_QUARANTINED,
-            task->may_have_run ? 0 : remaining_ms);
+      refuse_quarantined (task, remaining_ms);
       return;
     }
   limpet_log (LIMPET_LOG_INFO, "repeat",
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -142,9 +142,9 @@
 void limpet_task_start (LimpetTask *task);
 /* Called when the connection of the caller is closed before the task has finished. */
 void limpet_task_caller_disconnected (LimpetTask *task);
-/* Returns whether the call's prompt has a quarantined part. If so, sets remaining_ms to
- * the time until such calls are tried again, and logs the part. */
-bool limpet_task_is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms);
+/* Returns whether the quarantine admits the call. If not, sets remaining_ms to the time
+ * until such calls are tried again, and logs the suspect. */
+bool limpet_task_is_admitted (const LimpetTask *task, LimpetMs *remaining_ms);
 /* Records that the target closed the connection before the response was complete. */
 void limpet_task_record_disconnect (const LimpetTask *task);
 /* Called just before the request is written to the target. */
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -17,7 +17,7 @@
 
 typedef struct GossipMessage GossipMessage;
 typedef struct TargetLimit TargetLimit;
-typedef struct SuspectPart SuspectPart;
+typedef struct SuspectRecord SuspectRecord;
 typedef struct TopicUpdate TopicUpdate;
 
 
@@ -58,7 +58,7 @@
    */
   ProtobufCBinaryData loads;
   size_t n_suspects;
-  SuspectPart **suspects;
+  SuspectRecord **suspects;
   size_t n_limits;
   TargetLimit **limits;
 };
@@ -93,16 +93,16 @@
 
 
 /*
- * A prompt part that may crash targets, see quarantine.h.
+ * A prompt part or a request that may crash targets, see quarantine.h.
  */
-struct  SuspectPart
+struct  SuspectRecord
 {
   ProtobufCMessage base;
-  uint64_t part;
+  uint64_t id;
   uint32_t depth;
   protobuf_c_boolean quarantined;
   /*
-   * time since a request with the part was completed, plus 1; 0 if none is known
+   * time since such a request was completed, plus 1; 0 if none is known
    */
   uint32_t success_age_plus_1_ms;
   /*
@@ -116,8 +116,8 @@
   size_t n_crash_ages_ms;
   uint32_t *crash_ages_ms;
 };
-#define SUSPECT_PART__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&suspect_part__descriptor) \
+#define SUSPECT_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&suspect_record__descriptor) \
     , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
@@ -189,24 +189,24 @@
 void   target_limit__free_unpacked
                      (TargetLimit *message,
                       ProtobufCAllocator *allocator);
-/* SuspectPart methods */
-void   suspect_part__init
-                     (SuspectPart         *message);
-size_t suspect_part__get_packed_size
-                     (const SuspectPart   *message);
-size_t suspect_part__pack
-                     (const SuspectPart   *message,
+/* SuspectRecord methods */
+void   suspect_record__init
+                     (SuspectRecord         *message);
+size_t suspect_record__get_packed_size
+                     (const SuspectRecord   *message);
+size_t suspect_record__pack
+                     (const SuspectRecord   *message,
                       uint8_t             *out);
-size_t suspect_part__pack_to_buffer
-                     (const SuspectPart   *message,
+size_t suspect_record__pack_to_buffer
+                     (const SuspectRecord   *message,
                       ProtobufCBuffer     *buffer);
-SuspectPart *
-       suspect_part__unpack
+SuspectRecord *
+       suspect_record__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   suspect_part__free_unpacked
-                     (SuspectPart *message,
+void   suspect_record__free_unpacked
+                     (SuspectRecord *message,
                       ProtobufCAllocator *allocator);
 /* TopicUpdate methods */
 void   topic_update__init
@@ -235,8 +235,8 @@
 typedef void (*TargetLimit_Closure)
                  (const TargetLimit *message,
                   void *closure_data);
-typedef void (*SuspectPart_Closure)
-                 (const SuspectPart *message,
+typedef void (*SuspectRecord_Closure)
+                 (const SuspectRecord *message,
                   void *closure_data);
 typedef void (*TopicUpdate_Closure)
                  (const TopicUpdate *message,
@@ -249,7 +249,7 @@
 
 extern const ProtobufCMessageDescriptor gossip_message__descriptor;
 extern const ProtobufCMessageDescriptor target_limit__descriptor;
-extern const ProtobufCMessageDescriptor suspect_part__descriptor;
+extern const ProtobufCMessageDescriptor suspect_record__descriptor;
 extern const ProtobufCMessageDescriptor topic_update__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/liblimpetroad/private/gossip_suspects.h
+++ b/src/liblimpetroad/private/gossip_suspects.h
@@ -12,21 +12,21 @@
 /* The encoded suspects of a message, with the arrays that they point to. */
 typedef struct
 {
-  SuspectPart parts[LIMPET_GOSSIP_MAX_SUSPECTS];
-  SuspectPart *pointers[LIMPET_GOSSIP_MAX_SUSPECTS];
+  SuspectRecord records[LIMPET_GOSSIP_MAX_SUSPECTS];
+  SuspectRecord *pointers[LIMPET_GOSSIP_MAX_SUSPECTS];
   uint32_t targets[LIMPET_GOSSIP_MAX_SUSPECTS][LIMPET_QUARANTINE_MAX_CRASHES];
   uint32_t ages_ms[LIMPET_GOSSIP_MAX_SUSPECTS][LIMPET_QUARANTINE_MAX_CRASHES];
 } LimpetGossipSuspects;
 
 /* Adds records to message, which refers to suspects afterwards. */
 void limpet_gossip_suspects_encode (LimpetGossipSuspects *suspects,
-                                    const LimpetSuspectPart *records,
+                                    const LimpetSuspect *records,
                                     uint32_t count,
                                     LimpetMs now_ms,
                                     GossipMessage *message);
 /* Decodes a received suspect. Returns false if it is malformed. */
-bool limpet_gossip_suspects_decode (const SuspectPart *received,
+bool limpet_gossip_suspects_decode (const SuspectRecord *received,
                                     LimpetMs now_ms,
-                                    LimpetSuspectPart *record);
+                                    LimpetSuspect *record);
 
 #endif
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -18,10 +18,11 @@
 static bool
 is_found (LimpetQuarantine *quarantine, uint64_t part, LimpetMs now_ms)
 {
+  LimpetFingerprints fingerprints = { .parts = { part }, .parts_count = 1 };
   LimpetMs remaining_ms;
-  uint64_t found;
 
-  return limpet_quarantine_find (quarantine, &part, 1, now_ms, &found, &remaining_ms);
+  return limpet_quarantine_find (quarantine, &fingerprints, now_ms, &remaining_ms)
+         != NULL;
 }
 
 static void
@@ -35,23 +36,23 @@
 static void
 crash (LimpetQuarantine *quarantine, uint64_t part, uint32_t target, LimpetMs now_ms)
 {
-  const uint64_t parts[] = { TEAM, part };
+  LimpetFingerprints fingerprints = { .parts = { TEAM, part }, .parts_count = 2 };
 
-  limpet_quarantine_record_crash (quarantine, parts, 2, target, now_ms);
+  limpet_quarantine_record_crash (quarantine, &fingerprints, target, now_ms);
 }
 
 static void
 succeed (LimpetQuarantine *quarantine, uint64_t part, LimpetMs now_ms)
 {
-  const uint64_t parts[] = { TEAM, part };
+  LimpetFingerprints fingerprints = { .parts = { TEAM, part }, .parts_count = 2 };
 
-  limpet_quarantine_record_success (quarantine, parts, 2, now_ms);
+  limpet_quarantine_record_success (quarantine, &fingerprints, now_ms);
 }
 
 static void
 test_only_the_part_that_crashes_targets_is_quarantined (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
 
   for (uint32_t i = 0; i < 4; i++)
     {
@@ -73,7 +74,7 @@
 static void
 test_two_crashes_do_not_quarantine_a_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
 
   for (uint32_t i = 0; i < 6; i++)
     crash (quarantine, SESSION, i % 2, 20000 + 100 * i);
@@ -85,7 +86,7 @@
 static void
 test_crashes_of_all_targets_do_not_quarantine_a_popular_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
 
   succeed (quarantine, SESSION, 15000);
   for (uint32_t i = 0; i < 8; i++)
@@ -100,7 +101,7 @@
 static void
 test_equal_evidence_quarantines_the_deeper_part (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
 
   for (uint32_t i = 0; i < 3; i++)
     crash (quarantine, CRASHING, i, 20000 + 300 * i);
@@ -117,7 +118,7 @@
 static void
 test_a_success_lifts_a_quarantine (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
 
   for (uint32_t i = 0; i < 3; i++)
     crash (quarantine, SESSION, i, 20000);
@@ -131,7 +132,7 @@
 static void
 test_one_crash_after_a_quarantine_renews_it (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
   LimpetMs later_ms = 20000 + 11 * 60 * 1000;
 
   for (uint32_t i = 0; i < 3; i++)
@@ -141,18 +142,23 @@
   crash (quarantine, CRASHING, 9, later_ms);
   CU_ASSERT_TRUE (is_found (quarantine, CRASHING, later_ms));
   tick_until (quarantine, later_ms, later_ms + 61 * 60 * 1000);
-  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine), 0);
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine, false), 0);
   limpet_quarantine_delete (quarantine);
 }
 
 static void
 test_many_suspects_take_bounded_memory (void)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
-  LimpetSuspectPart records[1024];
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetSuspect records[1024];
 
   for (uint64_t part = 1; part <= 5000; part++)
-    limpet_quarantine_record_crash (quarantine, &part, 1, 1, 20000 + (LimpetMs)part);
+    {
+      LimpetFingerprints fingerprints = { .parts = { part }, .parts_count = 1 };
+
+      limpet_quarantine_record_crash (quarantine, &fingerprints, 1,
+                                      20000 + (LimpetMs)part);
+    }
   CU_ASSERT_TRUE (limpet_quarantine_collect_changed (quarantine, records, 1024) <= 512);
   for (uint32_t i = 0; i < 3; i++)
     crash (quarantine, CRASHING, i, 30000);
@@ -162,16 +168,16 @@
 }
 
 static void
-count_quarantined (void *user, const LimpetSuspectPart *suspect)
+count_quarantined (void *user, const LimpetSuspect *suspect)
 {
   (void)suspect;
   (*(uint32_t *)user)++;
 }
 
 static void
-count_cleared (void *user, uint64_t part)
+count_cleared (void *user, const LimpetSuspect *suspect)
 {
-  (void)part;
+  (void)suspect;
   (*(uint32_t *)user) += 100;
 }
 
@@ -183,9 +189,9 @@
       = { .on_quarantined = count_quarantined, .on_cleared = count_cleared };
   uint32_t calls = 0;
   uint32_t other_calls = 0;
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&ops, &calls);
-  LimpetQuarantine *other = limpet_quarantine_new (&ops, &other_calls);
-  LimpetSuspectPart record;
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&ops, &calls, 1);
+  LimpetQuarantine *other = limpet_quarantine_new (&ops, &other_calls, 2);
+  LimpetSuspect record;
 
   crash (other, CRASHING, 0, 20000);
   for (uint32_t i = 0; i < 3; i++)
@@ -327,6 +333,219 @@
   stop_routers ();
 }
 
+/* Requests: the one that crashes targets, a second such one, and sound ones. */
+#define CRASHING_REQUEST 0xbad1
+#define SECOND_CRASHING_REQUEST 0xbad2
+#define SOUND_REQUEST 0x900d
+
+static LimpetFingerprints
+plain (uint64_t request)
+{
+  return (LimpetFingerprints){ .request = request };
+}
+
+static bool
+is_request_found (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+  LimpetMs remaining_ms;
+
+  return limpet_quarantine_find (quarantine, &fingerprints, now_ms, &remaining_ms)
+         != NULL;
+}
+
+static bool
+is_admitted (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+  LimpetMs remaining_ms;
+
+  return limpet_quarantine_admit (quarantine, &fingerprints, now_ms, &remaining_ms)
+         == NULL;
+}
+
+static void
+crash_request (LimpetQuarantine *quarantine,
+               uint64_t request,
+               uint32_t target,
+               LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+
+  limpet_quarantine_record_crash (quarantine, &fingerprints, target, now_ms);
+}
+
+static void
+complete_request (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+
+  limpet_quarantine_record_success (quarantine, &fingerprints, now_ms);
+}
+
+/* Four targets crash within half a second. The popular request is in flight at each, and
+ * each of the others and its retry at two of them. */
+static void
+test_requests_beside_the_one_that_crashes_targets_are_served (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+
+  complete_request (quarantine, SOUND_REQUEST, 15000);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      LimpetMs now_ms = 20000 + 100 * i;
+
+      crash_request (quarantine, CRASHING_REQUEST, i, now_ms);
+      crash_request (quarantine, SOUND_REQUEST, i, now_ms);
+      crash_request (quarantine, SOUND_REQUEST + 1 + i, i, now_ms);
+      crash_request (quarantine, SOUND_REQUEST + 1 + i, (i + 1) % 4, now_ms);
+    }
+  CU_ASSERT_TRUE (is_request_found (quarantine, CRASHING_REQUEST, 20400));
+  tick_until (quarantine, 20400, 23000);
+  CU_ASSERT_TRUE (is_request_found (quarantine, CRASHING_REQUEST, 23000));
+  for (uint32_t i = 0; i < 5; i++)
+    CU_ASSERT_FALSE (is_request_found (quarantine, SOUND_REQUEST + i, 23000));
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine, true), 1);
+  limpet_quarantine_delete (quarantine);
+}
+
+/* The first one found accounts for all crashes; the second one needs one more. */
+static void
+test_a_second_request_that_crashes_targets_is_found_by_its_next_crash (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  bool is_first_found;
+  bool is_second_found;
+
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      crash_request (quarantine, CRASHING_REQUEST, i, 20000 + 100 * i);
+      crash_request (quarantine, SECOND_CRASHING_REQUEST, i, 20000 + 100 * i);
+    }
+  tick_until (quarantine, 20400, 23000);
+  is_first_found = is_request_found (quarantine, CRASHING_REQUEST, 23000);
+  is_second_found = is_request_found (quarantine, SECOND_CRASHING_REQUEST, 23000);
+  CU_ASSERT_TRUE (is_first_found != is_second_found);
+  crash_request (quarantine, is_first_found ? SECOND_CRASHING_REQUEST : CRASHING_REQUEST,
+                 9, 23100);
+  tick_until (quarantine, 23100, 25000);
+  CU_ASSERT_TRUE (is_request_found (quarantine, CRASHING_REQUEST, 25000));
+  CU_ASSERT_TRUE (is_request_found (quarantine, SECOND_CRASHING_REQUEST, 25000));
+  limpet_quarantine_delete (quarantine);
+}
+
+/* A service that was away for long has no success that could clear a sound request. */
+static void
+test_a_request_quarantined_by_mistake_is_served_again (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetMs now_ms = 20000;
+
+  for (uint32_t i = 0; i < 3; i++)
+    crash_request (quarantine, SOUND_REQUEST, i, 20000);
+  tick_until (quarantine, 20000, 22000);
+  CU_ASSERT_FALSE (is_admitted (quarantine, SOUND_REQUEST, 22000));
+  for (; now_ms < 200000 && !is_admitted (quarantine, SOUND_REQUEST, now_ms);
+       now_ms += 100)
+    limpet_quarantine_tick (quarantine, now_ms);
+  CU_ASSERT_TRUE (now_ms < 20000 + 151000);
+  CU_ASSERT_FALSE (is_admitted (quarantine, SOUND_REQUEST, now_ms + 100));
+  CU_ASSERT_FALSE (is_request_found (quarantine, SOUND_REQUEST, now_ms + 100));
+  complete_request (quarantine, SOUND_REQUEST, now_ms + 200);
+  CU_ASSERT_TRUE (is_admitted (quarantine, SOUND_REQUEST, now_ms + 300));
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine, true), 0);
+  limpet_quarantine_delete (quarantine);
+}
+
+/* Each of three requests with the part crashes as many targets as a quarantine takes. */
+static void
+test_retried_requests_do_not_hide_the_part_that_crashes_targets (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetMs now_ms = 20000;
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      LimpetFingerprints fingerprints
+          = { .parts = { TEAM, CRASHING }, .parts_count = 2, .request = 100 + i };
+
+      for (uint32_t j = 0; j < 3; j++)
+        limpet_quarantine_record_crash (quarantine, &fingerprints, 3 * i + j, now_ms);
+      succeed (quarantine, SESSION, now_ms);
+      tick_until (quarantine, now_ms, now_ms + 2000);
+      now_ms += 2000;
+    }
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, now_ms));
+  CU_ASSERT_FALSE (is_found (quarantine, TEAM, now_ms));
+  limpet_quarantine_delete (quarantine);
+}
+
+/* The request comes at all routers in turn, and crashes a target 50 ms after it is sent.
+ * Returns the number of times it is sent. */
+static uint32_t
+offer_crashing_request (LimpetMs from_ms, LimpetMs until_ms)
+{
+  static uint32_t target;
+  int64_t end = 1;
+  uint32_t sent = 0;
+
+  for (LimpetMs now_ms = from_ms; now_ms < until_ms; now_ms += 100)
+    {
+      LimpetQuarantine *quarantine = routers[(now_ms / 100 * 7) % ROUTERS].quarantine;
+
+      run_fleet (now_ms, now_ms + 50, &end, NULL);
+      if (is_admitted (quarantine, CRASHING_REQUEST, now_ms))
+        {
+          sent++;
+          crash_request (quarantine, CRASHING_REQUEST, ++target, now_ms + 50);
+        }
+      run_fleet (now_ms + 50, now_ms + 100, &end, NULL);
+    }
+  return sent;
+}
+
+/* At most three repeats from STABLE_WINDOW_MS after the third crash on, those after the
+ * end of the quarantine included. */
+static void
+test_a_request_is_kept_from_targets_by_all_routers (void)
+{
+  int64_t end = 1;
+  uint32_t sent;
+
+  start_routers (37);
+  run_fleet (1, 20000, &end, NULL);
+  loss_ratio = 0.2;
+  sent = offer_crashing_request (20000, 20000 + 300 + STABLE_WINDOW_MS);
+  CU_ASSERT_TRUE (sent >= 3 && sent <= 12);
+  sent = offer_crashing_request (20000 + 300 + STABLE_WINDOW_MS, 20000 + 200000);
+  printf ("repeats in 200 s=%u\n", sent);
+  CU_ASSERT_TRUE (sent <= 3);
+  stop_routers ();
+}
+
+/* A router that knows another cause of some of the crashes still follows the verdict. */
+static void
+test_a_verdict_on_a_request_holds_at_routers_with_another_view (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetQuarantine *other = limpet_quarantine_new (&quarantine_ops, NULL, 2);
+  LimpetSuspect record;
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      crash_request (quarantine, SECOND_CRASHING_REQUEST, i, 20000);
+      crash_request (other, CRASHING_REQUEST, i, 20000);
+    }
+  tick_until (quarantine, 20000, 22000);
+  tick_until (other, 20000, 22000);
+  CU_ASSERT_EQUAL (limpet_quarantine_collect_first (quarantine, &record, 1), 1);
+  limpet_quarantine_receive (other, &record, 22000);
+  CU_ASSERT_TRUE (is_request_found (other, SECOND_CRASHING_REQUEST, 22000));
+  CU_ASSERT_TRUE (is_request_found (other, CRASHING_REQUEST, 22000));
+  limpet_quarantine_delete (quarantine);
+  limpet_quarantine_delete (other);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -345,4 +564,11 @@
   CU_ADD_TEST (suite, test_a_success_at_another_router_clears_a_part);
   CU_ADD_TEST (suite, test_a_router_that_starts_learns_the_quarantined_parts);
   CU_ADD_TEST (suite, test_quarantined_parts_stay_within_the_traffic_limit);
+  CU_ADD_TEST (suite, test_requests_beside_the_one_that_crashes_targets_are_served);
+  CU_ADD_TEST (suite,
+               test_a_second_request_that_crashes_targets_is_found_by_its_next_crash);
+  CU_ADD_TEST (suite, test_a_request_quarantined_by_mistake_is_served_again);
+  CU_ADD_TEST (suite, test_retried_requests_do_not_hide_the_part_that_crashes_targets);
+  CU_ADD_TEST (suite, test_a_request_is_kept_from_targets_by_all_routers);
+  CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
 }
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -97,7 +97,7 @@
 
   *router = (Router){ .address = index + 1 };
   router->gossip = limpet_gossip_new (&gossip_ops, router, index + 1, seed + index);
-  router->quarantine = limpet_quarantine_new (&quarantine_ops, NULL);
+  router->quarantine = limpet_quarantine_new (&quarantine_ops, NULL, seed + index);
   limpet_gossip_set_quarantine (router->gossip, router->quarantine);
 }
 
