A target that falls silent under a request counts as crashed by it

Callers saw time-outs: a server under one request stopped answering without closing its connections, and the next repeat silenced the next one. Cause: only a closed connection counted as evidence. Not covered: a target that is silent for less than the time-out and comes back under the same incarnation.

--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -71,7 +71,11 @@
   _Atomic LimpetMs failed_until_ms;
   /** Gets no request before this time, because of its rate limit. */
   _Atomic LimpetMs next_send_ms;
-  _Atomic int32_t failures; /**< consecutive failed exchanges */
+  _Atomic int32_t failures;        /**< consecutive failed exchanges */
+  _Atomic LimpetMs unreachable_ms; /**< last failed connect; 0 if there was none */
+  _Atomic LimpetMs responded_ms;   /**< last response; 0 if there was none */
+  /** The registry removed the target, which had not been announced as leaving. */
+  _Atomic bool has_vanished;
   /** Weight out of LIMPET_WEIGHT_FULL, from this router's latency samples. */
   _Atomic int32_t own_weight;
   _Atomic int32_t peers_weight; /**< lowest weight in the digests of other routers */
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -201,11 +201,18 @@
                       LimpetMs now_ms)
 {
   for (uint32_t i = 0; i < old->count; i++)
-    if (find_by_id (view, old->targets[i]->vm.id) == NULL)
-      {
-        record_departure (targets, old->targets[i]->vm.id, now_ms);
-        limpet_target_mark_leaving (old->targets[i], "the VM list");
-      }
+    {
+      LimpetTarget *target = old->targets[i];
+      const LimpetTarget *successor = find_by_id (view, target->vm.id);
+
+      if (successor != target && !atomic_load (&target->leaving))
+        atomic_store (&target->has_vanished, true);
+      if (successor == NULL)
+        {
+          record_departure (targets, target->vm.id, now_ms);
+          limpet_target_mark_leaving (target, "the VM list");
+        }
+    }
 }
 
 static gboolean
@@ -362,6 +369,8 @@
       atomic_store (&target->failures, 0);
       return;
     }
+  if (status == LIMPET_STATUS_UNREACHABLE)
+    atomic_store (&target->unreachable_ms, limpet_clock_mono_ms ());
   failures = atomic_fetch_add (&target->failures, 1);
   backoff_ms = MIN (BACKOFF_MAX_MS, (LimpetMs)BACKOFF_FIRST_MS << MIN (failures, 8));
   atomic_store (&target->failed_until_ms, limpet_clock_mono_ms () + backoff_ms);
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -308,6 +308,7 @@
   limpet_event_splitter_clear (&task->events);
   task->is_streaming = false;
   task->sent_ms = now_ms;
+  task->is_sent = false;
   task->has_first_event = false;
   task->last_event_ms = 0;
   task->response = (LimpetTargetResponse){ .status = 0 };
@@ -318,6 +319,7 @@
 void
 limpet_task_record_sent (LimpetTask *task)
 {
+  task->is_sent = true;
   task->sent_count++;
   task->sent_ms = limpet_clock_mono_ms ();
   if (task->first_sent_ms == 0)
@@ -548,6 +550,7 @@
   if (task->upstream != NULL && task->sent_count > 0
       && task->call.route->kind == LIMPET_ROUTE_KIND_UNSAFE)
     return;
+  limpet_unanswered_add (task);
   cancel_attempt (task);
   limpet_task_finish (task, "caller_left");
 }
@@ -559,6 +562,7 @@
   LimpetTask *task = timer->data;
   bool sent = task->sent_count > 0;
 
+  limpet_unanswered_add (task);
   if (task->caller == NULL || task->head_sent)
     {
       cancel_attempt (task);
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -184,6 +184,8 @@
     }
   if (code == UV_EOF || code == UV_ECONNRESET)
     limpet_task_record_disconnect (upstream->task);
+  else
+    limpet_unanswered_add (upstream->task);
   fail (upstream, LIMPET_STATUS_BROKEN,
         code == UV_EOF ? "the target closed the connection" : uv_strerror ((int)code));
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -15,6 +15,7 @@
  *   task.c           one call from arrival to final response: attempts, retries, outcome
  *   relay.c          forwards a target's response to the caller
  *   upstream.c       connection to a target, and the pool of idle ones
+ *   unanswered.c     calls without a response, until it shows whether the target crashed
  */
 
 typedef struct LimpetCaller LimpetCaller;
@@ -46,6 +47,7 @@
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
+  GQueue unanswered;         /* calls without a response, see unanswered.c */
   size_t buffered_bytes;     /* of the response bodies of all tasks */
   LimpetCallTimes times[LIMPET_ROUTE_KIND_COUNT];
   bool is_listening;
@@ -96,6 +98,7 @@
   bool head_sent;    /* the head of a response was sent to the caller */
   bool is_finished;
   bool is_body_complete;  /* the whole request has arrived */
+  bool is_sent;           /* the request of the current attempt has been written */
   bool has_first_event;   /* of the current attempt */
   LimpetMs sent_ms;       /* when the current attempt was sent; before that, its start */
   LimpetMs first_sent_ms; /* 0 before the first send */
@@ -189,6 +192,15 @@
 /* Closes the caller's connection without completing a response, and finishes the task. */
 void limpet_relay_abort (LimpetTask *task);
 
+/* unanswered.c */
+/* Remembers that the current attempt ends without an event or a complete response. Does
+ * nothing if the request has not been sent. */
+void limpet_unanswered_add (const LimpetTask *task);
+/* Records in the quarantine the calls whose target has crashed, and drops those whose
+ * target has responded to another call since. */
+void limpet_unanswered_check (LimpetExchange *exchange, LimpetMs now_ms);
+void limpet_unanswered_clear (LimpetExchange *exchange);
+
 /* upstream.c */
 /* Returns a pooled connection that has been idle since min_idle_since_ms or later, else a
  * new one. A failed connect is reported later by limpet_task_attempt_failed(). */
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -213,3 +213,31 @@
         fleet.wait_for_routers(3)
         fleet.play(6)
         fleet.check_kept_away()
+
+
+def test_a_request_that_times_out_at_sound_servers_is_not_quarantined():
+    """Every server answers other requests, and leaves in order in the end."""
+    with CrashingFleet(SHORT) as fleet:
+        sent = 0
+
+        def on_request(server, message, connection):
+            if message.body == b"slow":
+                time.sleep(0.6)
+            server.reply(connection, message)
+            return True
+
+        for server in fleet.platform.servers:
+            server.on_request = on_request
+        for number in range(12):
+            fleet.request("slow", number % 3)
+            for mark in ("1", "2", "3", "4"):
+                sent += fleet.request(mark, number % 3)
+        check(sent >= 40, sent)
+        for server in fleet.platform.servers[1:]:
+            server.write("draining")
+        time.sleep(0.5)
+        for server in fleet.platform.servers[1:]:
+            server.remove()
+        time.sleep(1.5)
+        for index in range(3):
+            check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
