A request that crashes its target after the first events is suspect as well

Streams that had passed on an event counted as bystanders of a crash, so a request that crashes servers a moment after they begin to run it was never found. In the incident servers crash 14 to 120 ms after they begin to run the request, and a stream begins to run with its first token. The request hash stands last in the try lines, so that lines which end in the parts read as before.

--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -19,8 +19,8 @@
  *  limpet_quarantine_delete(). Opens no sockets, starts no threads, is not thread-safe.
  *
  *  A target that crashes breaks all its calls, so one crash does not show which of them
- *  is the cause. A fingerprint is suspect while calls with it break off before their
- *  first event and none is completed. A suspect is quarantined after
+ *  is the cause. A fingerprint is suspect while targets crash as they begin to run calls
+ *  with it and none is completed. A suspect is quarantined after
  *  LIMPET_QUARANTINE_MIN_CRASHES crashes of targets. Each router sees a small part of the
  *  calls, so routers exchange the crashes and, for suspects of other routers, the
  *  successes that clear them.
@@ -92,7 +92,7 @@
                                              LimpetMs now_ms,
                                              LimpetMs *remaining_ms);
 
-/** Records that a target crashed before the first event of its response to a call. */
+/** Records that a target crashed as it began to run a call. */
 void limpet_quarantine_record_crash (LimpetQuarantine *quarantine,
                                      const LimpetFingerprints *fingerprints,
                                      uint32_t target_hash,
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -143,6 +143,7 @@
   if (task->has_first_event)
     return;
   task->has_first_event = true;
+  task->first_event_ms = now_ms;
   limpet_dispatch_record_first_event (task->exchange->dispatch, task->target,
                                       now_ms - task->sent_ms);
 }
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -19,6 +19,9 @@
 /* A call that was sent is not sent again if at most this much time is left until its
  * response is due. */
 #define MIN_RETRY_TIME_MS 20
+/* A target that crashes because of a stream does so within this time after the stream's
+ * first event. */
+#define MAX_CRASH_DELAY_MS 500
 /* Retry delay for the caller after a target refused the call. */
 #define TARGET_FULL_RETRY_MS 300
 /* Retry delay for the caller if no target was reachable. */
@@ -372,11 +375,11 @@
                          : task->response.status != 0 ? "head"
                                                       : "none";
 
-  limpet_log (LIMPET_LOG_NOTICE, "try", task->target->vm.id,
-              "id=%s failed=%s cause=\"%s\" route=%s response=%s request=%" PRIx64
-              " parts=%s",
-              task->call.id, limpet_status_string[status], cause, task->call.route->name,
-              response, task->call.fingerprint, parts);
+  limpet_log (
+      LIMPET_LOG_NOTICE, "try", task->target->vm.id,
+      "id=%s failed=%s cause=\"%s\" route=%s response=%s parts=%s request=%" PRIx64,
+      task->call.id, limpet_status_string[status], cause, task->call.route->name,
+      response, parts, task->call.fingerprint);
   g_free (parts);
 }
 
@@ -435,16 +438,20 @@
     limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
 }
 
-/* A target that crashes closes its connections. The response to the request that caused
- * the crash has no event yet; streams that were already being generated are bystanders.
- */
+/* A target crashes as it begins to run the request that is the cause, so streams that
+ * have run for longer are bystanders. A prompt part that is the cause crashes its target
+ * before the first event. */
 void
 limpet_task_record_disconnect (const LimpetTask *task)
 {
   LimpetQuarantine *quarantine = task->exchange->quarantine;
   LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
 
-  if (quarantine != NULL && !task->has_first_event)
+  if (task->has_first_event)
+    fingerprints.parts_count = 0;
+  if (quarantine != NULL
+      && (!task->has_first_event
+          || limpet_clock_mono_ms () - task->first_event_ms < MAX_CRASH_DELAY_MS))
     limpet_quarantine_record_crash (quarantine, &fingerprints, task->target->id_hash,
                                     limpet_clock_boot_ms ());
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -103,7 +103,8 @@
   LimpetMs sent_ms;       /* when the current attempt was sent; before that, its start */
   LimpetMs first_sent_ms; /* 0 before the first send */
   LimpetMs response_head_ms;
-  LimpetMs last_event_ms; /* last event of the current attempt; 0 before the first */
+  LimpetMs first_event_ms; /* of the current attempt, if has_first_event is set */
+  LimpetMs last_event_ms;  /* last event of the current attempt; 0 before the first */
   /* Response of the current attempt. */
   LimpetTargetResponse response;
   GString *response_head; /* status line and end-to-end fields for the caller */
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -4,7 +4,7 @@
 import time
 
 import fleet as f
-from platform_fake import Platform, route
+from platform_fake import Platform, chunk, event, route
 from run_all import table
 from test_platform import check, stream_events
 
@@ -44,11 +44,13 @@
 
     arrivals: (time, mark) of the requests that reached a server and crash it; crashes: (time, mark)
     of the crashes; served: (time, whether it was served) of the sound requests. silent: a crashed
-    server leaves its connections open."""
+    server leaves its connections open. events: number of events that a server sends before it
+    crashes."""
 
-    def __init__(self, kind, routers=3, silent=False):
+    def __init__(self, kind, routers=3, silent=False, events=0):
         self.kind = kind
         self.silent = silent
+        self.events = events
         self.arrivals = []
         self.crashes = []
         self.served = []
@@ -96,6 +98,8 @@
         if self.kind.prompt:
             connection.sendall(server.head(
                 message, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+            for number in range(self.events):
+                connection.sendall(chunk(event(number + 1)))
         time.sleep(0.03)
         self.crash(server, mark)
         if self.silent:
@@ -188,6 +192,13 @@
         fleet.check_kept_away()
 
 
+@table([("stream", STREAM), ("resumable", RESUMABLE)])
+def test_a_request_that_crashes_servers_after_its_first_events_is_kept_from_them(kind):
+    with CrashingFleet(kind, events=2) as fleet:
+        fleet.play(12)
+        fleet.check_kept_away()
+
+
 def test_several_requests_that_crash_servers_are_kept_from_them():
     marks = ("bad1", "bad2", "bad3")
     with CrashingFleet(SAFE_POST) as fleet:
