Refusals by the quarantine are logged with the time that remains

Callers got the right Retry-After. The check of both in test_crashing_requests failed before for the log and passes now.

--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -383,19 +383,16 @@
   g_free (parts);
 }
 
-static bool
+static void
 log_quarantined (const LimpetTask *task,
                  const LimpetSuspect *suspect,
                  LimpetMs remaining_ms)
 {
-  if (suspect == NULL)
-    return false;
   limpet_log (LIMPET_LOG_INFO, "quarantine", NULL,
               "id=%s %s=%" PRIx64 " remaining_ms=%ld", task->call.id,
               suspect->depth == LIMPET_QUARANTINE_REQUEST_DEPTH ? "request" : "part",
               suspect->id, (long)remaining_ms);
   limpet_counter_add (LIMPET_COUNTER_QUARANTINED, 1);
-  return true;
 }
 
 bool
@@ -403,13 +400,14 @@
 {
   LimpetQuarantine *quarantine = task->exchange->quarantine;
   LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+  const LimpetSuspect *suspect = NULL;
 
-  return quarantine == NULL
-         || !log_quarantined (task,
-                              limpet_quarantine_admit (quarantine, &fingerprints,
-                                                       limpet_clock_boot_ms (),
-                                                       remaining_ms),
-                              *remaining_ms);
+  if (quarantine != NULL)
+    suspect = limpet_quarantine_admit (quarantine, &fingerprints, limpet_clock_boot_ms (),
+                                       remaining_ms);
+  if (suspect != NULL)
+    log_quarantined (task, suspect, *remaining_ms);
+  return suspect == NULL;
 }
 
 /* Returns whether an admitted call must not be sent any more. */
@@ -418,13 +416,14 @@
 {
   const LimpetQuarantine *quarantine = task->exchange->quarantine;
   LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
-
-  return quarantine != NULL
-         && log_quarantined (task,
-                             limpet_quarantine_find (quarantine, &fingerprints,
-                                                     limpet_clock_boot_ms (),
-                                                     remaining_ms),
-                             *remaining_ms);
+  const LimpetSuspect *suspect = NULL;
+
+  if (quarantine != NULL)
+    suspect = limpet_quarantine_find (quarantine, &fingerprints, limpet_clock_boot_ms (),
+                                      remaining_ms);
+  if (suspect != NULL)
+    log_quarantined (task, suspect, *remaining_ms);
+  return suspect != NULL;
 }
 
 static void
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """One request that crashes each server that begins to run it, and comes again and again."""
 
+import re
 import threading
 import time
 
@@ -11,6 +12,7 @@
 STABLE_WINDOW_S = 3   # stable_window_ms of the users' small sites
 RESTART_S = 2.0       # a crashed server is replaced after this time
 SERVERS = 4
+MAX_QUARANTINE_S = 150   # of a request that crashed servers within seconds
 # Marks a request that crashes servers: in its path, its body or the last part of its prompt.
 CRASHING = "bad"
 
@@ -45,7 +47,7 @@
     arrivals: (time, mark) of the requests that reached a server and crash it; crashes: (time, mark)
     of the crashes; served: (time, whether it was served) of the sound requests. silent: a crashed
     server leaves its connections open. events: number of events that a server sends before it
-    crashes."""
+    crashes. delays: Retry-After of all refused requests."""
 
     def __init__(self, kind, routers=3, silent=False, events=0):
         self.kind = kind
@@ -54,6 +56,7 @@
         self.arrivals = []
         self.crashes = []
         self.served = []
+        self.delays = []
         self.stopped = threading.Event()
         self.platform = Platform(start=False, routes=[
             route("safe", "/safe/", "safe", "plain"),
@@ -126,8 +129,11 @@
     def request(self, mark, router, request_id=None):
         try:
             call = self.kind.call(mark)
-            return self.platform.call(call.pop("path"), call.pop("method"), router=router,
-                                      request_id=request_id, **call).status == 200
+            response = self.platform.call(call.pop("path"), call.pop("method"), router=router,
+                                          request_id=request_id, **call)
+            if response.status == 503:
+                self.delays.append(float(response.fields.get("retry-after", 0)))
+            return response.status == 200
         except (OSError, ValueError):
             return False
 
@@ -181,6 +187,10 @@
             check(late <= 3, mark, late, len(self.crashes))
         quiet_at = max(self.third_crash(mark) for mark in marks) + 2 * STABLE_WINDOW_S
         check(self.served_after(quiet_at) >= 0.9, self.served_after(quiet_at))
+        check(0 < min(self.delays) and max(self.delays) <= MAX_QUARANTINE_S, max(self.delays))
+        for router in range(len(self.platform.routers)):
+            for remaining_ms in re.findall(r"remaining_ms=(-?\d+)", self.platform.log(router)):
+                check(0 < int(remaining_ms) <= 1000 * MAX_QUARANTINE_S, remaining_ms)
 
 
 @table([("safe_post", SAFE_POST, None), ("safe_get", SAFE_GET, None), ("unsafe", UNSAFE, None),
