A closed connection alone is no evidence of a crash

Cause: each close of a connection before the response counted as a crash of the target. Now a broken call is pending until it shows: a new connection is made to the target at once, and a failed connect, by this or any other call, or the target's removal without notice is the evidence; a response of the target to another call, or 10 s, drops it.

--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -34,7 +34,7 @@
       next = link->next;
       limpet_caller_check_timeouts (link->data, now_ms);
     }
-  limpet_unanswered_check (exchange, now_ms);
+  limpet_pending_crashes_check (exchange, now_ms);
   limpet_dispatch_tick (exchange->dispatch, now_ms);
 }
 
@@ -48,7 +48,7 @@
   exchange->dispatch = limpet_dispatch_new (targets);
   g_queue_init (&exchange->callers);
   g_queue_init (&exchange->tasks);
-  g_queue_init (&exchange->unanswered);
+  g_queue_init (&exchange->pending_crashes);
   return exchange;
 }
 
@@ -273,7 +273,7 @@
 {
   if (exchange == NULL)
     return;
-  limpet_unanswered_clear (exchange);
+  limpet_pending_crashes_clear (exchange);
   limpet_dispatch_delete (exchange->dispatch);
   limpet_route_table_unref (exchange->table);
   g_free (exchange);
--- /dev/null
+++ b/src/liblimpetroad/exchange/pending_crashes.c
@@ -0,0 +1,124 @@
+#include "private/exchange.h"
+
+/* Time in which it shows whether a target has crashed: the registry removes a silent
+ * target earlier. */
+#define VALIDITY_MS 10000
+#define MAX_PENDING 256
+/* A target that crashes because of a stream does so within this time after the stream's
+ * first event. */
+#define MAX_CRASH_DELAY_MS 500
+
+/* A call whose target may have crashed as it began to run the call. */
+typedef struct
+{
+  LimpetTarget *target; /* a reference */
+  LimpetFingerprints fingerprints;
+  LimpetMs sent_ms;
+  LimpetMs ended_ms; /* when the attempt ended */
+} PendingCrash;
+
+static void
+free_pending (gpointer data)
+{
+  PendingCrash *pending = data;
+
+  limpet_target_unref (pending->target);
+  g_free (pending);
+}
+
+/* Streams that have run for longer are bystanders. A prompt part that is the cause
+ * crashes its target before the first event. */
+static LimpetFingerprints
+fingerprints_of (const LimpetTask *task, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+
+  if (task->has_first_event)
+    fingerprints.parts_count = 0;
+  if (task->has_first_event && now_ms - task->first_event_ms >= MAX_CRASH_DELAY_MS)
+    fingerprints.request = 0;
+  return fingerprints;
+}
+
+static bool
+add (const LimpetTask *task)
+{
+  GQueue *list = &task->exchange->pending_crashes;
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+  LimpetFingerprints fingerprints = fingerprints_of (task, now_ms);
+  PendingCrash *pending;
+
+  if (task->exchange->quarantine == NULL || task->target == NULL || !task->is_sent
+      || (fingerprints.parts_count == 0 && fingerprints.request == 0))
+    return false;
+  if (list->length >= MAX_PENDING)
+    free_pending (g_queue_pop_head (list));
+  pending = g_new0 (PendingCrash, 1);
+  limpet_target_ref (task->target);
+  pending->target = task->target;
+  pending->fingerprints = fingerprints;
+  pending->sent_ms = task->sent_ms;
+  pending->ended_ms = now_ms;
+  g_queue_push_tail (list, pending);
+  return true;
+}
+
+void
+limpet_pending_crashes_add_disconnect (const LimpetTask *task)
+{
+  if (add (task))
+    limpet_upstream_probe (task->exchange, task->target);
+}
+
+void
+limpet_pending_crashes_add_silence (const LimpetTask *task)
+{
+  add (task);
+}
+
+static bool
+has_crashed (const PendingCrash *pending)
+{
+  const LimpetTarget *target = pending->target;
+
+  return atomic_load (&target->has_vanished)
+         || atomic_load (&target->unreachable_ms) >= pending->sent_ms;
+}
+
+/* Returns whether the entry can be dropped. */
+static bool
+check (LimpetExchange *exchange, const PendingCrash *pending, LimpetMs now_ms)
+{
+  LimpetMs ended_ago_ms = now_ms - pending->ended_ms;
+
+  if (has_crashed (pending))
+    {
+      limpet_quarantine_record_crash (exchange->quarantine, &pending->fingerprints,
+                                      pending->target->id_hash,
+                                      limpet_clock_boot_ms () - ended_ago_ms);
+      return true;
+    }
+  return atomic_load (&pending->target->responded_ms) > pending->ended_ms
+         || ended_ago_ms > VALIDITY_MS;
+}
+
+void
+limpet_pending_crashes_check (LimpetExchange *exchange, LimpetMs now_ms)
+{
+  GList *next;
+
+  for (GList *link = exchange->pending_crashes.head; link != NULL; link = next)
+    {
+      next = link->next;
+      if (!check (exchange, link->data, now_ms))
+        continue;
+      free_pending (link->data);
+      g_queue_delete_link (&exchange->pending_crashes, link);
+    }
+}
+
+void
+limpet_pending_crashes_clear (LimpetExchange *exchange)
+{
+  g_queue_clear_full (&exchange->pending_crashes, free_pending);
+}
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -335,7 +335,7 @@
     }
   if (is_broken_off (task))
     {
-      limpet_task_record_disconnect (task);
+      limpet_pending_crashes_add_disconnect (task);
       fail_attempt (task, "the stream ended inside an event");
       return;
     }
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -19,9 +19,6 @@
 /* A call that was sent is not sent again if at most this much time is left until its
  * response is due. */
 #define MIN_RETRY_TIME_MS 20
-/* A target that crashes because of a stream does so within this time after the stream's
- * first event. */
-#define MAX_CRASH_DELAY_MS 500
 /* Retry delay for the caller after a target refused the call. */
 #define TARGET_FULL_RETRY_MS 300
 /* Retry delay for the caller if no target was reachable. */
@@ -437,24 +434,6 @@
     limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
 }
 
-/* A target crashes as it begins to run the request that is the cause, so streams that
- * have run for longer are bystanders. A prompt part that is the cause crashes its target
- * before the first event. */
-void
-limpet_task_record_disconnect (const LimpetTask *task)
-{
-  LimpetQuarantine *quarantine = task->exchange->quarantine;
-  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
-
-  if (task->has_first_event)
-    fingerprints.parts_count = 0;
-  if (quarantine != NULL
-      && (!task->has_first_event
-          || limpet_clock_mono_ms () - task->first_event_ms < MAX_CRASH_DELAY_MS))
-    limpet_quarantine_record_crash (quarantine, &fingerprints, task->target->id_hash,
-                                    limpet_clock_boot_ms ());
-}
-
 /* Submits the call again for another attempt, on none of the targets attempted so far. */
 static void
 resubmit (LimpetTask *task, const char *cause)
@@ -490,6 +469,8 @@
     g_strlcpy (task->last_event_id, task->events.last_id, sizeof task->last_event_id);
   log_failed_attempt (task, status, cause);
   limpet_dispatch_record_result (task->exchange->dispatch, target, status);
+  if (!sent)
+    limpet_pending_crashes_check (task->exchange, limpet_clock_mono_ms ());
   limpet_task_end_attempt (task, 0);
   task->may_have_run = task->may_have_run || sent;
   if (task->caller == NULL)
@@ -556,7 +537,7 @@
   if (task->upstream != NULL && task->sent_count > 0
       && task->call.route->kind == LIMPET_ROUTE_KIND_UNSAFE)
     return;
-  limpet_unanswered_add (task);
+  limpet_pending_crashes_add_silence (task);
   cancel_attempt (task);
   limpet_task_finish (task, "caller_left");
 }
@@ -568,7 +549,7 @@
   LimpetTask *task = timer->data;
   bool sent = task->sent_count > 0;
 
-  limpet_unanswered_add (task);
+  limpet_pending_crashes_add_silence (task);
   if (task->caller == NULL || task->head_sent)
     {
       cancel_attempt (task);
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -70,12 +70,34 @@
   uv_close ((uv_handle_t *)&upstream->tcp, on_handle_closed);
 }
 
+static void
+end_probe (LimpetUpstream *upstream)
+{
+  pool_of (upstream->target)->is_probed = false;
+  upstream->is_probe = false;
+}
+
+static void
+fail_probe (LimpetUpstream *upstream, const char *cause)
+{
+  LimpetExchange *exchange = upstream->exchange;
+
+  end_probe (upstream);
+  limpet_log (LIMPET_LOG_NOTICE, "probe", upstream->target->vm.id,
+              "failed=unreachable cause=\"%s\"", cause);
+  limpet_dispatch_record_result (exchange->dispatch, upstream->target,
+                                 LIMPET_STATUS_UNREACHABLE);
+  limpet_pending_crashes_check (exchange, limpet_clock_mono_ms ());
+}
+
 /* Closes the connection and reports the failure to its task, if it has one. */
 static void
 fail (LimpetUpstream *upstream, LimpetStatus status, const char *cause)
 {
   LimpetTask *task = upstream->task;
 
+  if (upstream->is_probe)
+    fail_probe (upstream, cause);
   limpet_upstream_close (upstream);
   if (task != NULL)
     limpet_task_attempt_failed (task, status, cause);
@@ -183,9 +205,9 @@
         return;
     }
   if (code == UV_EOF || code == UV_ECONNRESET)
-    limpet_task_record_disconnect (upstream->task);
+    limpet_pending_crashes_add_disconnect (upstream->task);
   else
-    limpet_unanswered_add (upstream->task);
+    limpet_pending_crashes_add_silence (upstream->task);
   fail (upstream, LIMPET_STATUS_BROKEN,
         code == UV_EOF ? "the target closed the connection" : uv_strerror ((int)code));
 }
@@ -241,7 +263,12 @@
   upstream->is_connected = true;
   uv_timer_stop (&upstream->timer);
   uv_read_start ((uv_stream_t *)&upstream->tcp, alloc_buffer, on_read);
-  if (upstream->request != NULL)
+  if (upstream->is_probe)
+    {
+      end_probe (upstream);
+      limpet_upstream_release (upstream, LIMPET_POOL_IDLE_MS);
+    }
+  else if (upstream->request != NULL)
     write_request (upstream);
 }
 
@@ -316,6 +343,17 @@
   return upstream;
 }
 
+void
+limpet_upstream_probe (LimpetExchange *exchange, LimpetTarget *target)
+{
+  LimpetUpstreamPool *pool = ensure_pool (target);
+
+  if (pool->is_probed)
+    return;
+  pool->is_probed = true;
+  connect_upstream (exchange, target)->is_probe = true;
+}
+
 void
 limpet_upstream_send (LimpetUpstream *upstream, LimpetTask *task, GString *request)
 {
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -15,7 +15,7 @@
  *   task.c           one call from arrival to final response: attempts, retries, outcome
  *   relay.c          forwards a target's response to the caller
  *   upstream.c       connection to a target, and the pool of idle ones
- *   unanswered.c     calls without a response, until it shows whether the target crashed
+ *   pending_crashes.c  broken calls, until it shows whether their target has crashed
  */
 
 typedef struct LimpetCaller LimpetCaller;
@@ -47,7 +47,7 @@
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
-  GQueue unanswered;         /* calls without a response, see unanswered.c */
+  GQueue pending_crashes;    /* broken calls, see pending_crashes.c */
   size_t buffered_bytes;     /* of the response bodies of all tasks */
   LimpetCallTimes times[LIMPET_ROUTE_KIND_COUNT];
   bool is_listening;
@@ -149,8 +149,6 @@
 /* Returns whether the quarantine admits the call. If not, sets remaining_ms to the time
  * until such calls are tried again, and logs the suspect. */
 bool limpet_task_is_admitted (const LimpetTask *task, LimpetMs *remaining_ms);
-/* Records that the target closed the connection before the response was complete. */
-void limpet_task_record_disconnect (const LimpetTask *task);
 /* Called just before the request is written to the target. */
 void limpet_task_record_sent (LimpetTask *task);
 /* Ends the current attempt, if there is one: releases its slot, and returns its
@@ -193,14 +191,18 @@
 /* Closes the caller's connection without completing a response, and finishes the task. */
 void limpet_relay_abort (LimpetTask *task);
 
-/* unanswered.c */
-/* Remembers that the current attempt ends without an event or a complete response. Does
+/* pending_crashes.c */
+/* Records that the target closed the connection before the response was complete. The
+ * quarantine is told once a new connection to the target shows that it has crashed. */
+void limpet_pending_crashes_add_disconnect (const LimpetTask *task);
+/* Records that the attempt ends without a complete response of the target. The quarantine
+ * is told if the target proves to be unreachable or vanishes from the registry. Does
  * nothing if the request has not been sent. */
-void limpet_unanswered_add (const LimpetTask *task);
-/* Records in the quarantine the calls whose target has crashed, and drops those whose
- * target has responded to another call since. */
-void limpet_unanswered_check (LimpetExchange *exchange, LimpetMs now_ms);
-void limpet_unanswered_clear (LimpetExchange *exchange);
+void limpet_pending_crashes_add_silence (const LimpetTask *task);
+/* Tells the quarantine of the targets that have crashed, and drops the calls whose target
+ * has responded to another call since. */
+void limpet_pending_crashes_check (LimpetExchange *exchange, LimpetMs now_ms);
+void limpet_pending_crashes_clear (LimpetExchange *exchange);
 
 /* upstream.c */
 /* Returns a pooled connection that has been idle since min_idle_since_ms or later, else a
@@ -213,6 +215,9 @@
 /* Returns the connection to the pool for max_idle_ms. Closes it if max_idle_ms is not
  * positive or the target is leaving. */
 void limpet_upstream_release (LimpetUpstream *upstream, LimpetMs max_idle_ms);
+/* Connects to the target, to find out whether it has crashed. A connection that is
+ * established goes to the pool. */
+void limpet_upstream_probe (LimpetExchange *exchange, LimpetTarget *target);
 /* Closes the connection without reporting a failure to its task. */
 void limpet_upstream_close (LimpetUpstream *upstream);
 /* Stops reading from the target if paused is set, else resumes it. */
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -22,6 +22,7 @@
   int open_handles;       /* handles whose close callback has not run yet */
   bool is_connected;
   bool is_idle;
+  bool is_probe;  /* connects to find out whether the target has crashed */
   bool is_paused; /* reading is stopped */
   bool is_closed;
   bool keep_alive;       /* the last response allows reuse */
@@ -31,7 +32,8 @@
 /* Idle connections of one target, most recently used first. */
 typedef struct
 {
-  GQueue idle; /* of LimpetUpstream */
+  GQueue idle;    /* of LimpetUpstream */
+  bool is_probed; /* limpet_upstream_probe() has not ended */
 } LimpetUpstreamPool;
 
 /* Closes the idle connections of a target. */
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -5,7 +5,7 @@
 import time
 
 import fleet as f
-from platform_fake import Platform, chunk, event, route
+from platform_fake import Platform, chunk, event, reset, route
 from run_all import table
 from test_platform import check, stream_events
 
@@ -262,3 +262,30 @@
         time.sleep(1.5)
         for index in range(3):
             check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
+
+
+@table([("reset", True), ("closed", False)])
+def test_a_request_whose_responses_are_lost_is_not_quarantined(is_reset):
+    """Servers break its connections and serve other requests on."""
+    with CrashingFleet(SAFE_POST) as fleet:
+        def on_request(server, message, connection):
+            if message.body == b"lost":
+                if is_reset:
+                    reset(connection)
+                raise OSError("closed")
+            server.reply(connection, message)
+            return True
+
+        for server in fleet.platform.servers:
+            server.on_request = on_request
+        for number in range(12):
+            fleet.request("lost", number % 3)
+            for mark in ("1", "2", "3", "4"):
+                check(fleet.request(mark, number % 3), number)
+        time.sleep(1.5)
+        for server in fleet.platform.servers:
+            server.on_request = None
+        check(fleet.request("lost", 0))
+        for index in range(3):
+            check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
+            check(fleet.platform.metric("limpet_quarantined_total", index) == 0, index)
