--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -546,6 +546,27 @@
   limpet_quarantine_delete (other);
 }
 
+/* A fifth of 112 engines crash at once, each with five calls in flight. */
+static void
+test_many_crashes_at_once_are_told_within_the_traffic_limit (void)
+{
+  int64_t end = 1;
+  uint64_t before;
+
+  start_routers (38);
+  run_fleet (1, 20000, &end, NULL);
+  before = sent_bytes;
+  for (uint32_t i = 0; i < 110; i++)
+    crash_request (routers[i * 7 % ROUTERS].quarantine, 1000 + i, i / 5, 20000);
+  run_fleet (20000, 80000, &end, NULL);
+  printf ("bytes per router and second in the minute after 22 crashes=%lu\n",
+          (unsigned long)((sent_bytes - before) / 60 / ROUTERS));
+  CU_ASSERT_TRUE ((sent_bytes - before) / 60 / ROUTERS < 4096);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    CU_ASSERT_EQUAL (limpet_quarantine_count (routers[i].quarantine, true), 0);
+  stop_routers ();
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -571,4 +592,5 @@
   CU_ADD_TEST (suite, test_retried_requests_do_not_hide_the_part_that_crashes_targets);
   CU_ADD_TEST (suite, test_a_request_is_kept_from_targets_by_all_routers);
   CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
+  CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
 }
