Logs show the software version of targets and which stream a request resumes

The logs cannot tell the router's own continuation of a stream at another version from a caller's (postmortem of ORDER). A line resume for each attempt that continues a stream has both ids, the last event and the version; the version is read from the servers' entries. No decision uses it.

--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -67,6 +67,9 @@
   char *api_key;              /**< authentication key; NULL if none */
   LimpetMs caller_timeout_ms; /**< how long the caller waits; 0 if unknown */
   char *last_event_id;        /**< set if the caller resumes a stream; NULL otherwise */
+  /** Id of the request that brought the first event of the stream that the caller
+   * resumes; NULL if the caller named none. */
+  char *resumed_id;
   /** In prompt order. The last part belongs to this call alone; the parts before it may
    *  be shared with other calls. */
   LimpetPromptPart prompt_parts[LIMPET_MAX_PROMPT_PARTS];
--- a/include/limpetroad/vm_list.h
+++ b/include/limpetroad/vm_list.h
@@ -37,8 +37,9 @@
   char zone[LIMPET_NAME_SIZE];
   char group[LIMPET_NAME_SIZE]; /**< model of an engine, name of a plain service */
   int64_t incarnation;          /**< increases with each start of the VM */
-  int64_t slots;                /**< requests that an engine runs concurrently */
-  bool leaving;                 /**< takes no new requests */
+  char software_version[LIMPET_NAME_SIZE]; /**< of what runs there; empty if unknown */
+  int64_t slots; /**< requests that an engine runs concurrently */
+  bool leaving;  /**< takes no new requests */
 } LimpetVm;
 
 /** A list of VMs; its memory is freed with limpet_vm_list_clear(). */
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -72,7 +72,8 @@
   return strcmp (a->address, b->address) == 0 && a->port == b->port
          && strcmp (a->group, b->group) == 0 && strcmp (a->zone, b->zone) == 0
          && a->kind == b->kind && a->incarnation == b->incarnation && a->slots == b->slots
-         && a->leaving == b->leaving;
+         && a->leaving == b->leaving
+         && strcmp (a->software_version, b->software_version) == 0;
 }
 
 void
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -179,9 +179,10 @@
   if (target != NULL)
     record_departure (targets, vm->id, now_ms);
   limpet_log (LIMPET_LOG_NOTICE, "targets", vm->id,
-              "joined as %s of %s at %s:%d, incarnation %ld",
+              "joined as %s of %s at %s:%d, incarnation %ld, software %s",
               limpet_vm_kind_string[vm->kind], vm->group, vm->address, (int)vm->port,
-              (long)vm->incarnation);
+              (long)vm->incarnation,
+              vm->software_version[0] != '\0' ? vm->software_version : "unknown");
   return target_new (vm, slow_start_begin_ms (targets, vm->id, now_ms));
 }
 
--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -28,6 +28,8 @@
   { "group", LIMPET_FIELD_NAME, offsetof (LimpetVm, group), false, 0, 0, NULL },
   { "incarnation", LIMPET_FIELD_INT, offsetof (LimpetVm, incarnation), true, 0, INT64_MAX,
     NULL },
+  { "software_version", LIMPET_FIELD_NAME, offsetof (LimpetVm, software_version), false,
+    0, 0, NULL },
   { "slots", LIMPET_FIELD_INT, offsetof (LimpetVm, slots), false, 1, 65535, NULL },
   { "leaving", LIMPET_FIELD_BOOL, offsetof (LimpetVm, leaving), false, 0, 0, NULL },
   { .key = NULL },
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -60,6 +60,7 @@
   g_free (call->path);
   g_free (call->api_key);
   g_free (call->last_event_id);
+  g_free (call->resumed_id);
   limpet_route_table_unref (call->table);
   *call = (LimpetCall){ .table = NULL };
 }
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -295,6 +295,21 @@
   task->attempted_targets[task->attempted_count++] = target;
 }
 
+/* Logs that an attempt continues a stream, begun by this request or an earlier one. */
+static void
+log_resumption (const LimpetTask *task, const LimpetTarget *target)
+{
+  const LimpetCall *call = &task->call;
+
+  if (task->last_event_id[0] == '\0' && call->last_event_id == NULL)
+    return;
+  limpet_log (LIMPET_LOG_INFO, "resume", target->vm.id,
+              "id=%s resumed_id=%s last_event=%s software=%s", call->id,
+              call->resumed_id != NULL ? call->resumed_id : "-",
+              task->last_event_id[0] != '\0' ? task->last_event_id : call->last_event_id,
+              target->vm.software_version);
+}
+
 void
 limpet_task_send (LimpetTask *task, LimpetTarget *target)
 {
@@ -303,6 +318,7 @@
       = limpet_call_is_idempotent (&task->call) ? 0 : now_ms - UNSAFE_MAX_IDLE_MS;
   GString *request = write_request (task, target);
 
+  log_resumption (task, target);
   task->target = target;
   add_attempted_target (task, target);
   limpet_event_splitter_clear (&task->events);
