A router continues a stream only at the software version that began it

Callers got events of two versions in one answer. Change: the version of the first event binds the call, and the policies consider only targets of that version; the load limit still refers to the whole service. A stream without a target of its version left is broken off at once. test_a_router_resumes_a_stream_at_the_version_that_began_it failed before and passes now.

--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -31,6 +31,8 @@
    *  caller should retry. */
   void (*on_refused) (void *user, LimpetMs retry_after_ms);
   void *user;
+  /** LimpetTarget.software_hash of the targets that may get the call; 0 for any. */
+  uint32_t software_hash;
   const LimpetTarget *const *excluded; /**< targets of earlier attempts */
   uint32_t excluded_count; /**< only the first LIMPET_MAX_EXCLUDED_TARGETS are excluded */
 
@@ -59,6 +61,9 @@
 /** Requests a target. Calls exactly one of the functions of \p request, before it returns
  *  or later, unless the request is cancelled first. */
 void limpet_dispatch_submit (LimpetDispatch *dispatch, LimpetDispatchRequest *request);
+/** Returns whether there is a target, now or after a wait, that \p request may get. */
+bool limpet_dispatch_has_target (LimpetDispatch *dispatch,
+                                 const LimpetDispatchRequest *request);
 /** Removes \p request from the queue without calling its functions. Does nothing if it is
  *  not queued. */
 void limpet_dispatch_cancel (LimpetDispatch *dispatch, LimpetDispatchRequest *request);
--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -27,10 +27,11 @@
   uint64_t slot_rounding_salt; /**< differs between routers; decides how own_slot_share is
                                   rounded */
   double load_limit; /**< "homes": highest load of an engine, as a multiple of the mean */
-  double key_rate_per_s; /**< estimated calls of the key per second in the whole
-                            fleet; 0 if rare */
-  bool ignore_backoff;   /**< callers leave it false; set in a copy by
-                            limpet_policy_choose() */
+  double key_rate_per_s;  /**< estimated calls of the key per second in the whole
+                             fleet; 0 if rare */
+  bool ignore_backoff;    /**< callers leave it false; set in a copy by
+                             limpet_policy_choose() */
+  uint32_t software_hash; /**< only targets with this one are considered; 0 for any */
   const LimpetFleetPart *fleet;
   const LimpetTarget
       *excluded[LIMPET_MAX_EXCLUDED_TARGETS]; /**< targets of earlier attempts */
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -57,6 +57,7 @@
   LimpetVm vm;
   uint32_t id_hash;    /**< of the VM id and its incarnation */
   uint32_t route_hash; /**< of the VM id alone, so that a restarted VM keeps its chats */
+  uint32_t software_hash; /**< of the VM's software version; never 0 */
   struct urcu_ref references;
   _Atomic int32_t own_inflight; /**< requests in flight from this router */
   _Atomic int32_t own_long;     /**< long requests among own_inflight */
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -121,6 +121,8 @@
   target->vm = *vm;
   target->id_hash = XXH32 (vm->id, strlen (vm->id), (uint32_t)vm->incarnation);
   target->route_hash = XXH32 (vm->id, strlen (vm->id), 0);
+  target->software_hash
+      = MAX (1, XXH32 (vm->software_version, strlen (vm->software_version), 0));
   urcu_ref_init (&target->references);
   pthread_mutex_init (&target->lock, NULL);
   atomic_store (&target->reported_inflight, -1);
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -144,6 +144,7 @@
     return;
   task->has_first_event = true;
   task->first_event_ms = now_ms;
+  task->dispatch_request.software_hash = task->target->software_hash;
   limpet_dispatch_record_first_event (task->exchange->dispatch, task->target,
                                       now_ms - task->sent_ms);
 }
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -29,13 +29,14 @@
   LimpetRefusalReason reason;
   int status;
 } refusal_status[] = {
-  { LIMPET_REFUSAL_BAD_REQUEST, 400 }, { LIMPET_REFUSAL_UNKNOWN_KEY, 401 },
-  { LIMPET_REFUSAL_NO_ROUTE, 404 },    { LIMPET_REFUSAL_TOO_SLOW, 408 },
-  { LIMPET_REFUSAL_BODY_SIZE, 413 },   { LIMPET_REFUSAL_HEAD_SIZE, 431 },
-  { LIMPET_REFUSAL_NOT_READY, 503 },   { LIMPET_REFUSAL_NO_TARGET, 503 },
-  { LIMPET_REFUSAL_FULL, 503 },        { LIMPET_REFUSAL_TARGET_FULL, 503 },
-  { LIMPET_REFUSAL_QUARANTINED, 503 }, { LIMPET_REFUSAL_BROKEN, 502 },
-  { LIMPET_REFUSAL_TIMEOUT, 504 },     { LIMPET_REFUSAL_STOPPING, 502 },
+  { LIMPET_REFUSAL_BAD_REQUEST, 400 },  { LIMPET_REFUSAL_UNKNOWN_KEY, 401 },
+  { LIMPET_REFUSAL_NO_ROUTE, 404 },     { LIMPET_REFUSAL_TOO_SLOW, 408 },
+  { LIMPET_REFUSAL_BODY_SIZE, 413 },    { LIMPET_REFUSAL_HEAD_SIZE, 431 },
+  { LIMPET_REFUSAL_NOT_READY, 503 },    { LIMPET_REFUSAL_NO_TARGET, 503 },
+  { LIMPET_REFUSAL_FULL, 503 },         { LIMPET_REFUSAL_TARGET_FULL, 503 },
+  { LIMPET_REFUSAL_VERSION_GONE, 503 }, { LIMPET_REFUSAL_QUARANTINED, 503 },
+  { LIMPET_REFUSAL_BROKEN, 502 },       { LIMPET_REFUSAL_TIMEOUT, 504 },
+  { LIMPET_REFUSAL_STOPPING, 502 },
 };
 
 static void on_timer (uv_timer_t *timer);
@@ -450,6 +451,24 @@
     limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
 }
 
+/* Submits the call to the dispatcher. A stream that has begun is refused at once if no
+ * target of its software version is left. */
+static void
+submit (LimpetTask *task)
+{
+  LimpetDispatch *dispatch = task->exchange->dispatch;
+  LimpetDispatchRequest *request = &task->dispatch_request;
+
+  if (request->software_hash == 0 || limpet_dispatch_has_target (dispatch, request))
+    limpet_dispatch_submit (dispatch, request);
+  else if (task->head_sent)
+    limpet_relay_abort (task);
+  else
+    limpet_task_write_failure (
+        task, task->may_have_run ? LIMPET_REFUSAL_BROKEN : LIMPET_REFUSAL_VERSION_GONE,
+        0);
+}
+
 /* Submits the call again for another attempt, on none of the targets attempted so far. */
 static void
 resubmit (LimpetTask *task, const char *cause)
@@ -470,7 +489,7 @@
   limpet_counter_add (LIMPET_COUNTER_RETRIES, 1);
   task->dispatch_request.excluded = task->attempted_targets;
   task->dispatch_request.excluded_count = task->attempted_count;
-  limpet_dispatch_submit (task->exchange->dispatch, &task->dispatch_request);
+  submit (task);
 }
 
 void
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -188,6 +188,7 @@
     .own_slot_share = 1,
     .fleet = &dispatch->fleet,
     .load_limit = dispatch->load_limit,
+    .software_hash = request->software_hash,
     .excluded_count = MIN (request->excluded_count, LIMPET_MAX_EXCLUDED_TARGETS),
   };
   LimpetTarget *target;
@@ -205,6 +206,32 @@
   return target;
 }
 
+static bool
+may_get (const LimpetDispatchRequest *request, const LimpetTarget *target)
+{
+  if (strcmp (target->vm.group, request->call->service->name) != 0
+      || atomic_load (&target->leaving)
+      || (request->software_hash != 0 && request->software_hash != target->software_hash))
+    return false;
+  for (uint32_t i = 0; i < request->excluded_count; i++)
+    if (request->excluded[i] == target)
+      return false;
+  return true;
+}
+
+bool
+limpet_dispatch_has_target (LimpetDispatch *dispatch,
+                            const LimpetDispatchRequest *request)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+  bool has_target = false;
+
+  for (uint32_t i = 0; i < view->count && !has_target; i++)
+    has_target = may_get (request, view->targets[i]);
+  limpet_target_view_release (view);
+  return has_target;
+}
+
 const LimpetTarget *
 limpet_dispatch_cache_source (LimpetDispatch *dispatch,
                               const LimpetCall *call,
--- a/src/liblimpetroad/routing/homes.c
+++ b/src/liblimpetroad/routing/homes.c
@@ -274,11 +274,14 @@
                            const LimpetTargetView *view,
                            LimpetMs now_ms)
 {
-  LimpetGroupLoad load = sum_load (request, view, now_ms);
+  LimpetPolicyRequest any_version = *request;
+  LimpetGroupLoad load;
   Candidates best = { .count = 0 };
   LimpetTarget *probed;
 
   (void)policy;
+  any_version.software_hash = 0; /* the load limit refers to the whole group */
+  load = sum_load (&any_version, view, now_ms);
   if (request->kind != LIMPET_VM_ENGINE)
     return choose_lowest_load (request, view, &load, now_ms);
   probed = choose_probed (request, view, now_ms);
--- a/src/liblimpetroad/routing/policy.c
+++ b/src/liblimpetroad/routing/policy.c
@@ -42,6 +42,8 @@
 {
   return target->vm.kind == request->kind
          && strcmp (target->vm.group, request->group) == 0
+         && (request->software_hash == 0
+             || request->software_hash == target->software_hash)
          && (request->ignore_backoff ? !atomic_load (&target->leaving)
                                      : limpet_target_is_open (target, now_ms));
 }
