A caller resumes a stream only at the software version that began it

Callers that resumed a stream at another router got events of two versions. Cause: a router knows of a stream only what its own connection brought; Resumes was not read, and nothing about a stream left its router.

Change, only while several versions serve in a service or did in the last 60 s (software_mix): - each router remembers the version that began its resumable streams (stream_origins), and its digests carry the new ones, 8 bytes each in place of loads, to four random routers; - a router that gets a resumption and lacks the origin asks all others, twice within 150 ms; the call is bound to the version; - a stream whose version is unknown is refused at once (503, not run), as is one whose version has no server left; - some routers mark mixed services in the topic that each router reads at its start, so that a router that starts when the old version has just left does not guess. Until it has read the marks, each service counts as mixed.

--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -40,6 +40,8 @@
   LIMPET_REFUSAL_FULL,            /**< no target had capacity in time; not run */
   LIMPET_REFUSAL_TARGET_FULL,     /**< the target refused the call; not run */
   LIMPET_REFUSAL_QUARANTINED,     /**< such calls crash targets; not run */
+  LIMPET_REFUSAL_UNKNOWN_VERSION, /**< several software versions serve, and no router
+                                     knows which one began the stream; not run */
   LIMPET_REFUSAL_VERSION_GONE,    /**< no target of the software version that began the
                                      stream is left; not run */
   LIMPET_REFUSAL_BROKEN,          /**< the target failed; the call may have run */
--- a/include/limpetroad/clock.h
+++ b/include/limpetroad/clock.h
@@ -26,6 +26,11 @@
 /** Returns the wall-clock time since the epoch, in ms. */
 LimpetMs limpet_clock_wall_ms (void);
 
+/** Converts instants of the boot clock and the wall clock. The wall clocks of machines
+ *  differ, and jump, by seconds; an instant in the future becomes the current time. */
+LimpetMs limpet_clock_wall_from_boot_ms (LimpetMs boot_ms);
+LimpetMs limpet_clock_boot_from_wall_ms (LimpetMs wall_ms);
+
 /** Blocks the calling thread for \p duration_ms, which must not be negative. */
 void limpet_clock_sleep_ms (LimpetMs duration_ms);
 
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -7,6 +7,7 @@
 #include "limpetroad/quarantine.h"
 #include "limpetroad/retry_budget.h"
 #include "limpetroad/route_table.h"
+#include "limpetroad/software_mix.h"
 #include "limpetroad/targets.h"
 
 #include <uv.h>
@@ -110,6 +111,18 @@
 void limpet_exchange_set_quarantine (LimpetExchange *exchange,
                                      LimpetQuarantine *quarantine);
 
+/** Sets what is known of streams and of the services with several software versions; all
+ *  are borrowed. \p query asks the other routers for the origins of streams. */
+void limpet_exchange_set_stream_origins (LimpetExchange *exchange,
+                                         LimpetStreamOrigins *origins,
+                                         const LimpetSoftwareMix *mix,
+                                         void (*query) (void *user,
+                                                        uint64_t *ids,
+                                                        uint32_t count),
+                                         void *user);
+/** Continues the calls that wait for an origin, after origins have been added. */
+void limpet_exchange_stream_origins_received (LimpetExchange *exchange);
+
 /** Sets a function to call for each response in which a target reports its load. */
 void limpet_exchange_set_load_observer (LimpetExchange *exchange,
                                         void (*observer) (void *user,
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -2,6 +2,7 @@
 #define LIMPETROAD_GOSSIP_H
 
 #include "limpetroad/quarantine.h"
+#include "limpetroad/stream_origins.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -86,6 +87,8 @@
   void (*on_load) (void *user, const LimpetGossipLoad *load);
   /** Delivers a rate limit, or its end, that another router received. */
   void (*on_limit) (void *user, const LimpetGossipLimit *limit);
+  /** Origins of streams have been added. May be NULL. */
+  void (*on_stream_origins) (void *user);
 } LimpetGossipOps;
 
 /** Returns the gossip state of the router at \p own_address (IPv4, network byte order).
@@ -105,6 +108,13 @@
  * borrowed, and its tick must be called separately. */
 void limpet_gossip_set_quarantine (LimpetGossip *gossip, LimpetQuarantine *quarantine);
 
+/** Sets the origins of streams that are exchanged with the other routers; borrowed. */
+void limpet_gossip_set_stream_origins (LimpetGossip *gossip,
+                                       LimpetStreamOrigins *origins);
+/** Asks all other routers for the origins of \p count streams. Answers are added to the
+ *  origins; a router that knows nothing does not answer. */
+void limpet_gossip_query_streams (LimpetGossip *gossip, uint64_t *ids, uint32_t count);
+
 /** Adds a router found in a registry and sends it a request for a digest. */
 void limpet_gossip_add_member (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 /** Processes a datagram from the router at \p sender. A malformed one is dropped and
--- /dev/null
+++ b/include/limpetroad/software_mix.h
@@ -0,0 +1,58 @@
+#ifndef LIMPETROAD_SOFTWARE_MIX_H
+#define LIMPETROAD_SOFTWARE_MIX_H
+
+#include "limpetroad/stream_origins.h"
+#include "limpetroad/targets.h"
+
+/** \defgroup software_mix Software mix
+ *  Tells in which services several software versions serve, or did so recently. Only
+ *  there a stream must be resumed at the version that began it.
+ *
+ *  limpet_software_mix_new() → limpet_software_mix_update() about every second,
+ *  limpet_software_mix_receive() with the marks in durable storage and
+ *  limpet_software_mix_set_marks_known() after them → limpet_software_mix_delete(). Opens
+ *  no sockets, starts no threads, is not thread-safe.
+ *
+ *  A router that starts cannot see versions that have just left. Routers therefore mark
+ *  the services in which they see several versions in durable storage. Until a router has
+ *  read the marks, each service counts as mixed.
+ *
+ *  \p now_ms is always the boot clock (limpet_clock_boot_ms()).
+ */
+typedef struct LimpetSoftwareMix LimpetSoftwareMix;
+
+/** Callbacks; each may be NULL. */
+typedef struct
+{
+  /** The service has to be marked in durable storage. Of all routers, a few are called
+   *  each time. */
+  void (*on_mark) (void *user, const char *service);
+  /** Several versions were seen in the service for the first time. */
+  void (*on_mixed) (void *user, const char *service);
+} LimpetSoftwareMixOps;
+
+/** \p ops is borrowed; \p seed is for the choice of the routers that mark. */
+LimpetSoftwareMix *
+limpet_software_mix_new (const LimpetSoftwareMixOps *ops, void *user, uint64_t seed);
+void limpet_software_mix_delete (LimpetSoftwareMix *mix);
+
+/** Looks for services with several versions in \p view; \p routers is the number of
+ *  routers of the fleet. */
+void limpet_software_mix_update (LimpetSoftwareMix *mix,
+                                 const LimpetTargetView *view,
+                                 uint32_t routers,
+                                 LimpetMs now_ms);
+/** Records that \p service had several versions at \p at_ms. */
+void
+limpet_software_mix_receive (LimpetSoftwareMix *mix, const char *service, LimpetMs at_ms);
+/** Records that all marks have been received. */
+void limpet_software_mix_set_marks_known (LimpetSoftwareMix *mix);
+bool limpet_software_mix_are_marks_known (const LimpetSoftwareMix *mix);
+
+/** Returns whether streams that still run may have begun at another version than the one
+ *  that serves in \p service, or one of those that serve. */
+bool limpet_software_mix_is_mixed (const LimpetSoftwareMix *mix,
+                                   const char *service,
+                                   LimpetMs now_ms);
+
+#endif
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -6,6 +6,7 @@
 #include "private/gossip_limits.h"
 #include "private/gossip_loads.h"
 #include "private/gossip_members.h"
+#include "private/gossip_streams.h"
 #include "private/gossip_suspects.h"
 
 #include <glib.h>
@@ -34,6 +35,11 @@
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
 #define LOADS_PER_SUSPECT 8
+/* Origins of streams in a regular digest, and their size. */
+#define MAX_DIGEST_STREAMS 24
+#define STREAM_BYTES 8
+/* A load with the hash of its target. */
+#define LOAD_BYTES (LIMPET_GOSSIP_LOAD_BYTES + 4)
 /* Limit for the records of one message, which keeps it within one packet. */
 #define MAX_BATCH_BYTES 1100
 /* Limit for the number of records in one message. A topic with more records is ignored.
@@ -66,6 +72,7 @@
   LimpetGossipLoads *loads;
   LimpetGossipLimits *limits;
   LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
+  LimpetStreamOrigins *origins; /* borrowed; NULL if there are none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
   LimpetMs last_digest_ms; /* when digests were last sent */
 };
@@ -128,6 +135,12 @@
   gossip->quarantine = quarantine;
 }
 
+void
+limpet_gossip_set_stream_origins (LimpetGossip *gossip, LimpetStreamOrigins *origins)
+{
+  gossip->origins = origins;
+}
+
 static void
 send_message (LimpetGossip *gossip, GossipMessage *message, uint32_t address)
 {
@@ -450,6 +463,44 @@
     send_to_random_members (gossip, &message, push_fanout (gossip), 0);
 }
 
+void
+limpet_gossip_query_streams (LimpetGossip *gossip, uint64_t *ids, uint32_t count)
+{
+  for (uint32_t first = 0; first < count; first += LIMPET_GOSSIP_MAX_STREAMS)
+    {
+      GossipMessage message = GOSSIP_MESSAGE__INIT;
+
+      message.stream_queries = ids + first;
+      message.n_stream_queries = MIN (count - first, LIMPET_GOSSIP_MAX_STREAMS);
+      send_to_random_members (gossip, &message,
+                              limpet_gossip_members_count (gossip->members), 0);
+    }
+}
+
+/* Takes over the origins in a message, and answers the queries in it. */
+static void
+receive_streams (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
+{
+  LimpetStreamOrigin list[LIMPET_GOSSIP_MAX_STREAMS];
+  uint32_t count;
+
+  if (gossip->origins == NULL)
+    return;
+  if (limpet_gossip_streams_receive (gossip->origins, message, now_ms)
+      && gossip->ops->on_stream_origins != NULL)
+    gossip->ops->on_stream_origins (gossip->user);
+  count = limpet_gossip_streams_find (gossip->origins, message, list);
+  if (count > 0)
+    {
+      GossipMessage answer = GOSSIP_MESSAGE__INIT;
+      LimpetGossipStreams streams;
+
+      limpet_gossip_streams_encode (&streams, list, count, &answer);
+      answer.sender = gossip->own_address;
+      send_message (gossip, &answer, message->sender);
+    }
+}
+
 static void send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 
 void
@@ -479,6 +530,7 @@
   receive_loads (gossip, message, now_ms);
   receive_suspects (gossip, message, now_ms);
   receive_limits (gossip, message, now_ms);
+  receive_streams (gossip, message, now_ms);
   if (message->requests_digest)
     send_digest (gossip, sender, now_ms);
   gossip_message__free_unpacked (message, NULL);
@@ -519,10 +571,25 @@
   uint32_t members[MAX_DIGEST_MEMBERS];
   LimpetGossipSuspects suspects;
   LimpetGossipEncodedLimits limits;
+  LimpetGossipStreams streams;
 } Digest;
 
-/* Fills a digest with some suspects and limits. They take the place of loads, so that the
- * digest does not grow. */
+/* Adds origins of streams to a digest, and returns the number of loads that take as many
+ * bytes. */
+static uint32_t
+add_streams (LimpetGossip *gossip, Digest *digest)
+{
+  LimpetStreamOrigin list[MAX_DIGEST_STREAMS];
+  uint32_t count = 0;
+
+  if (gossip->origins != NULL)
+    count = limpet_stream_origins_collect (gossip->origins, list, MAX_DIGEST_STREAMS);
+  limpet_gossip_streams_encode (&digest->streams, list, count, &digest->message);
+  return (count * STREAM_BYTES + LOAD_BYTES - 1) / LOAD_BYTES;
+}
+
+/* Fills a digest with some suspects, limits and origins of streams. They take the place
+ * of loads, so that the digest does not grow. */
 static void
 fill_digest (LimpetGossip *gossip,
              Digest *digest,
@@ -540,6 +607,7 @@
                                          MAX_DIGEST_LIMITS, now_ms, &digest->message)
       > 0)
     replaced_loads += LOADS_PER_LIMITS;
+  replaced_loads += add_streams (gossip, digest);
   digest->message.n_load_targets = limpet_gossip_loads_collect (
       gossip->loads,
       LIMPET_GOSSIP_MAX_LOADS - MIN (LIMPET_GOSSIP_MAX_LOADS, replaced_loads),
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &gossip_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   stream_origins__init
+                     (StreamOrigins         *message)
+{
+  static const StreamOrigins init_value = STREAM_ORIGINS__INIT;
+  *message = init_value;
+}
+size_t stream_origins__get_packed_size
+                     (const StreamOrigins *message)
+{
+  assert(message->base.descriptor == &stream_origins__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t stream_origins__pack
+                     (const StreamOrigins *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &stream_origins__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t stream_origins__pack_to_buffer
+                     (const StreamOrigins *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &stream_origins__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+StreamOrigins *
+       stream_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (StreamOrigins *)
+     protobuf_c_message_unpack (&stream_origins__descriptor,
+                                allocator, len, data);
+}
+void   stream_origins__free_unpacked
+                     (StreamOrigins *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &stream_origins__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   target_limit__init
                      (TargetLimit         *message)
 {
@@ -187,7 +232,7 @@
   assert(message->base.descriptor == &topic_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip_message__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gossip_message__field_descriptors[11] =
 {
   {
     "sender",
@@ -297,6 +342,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_origins",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(GossipMessage, n_stream_origins),
+    offsetof(GossipMessage, stream_origins),
+    &stream_origins__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_queries",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(GossipMessage, n_stream_queries),
+    offsetof(GossipMessage, stream_queries),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip_message__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
@@ -306,6 +375,8 @@
   3,   /* field[3] = members */
   4,   /* field[4] = requests_digest */
   0,   /* field[0] = sender */
+  9,   /* field[9] = stream_origins */
+  10,   /* field[10] = stream_queries */
   7,   /* field[7] = suspects */
   2,   /* field[2] = topics */
 };
@@ -313,7 +384,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gossip_message__descriptor =
 {
@@ -323,13 +394,64 @@
   "GossipMessage",
   "",
   sizeof(GossipMessage),
-  9,
+  11,
   gossip_message__field_descriptors,
   gossip_message__field_indices_by_name,
   2,  gossip_message__number_ranges,
   (ProtobufCMessageInit) gossip_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor stream_origins__field_descriptors[2] =
+{
+  {
+    "software",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(StreamOrigins, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(StreamOrigins, n_streams),
+    offsetof(StreamOrigins, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned stream_origins__field_indices_by_name[] = {
+  0,   /* field[0] = software */
+  1,   /* field[1] = streams */
+};
+static const ProtobufCIntRange stream_origins__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor stream_origins__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "StreamOrigins",
+  "StreamOrigins",
+  "StreamOrigins",
+  "",
+  sizeof(StreamOrigins),
+  2,
+  stream_origins__field_descriptors,
+  stream_origins__field_indices_by_name,
+  1,  stream_origins__number_ranges,
+  (ProtobufCMessageInit) stream_origins__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor target_limit__field_descriptors[4] =
 {
   {
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -12,6 +12,7 @@
   [LIMPET_REFUSAL_FULL] = "full",
   [LIMPET_REFUSAL_TARGET_FULL] = "target_full",
   [LIMPET_REFUSAL_QUARANTINED] = "quarantined",
+  [LIMPET_REFUSAL_UNKNOWN_VERSION] = "unknown_version",
   [LIMPET_REFUSAL_VERSION_GONE] = "version_gone",
   [LIMPET_REFUSAL_BROKEN] = "broken",
   [LIMPET_REFUSAL_TIMEOUT] = "timeout",
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -35,6 +35,7 @@
       limpet_caller_check_timeouts (link->data, now_ms);
     }
   limpet_pending_crashes_check (exchange, now_ms);
+  limpet_resumption_tick (exchange);
   limpet_dispatch_tick (exchange->dispatch, now_ms);
 }
 
@@ -49,6 +50,7 @@
   g_queue_init (&exchange->callers);
   g_queue_init (&exchange->tasks);
   g_queue_init (&exchange->pending_crashes);
+  g_queue_init (&exchange->awaiting_origin);
   return exchange;
 }
 
@@ -116,6 +118,28 @@
   exchange->quarantine = quarantine;
 }
 
+void
+limpet_exchange_set_stream_origins (LimpetExchange *exchange,
+                                    LimpetStreamOrigins *origins,
+                                    const LimpetSoftwareMix *mix,
+                                    void (*query) (void *user,
+                                                   uint64_t *ids,
+                                                   uint32_t count),
+                                    void *user)
+{
+  exchange->stream_origins = origins;
+  exchange->software_mix = mix;
+  exchange->query_streams = query;
+  exchange->query_user = user;
+}
+
+void
+limpet_exchange_stream_origins_received (LimpetExchange *exchange)
+{
+  if (exchange->awaiting_origin.length > 0)
+    limpet_resumption_check (exchange, limpet_clock_mono_ms ());
+}
+
 void
 limpet_exchange_set_load_observer (LimpetExchange *exchange,
                                    void (*observer) (void *user,
@@ -159,6 +183,7 @@
   if (code != 0)
     return limpet_error_set (error, LIMPET_STATUS_INTERNAL, "listen", NULL, "%s:%d: %s",
                              address, port, uv_strerror (code));
+  limpet_resumption_init (exchange);
   uv_timer_init (exchange->loop, &exchange->periodic_timer);
   exchange->periodic_timer.data = exchange;
   uv_timer_start (&exchange->periodic_timer, on_periodic_timer, PERIODIC_TIMER_MS,
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -374,6 +374,7 @@
   LimpetCaller *caller = task->caller;
   bool close_completes = task->head_sent && !task->is_chunked_to_caller;
 
+  limpet_resumption_record (task);
   task->caller = NULL;
   if (caller != NULL)
     caller->task = NULL;
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -34,9 +34,9 @@
   { LIMPET_REFUSAL_BODY_SIZE, 413 },    { LIMPET_REFUSAL_HEAD_SIZE, 431 },
   { LIMPET_REFUSAL_NOT_READY, 503 },    { LIMPET_REFUSAL_NO_TARGET, 503 },
   { LIMPET_REFUSAL_FULL, 503 },         { LIMPET_REFUSAL_TARGET_FULL, 503 },
-  { LIMPET_REFUSAL_VERSION_GONE, 503 }, { LIMPET_REFUSAL_QUARANTINED, 503 },
-  { LIMPET_REFUSAL_BROKEN, 502 },       { LIMPET_REFUSAL_TIMEOUT, 504 },
-  { LIMPET_REFUSAL_STOPPING, 502 },
+  { LIMPET_REFUSAL_VERSION_GONE, 503 }, { LIMPET_REFUSAL_UNKNOWN_VERSION, 503 },
+  { LIMPET_REFUSAL_QUARANTINED, 503 },  { LIMPET_REFUSAL_BROKEN, 502 },
+  { LIMPET_REFUSAL_TIMEOUT, 504 },      { LIMPET_REFUSAL_STOPPING, 502 },
 };
 
 static void on_timer (uv_timer_t *timer);
@@ -206,6 +206,7 @@
   task->is_finished = true;
   limpet_task_end_attempt (task, 0);
   limpet_dispatch_cancel (task->exchange->dispatch, &task->dispatch_request);
+  limpet_resumption_cancel (task);
   log_outcome (task, outcome);
   count_outcome (task);
   record_times (task);
@@ -260,7 +261,7 @@
   limpet_dispatch_record_arrival (task->exchange->dispatch, &task->call, now_ms);
   uv_timer_start (&task->timer, on_timer,
                   (uint64_t)MAX (1, task->call.response_due_ms - now_ms), 0);
-  limpet_dispatch_submit (task->exchange->dispatch, &task->dispatch_request);
+  limpet_resumption_start (task);
 }
 
 static GString *
@@ -451,10 +452,8 @@
     limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
 }
 
-/* Submits the call to the dispatcher. A stream that has begun is refused at once if no
- * target of its software version is left. */
-static void
-submit (LimpetTask *task)
+void
+limpet_task_submit (LimpetTask *task)
 {
   LimpetDispatch *dispatch = task->exchange->dispatch;
   LimpetDispatchRequest *request = &task->dispatch_request;
@@ -489,7 +488,7 @@
   limpet_counter_add (LIMPET_COUNTER_RETRIES, 1);
   task->dispatch_request.excluded = task->attempted_targets;
   task->dispatch_request.excluded_count = task->attempted_count;
-  submit (task);
+  limpet_task_submit (task);
 }
 
 void
@@ -573,6 +572,7 @@
       && task->call.route->kind == LIMPET_ROUTE_KIND_UNSAFE)
     return;
   limpet_pending_crashes_add_silence (task);
+  limpet_resumption_record (task);
   cancel_attempt (task);
   limpet_task_finish (task, "caller_left");
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -4,6 +4,7 @@
 #include "limpetroad/dispatch.h"
 #include "limpetroad/exchange.h"
 #include "limpetroad/histogram.h"
+#include "limpetroad/software_mix.h"
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
 #include "private/stream_write.h"
@@ -14,6 +15,7 @@
  *   call_filters.c   checks a request and completes its call
  *   task.c           one call from arrival to final response: attempts, retries, outcome
  *   relay.c          forwards a target's response to the caller
+ *   resumption.c     streams that callers resume, and the versions that began streams
  *   upstream.c       connection to a target, and the pool of idle ones
  *   pending_crashes.c  broken calls, until it shows whether their target has crashed
  */
@@ -48,7 +50,13 @@
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
   GQueue pending_crashes;    /* broken calls, see pending_crashes.c */
-  size_t buffered_bytes;     /* of the response bodies of all tasks */
+  LimpetStreamOrigins *stream_origins;   /* borrowed; NULL if there are none */
+  const LimpetSoftwareMix *software_mix; /* borrowed */
+  void (*query_streams) (void *user, uint64_t *ids, uint32_t count);
+  void *query_user;
+  GQueue awaiting_origin;  /* of LimpetTask */
+  uv_timer_t origin_timer; /* active while a task awaits the origin of its stream */
+  size_t buffered_bytes;   /* of the response bodies of all tasks */
   LimpetCallTimes times[LIMPET_ROUTE_KIND_COUNT];
   bool is_listening;
   bool is_draining; /* connections are closed after their response */
@@ -111,7 +119,12 @@
   GByteArray *response_body;
   LimpetEventSplitter events;
   char last_event_id[LIMPET_NAME_SIZE]; /* from earlier attempts; empty if none */
-  bool is_streaming;                    /* complete events are forwarded as they arrive */
+  GList origin_link;                    /* in awaiting_origin if awaits_origin is set */
+  LimpetMs await_start_ms;              /* when it began to await the origin */
+  LimpetMs query_ms;                    /* last query for the origin; 0 if none */
+  bool awaits_origin;
+  bool is_origin_shared;     /* other routers are told which version began it */
+  bool is_streaming;         /* complete events are forwarded as they arrive */
   bool is_chunked_to_caller; /* the response to the caller uses chunked framing */
   bool ends_with_close; /* only the close of the target's connection ends the response */
 };
@@ -161,6 +174,9 @@
 /* Logs and counts the outcome and frees the task. The caller's connection then processes
  * its next request or closes. */
 void limpet_task_finish (LimpetTask *task, const char *outcome);
+/* Submits the call to the dispatcher. A stream that has begun is refused at once if no
+ * target of its software version is left. */
+void limpet_task_submit (LimpetTask *task);
 /* Starts an attempt on target; the task takes over the target's reference and slot. */
 void limpet_task_send (LimpetTask *task, LimpetTarget *target);
 /* Cancels the attempt and finishes the task because the router is stopping. */
@@ -191,6 +207,22 @@
 /* Closes the caller's connection without completing a response, and finishes the task. */
 void limpet_relay_abort (LimpetTask *task);
 
+/* resumption.c */
+void limpet_resumption_init (LimpetExchange *exchange);
+/* Submits a new call. If it resumes a stream while several software versions serve, it is
+ * bound to the version that began the stream, which other routers may have to be asked
+ * for; if nobody knows the version, the call is refused. */
+void limpet_resumption_start (LimpetTask *task);
+/* Stops awaiting the origin; does nothing if the task does not. */
+void limpet_resumption_cancel (LimpetTask *task);
+/* Continues the tasks whose origin has become known, and refuses those that have waited
+ * for too long. */
+void limpet_resumption_check (LimpetExchange *exchange, LimpetMs now_ms);
+/* Remembers which version began the task's stream, if it may be resumed. */
+void limpet_resumption_record (LimpetTask *task);
+/* Records the streams that have begun, in services with several versions. */
+void limpet_resumption_tick (LimpetExchange *exchange);
+
 /* pending_crashes.c */
 /* Records that the target closed the connection before the response was complete. The
  * quarantine is told once a new connection to the target shows that it has crashed. */
--- a/src/liblimpetroad/shared/clock.c
+++ b/src/liblimpetroad/shared/clock.c
@@ -29,6 +29,20 @@
   return read_clock_ms (CLOCK_REALTIME);
 }
 
+LimpetMs
+limpet_clock_wall_from_boot_ms (LimpetMs boot_ms)
+{
+  return limpet_clock_wall_ms () - limpet_clock_boot_ms () + boot_ms;
+}
+
+LimpetMs
+limpet_clock_boot_from_wall_ms (LimpetMs wall_ms)
+{
+  LimpetMs age_ms = limpet_clock_wall_ms () - wall_ms;
+
+  return limpet_clock_boot_ms () - (age_ms > 0 ? age_ms : 0);
+}
+
 void
 limpet_clock_sleep_ms (LimpetMs duration_ms)
 {
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -15,6 +15,7 @@
   add_http_tests ();
   add_cluster_state_tests ();
   add_quarantine_tests ();
+  add_software_version_tests ();
   add_dispatch_tests ();
   add_stale_load_tests ();
   add_platform_tests ();
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -99,6 +99,8 @@
   router->gossip = limpet_gossip_new (&gossip_ops, router, index + 1, seed + index);
   router->quarantine = limpet_quarantine_new (&quarantine_ops, NULL, seed + index);
   limpet_gossip_set_quarantine (router->gossip, router->quarantine);
+  router->origins = limpet_stream_origins_new ();
+  limpet_gossip_set_stream_origins (router->gossip, router->origins);
 }
 
 void
@@ -118,6 +120,7 @@
 {
   limpet_gossip_delete (routers[index].gossip);
   limpet_quarantine_delete (routers[index].quarantine);
+  limpet_stream_origins_delete (routers[index].origins);
   start_router (index, seed);
   limpet_gossip_add_member (routers[index].gossip, index == 0 ? 2 : 1, now_ms);
 }
@@ -130,6 +133,7 @@
     {
       limpet_gossip_delete (routers[i].gossip);
       limpet_quarantine_delete (routers[i].quarantine);
+      limpet_stream_origins_delete (routers[i].origins);
     }
   g_rand_free (loss_random);
 }
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -20,6 +20,7 @@
 {
   LimpetGossip *gossip;
   LimpetQuarantine *quarantine;
+  LimpetStreamOrigins *origins;
   int64_t next_offset; /* offset after the last record that it has */
   int64_t heard_end;   /* end of the topic in the last batch */
   uint32_t address;
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -13,6 +13,7 @@
 void add_http_tests (void);
 void add_cluster_state_tests (void);
 void add_quarantine_tests (void);
+void add_software_version_tests (void);
 void add_dispatch_tests (void);
 void add_stale_load_tests (void);
 /* Run alone, by test/test_rate_limits.py. */
