Own interface: a chat is resumed only at the software version that began it

The same cause in the threaded router: after the first token a chat was resumed, or hedged, at any engine.

--- a/src/liblimpetroad/routing/admission.c
+++ b/src/liblimpetroad/routing/admission.c
@@ -220,6 +220,7 @@
   const LimpetTeam *team;
   const char *group;
   bool is_long;
+  uint32_t software_hash;
 } WaiterKind;
 
 static bool
@@ -228,6 +229,7 @@
   for (uint32_t i = 0; i < count; i++)
     if (failed[i].team == waiter->request->team
         && failed[i].is_long == waiter->request->policy_request.is_long
+        && failed[i].software_hash == waiter->request->policy_request.software_hash
         && strcmp (failed[i].group, waiter->request->policy_request.group) == 0)
       return true;
   return false;
@@ -271,6 +273,7 @@
             .team = waiter->request->team,
             .group = waiter->request->policy_request.group,
             .is_long = waiter->request->policy_request.is_long,
+            .software_hash = waiter->request->policy_request.software_hash,
           };
           i++;
           continue;
--- a/src/liblimpetroad/threaded_router/chat.c
+++ b/src/liblimpetroad/threaded_router/chat.c
@@ -195,6 +195,7 @@
       return true;
     }
   chat->delivered_tokens = stream->next_offset;
+  chat->admission.policy_request.software_hash = stream->target->software_hash;
   mark_long_if_exceeded (chat, stream);
   return true;
 }
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -138,7 +138,8 @@
 
     def __init__(self, routers=3, engines=4, services=1, teams=3, fleet=None, engine_options=None,
                  log_options=None, idempotent=False, retention_ms=3600000, workers=256,
-                 control_bytes_per_s=3300, service_options=None, proxied=(), extra_settings=None):
+                 control_bytes_per_s=3300, service_options=None, proxied=(), extra_settings=None,
+                 software_versions=()):
         self.directory = tempfile.mkdtemp(prefix="limpet-")
         self.processes = []
         self.proxied = set(proxied)
@@ -160,6 +161,8 @@
             self.add_engine("e%02d" % i, ports[i], engine_options or [])
         for i in range(services):
             self.add_service("s%02d" % i, ports[engines + i], service_options or [])
+        for engine, version in zip(self.engines, software_versions):
+            engine["software_version"] = version
         self.approver = self.make_key("amina")
         for i in range(routers):
             self.prepare_router("r%02d" % i)
@@ -297,6 +300,8 @@
               "leaving": entry["leaving"]}
         if kind == "engine":
             vm["slots"] = int(entry["slots"])
+        if "software_version" in entry:
+            vm["software_version"] = entry["software_version"]
         return vm
 
     def publish_vms(self):
--- a/test/test_chats.py
+++ b/test/test_chats.py
@@ -100,6 +100,26 @@
         assert fleet.counter("stream_resumes_total") > 0
 
 
+def test_running_streams_resume_only_at_the_software_version_that_began_them():
+    with chat_fleet(engines=3, proxied=[], software_versions=("v1", "v1", "v2")) as fleet:
+        first, _, other = fleet.engines
+        running = {}
+
+        def kill(engine):
+            running.update((e["id"], fleet.stats(e)["inflight"]) for e in (engine, other))
+            engine["process"].kill()
+
+        timer = threading.Timer(0.7, kill, [first])
+        timer.start()
+        assert check_responses(run_chats(fleet, 12, tokens=90), 90) == 12
+        timer.join()
+        assert running["e00"] > 0 and fleet.stats(other)["served"] == running["e02"], running
+        timer = threading.Timer(0.7, kill, [other])
+        timer.start()
+        assert check_responses(run_chats(fleet, 12, tokens=90), 90) == 12 - running["e02"], running
+        assert running["e02"] > 0
+
+
 def test_a_response_cut_off_on_the_way_to_the_caller_is_not_complete():
     with chat_fleet() as fleet:
         fleet.proxy("callers-r00", cut_after=1500)
