A router that starts resumes streams as soon as it knows the marks

Cause: a router reads the marks up to 1.5 s after its start, and refused until then. Now a resumption starts that read at once, and waits for it for at most 500 ms. test_restarted_routers_resume_streams_at_once_in_a_fleet_of_one_version failed before (503) and passes now; test_software_versions 10 of 10.

--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -115,7 +115,7 @@
  *  are borrowed. \p query asks the other routers for the origins of streams. */
 void limpet_exchange_set_stream_origins (LimpetExchange *exchange,
                                          LimpetStreamOrigins *origins,
-                                         const LimpetSoftwareMix *mix,
+                                         LimpetSoftwareMix *mix,
                                          void (*query) (void *user,
                                                         uint64_t *ids,
                                                         uint32_t count),
--- a/include/limpetroad/software_mix.h
+++ b/include/limpetroad/software_mix.h
@@ -27,6 +27,8 @@
   /** The service has to be marked in durable storage. Of all routers, a few are called
    *  each time. */
   void (*on_mark) (void *user, const char *service);
+  /** The marks are needed now, before limpet_software_mix_set_marks_known(). */
+  void (*on_marks_needed) (void *user);
   /** Several versions were seen in the service for the first time. */
   void (*on_mixed) (void *user, const char *service);
 } LimpetSoftwareMixOps;
@@ -47,7 +49,8 @@
 limpet_software_mix_receive (LimpetSoftwareMix *mix, const char *service, LimpetMs at_ms);
 /** Records that all marks have been received. */
 void limpet_software_mix_set_marks_known (LimpetSoftwareMix *mix);
-bool limpet_software_mix_are_marks_known (const LimpetSoftwareMix *mix);
+/** Returns whether all marks have been received; if not, requests them. */
+bool limpet_software_mix_need_marks (LimpetSoftwareMix *mix);
 
 /** Returns whether streams that still run may have begun at another version than the one
  *  that serves in \p service, or one of those that serve. */
--- a/src/liblimpetroad/cluster_state/software_mix.c
+++ b/src/liblimpetroad/cluster_state/software_mix.c
@@ -143,8 +143,10 @@
 }
 
 bool
-limpet_software_mix_are_marks_known (const LimpetSoftwareMix *mix)
+limpet_software_mix_need_marks (LimpetSoftwareMix *mix)
 {
+  if (!mix->are_marks_known && mix->ops->on_marks_needed != NULL)
+    mix->ops->on_marks_needed (mix->user);
   return mix->are_marks_known;
 }
 
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -121,7 +121,7 @@
 void
 limpet_exchange_set_stream_origins (LimpetExchange *exchange,
                                     LimpetStreamOrigins *origins,
-                                    const LimpetSoftwareMix *mix,
+                                    LimpetSoftwareMix *mix,
                                     void (*query) (void *user,
                                                    uint64_t *ids,
                                                    uint32_t count),
--- a/src/liblimpetroad/exchange/resumption.c
+++ b/src/liblimpetroad/exchange/resumption.c
@@ -6,7 +6,9 @@
 #define QUERY_INTERVAL_MS 30
 /* The origin counts as unknown after this time. */
 #define MAX_QUERY_MS 150
-/* Retry delay for the caller while the router does not know which versions served. */
+/* Longest wait of a new router for the marks of services with several versions. */
+#define MAX_MARKS_WAIT_MS 500
+/* Retry delay for the caller if the marks did not arrive in time. */
 #define MARKS_UNKNOWN_RETRY_MS 500
 
 static bool
@@ -39,11 +41,8 @@
 }
 
 static void
-refuse (LimpetTask *task)
+refuse (LimpetTask *task, bool are_marks_known)
 {
-  bool are_marks_known
-      = limpet_software_mix_are_marks_known (task->exchange->software_mix);
-
   limpet_log (LIMPET_LOG_NOTICE, "resume", NULL,
               "id=%s resumed_id=%s refused=unknown_version marks_known=%d", task->call.id,
               task->call.resumed_id != NULL ? task->call.resumed_id : "-",
@@ -53,6 +52,30 @@
                              are_marks_known ? 0 : MARKS_UNKNOWN_RETRY_MS);
 }
 
+/* Submits the task if the version that began its stream is known or does not matter, or
+ * refuses it if it will not become known. Returns false if it has to wait. */
+static bool
+try_decide (LimpetTask *task, LimpetMs waited_ms)
+{
+  bool are_marks_known = limpet_software_mix_need_marks (task->exchange->software_mix);
+
+  if (try_submit (task))
+    return true;
+  if (!is_mixed (task))
+    {
+      limpet_resumption_cancel (task);
+      limpet_task_submit (task);
+      return true;
+    }
+  if ((are_marks_known && (task->call.resumed_id == NULL || waited_ms >= MAX_QUERY_MS))
+      || waited_ms >= MAX_MARKS_WAIT_MS)
+    {
+      refuse (task, are_marks_known);
+      return true;
+    }
+  return false;
+}
+
 static void
 send_queries (LimpetExchange *exchange, LimpetMs now_ms)
 {
@@ -63,7 +86,7 @@
       LimpetTask *task = link->data;
       uint64_t id = stream_id (&task->call);
 
-      if (now_ms - task->query_ms < QUERY_INTERVAL_MS)
+      if (task->call.resumed_id == NULL || now_ms - task->query_ms < QUERY_INTERVAL_MS)
         continue;
       task->query_ms = now_ms;
       g_array_append_val (ids, id);
@@ -84,8 +107,7 @@
       LimpetTask *task = link->data;
 
       next = link->next;
-      if (!try_submit (task) && now_ms - task->await_start_ms >= MAX_QUERY_MS)
-        refuse (task);
+      try_decide (task, now_ms - task->await_start_ms);
     }
   if (exchange->awaiting_origin.length > 0)
     send_queries (exchange, now_ms);
@@ -110,18 +132,8 @@
       limpet_task_submit (task);
       return;
     }
-  if (try_submit (task))
+  if (try_decide (task, 0))
     return;
-  if (!is_mixed (task))
-    {
-      limpet_task_submit (task);
-      return;
-    }
-  if (task->call.resumed_id == NULL)
-    {
-      refuse (task);
-      return;
-    }
   task->await_start_ms = limpet_clock_mono_ms ();
   task->query_ms = 0;
   task->origin_link.data = task;
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -50,8 +50,8 @@
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
   GQueue pending_crashes;    /* broken calls, see pending_crashes.c */
-  LimpetStreamOrigins *stream_origins;   /* borrowed; NULL if there are none */
-  const LimpetSoftwareMix *software_mix; /* borrowed */
+  LimpetStreamOrigins *stream_origins; /* borrowed; NULL if there are none */
+  LimpetSoftwareMix *software_mix;     /* borrowed */
   void (*query_streams) (void *user, uint64_t *ids, uint32_t count);
   void *query_user;
   GQueue awaiting_origin;  /* of LimpetTask */
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -157,6 +157,17 @@
         check(not any(key.startswith("mixed") for key, _ in topics), topics)
 
 
+def test_restarted_routers_resume_streams_at_once_in_a_fleet_of_one_version():
+    with VersionedFleet(versions=("v1", "v1")) as fleet:
+        for router in fleet.platform.routers:
+            router["process"].kill()
+        del fleet.platform.routers[:]
+        for number in range(3):
+            fleet.platform.add_router()
+            result = fleet.begin("s%d" % number, number, EVENTS, fields=[("Last-Event-Id", "5")])
+            check(isinstance(result, tuple), number, result)
+
+
 def test_restarted_routers_do_not_guess_the_version_of_a_stream():
     """When they start, the servers of the other version have just left."""
     with VersionedFleet() as fleet:
