--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -86,7 +86,8 @@
                                               const LimpetFingerprints *fingerprints,
                                               LimpetMs now_ms,
                                               LimpetMs *remaining_ms);
-/** The same for a call that has been admitted. */
+/** The same for the first attempt of a call that has been admitted; its retries are
+ *  admitted anew. */
 const LimpetSuspect *limpet_quarantine_find (const LimpetQuarantine *quarantine,
                                              const LimpetFingerprints *fingerprints,
                                              LimpetMs now_ms,
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -35,9 +35,6 @@
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
 #define LOADS_PER_SUSPECT 8
-/* Origins of streams in a regular digest, and their size. */
-#define MAX_DIGEST_STREAMS 24
-#define STREAM_BYTES 8
 /* A load with the hash of its target. */
 #define LOAD_BYTES (LIMPET_GOSSIP_LOAD_BYTES + 4)
 /* Limit for the records of one message, which keeps it within one packet. */
@@ -481,24 +478,17 @@
 static void
 receive_streams (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
 {
-  LimpetStreamOrigin list[LIMPET_GOSSIP_MAX_STREAMS];
-  uint32_t count;
+  LimpetGossipStreams streams;
+  GossipMessage answer = GOSSIP_MESSAGE__INIT;
 
   if (gossip->origins == NULL)
     return;
   if (limpet_gossip_streams_receive (gossip->origins, message, now_ms)
       && gossip->ops->on_stream_origins != NULL)
     gossip->ops->on_stream_origins (gossip->user);
-  count = limpet_gossip_streams_find (gossip->origins, message, list);
-  if (count > 0)
-    {
-      GossipMessage answer = GOSSIP_MESSAGE__INIT;
-      LimpetGossipStreams streams;
-
-      limpet_gossip_streams_encode (&streams, list, count, &answer);
-      answer.sender = gossip->own_address;
-      send_message (gossip, &answer, message->sender);
-    }
+  answer.sender = gossip->own_address;
+  if (limpet_gossip_streams_answer (gossip->origins, message, &streams, &answer))
+    send_message (gossip, &answer, message->sender);
 }
 
 static void send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
@@ -574,20 +564,6 @@
   LimpetGossipStreams streams;
 } Digest;
 
-/* Adds origins of streams to a digest, and returns the number of loads that take as many
- * bytes. */
-static uint32_t
-add_streams (LimpetGossip *gossip, Digest *digest)
-{
-  LimpetStreamOrigin list[MAX_DIGEST_STREAMS];
-  uint32_t count = 0;
-
-  if (gossip->origins != NULL)
-    count = limpet_stream_origins_collect (gossip->origins, list, MAX_DIGEST_STREAMS);
-  limpet_gossip_streams_encode (&digest->streams, list, count, &digest->message);
-  return (count * STREAM_BYTES + LOAD_BYTES - 1) / LOAD_BYTES;
-}
-
 /* Fills a digest with some suspects, limits and origins of streams. They take the place
  * of loads, so that the digest does not grow. */
 static void
@@ -598,6 +574,7 @@
              LimpetMs now_ms)
 {
   uint32_t replaced_loads = suspects * LOADS_PER_SUSPECT;
+  uint32_t streams = 0;
 
   gossip_message__init (&digest->message);
   digest->message.sender = gossip->own_address;
@@ -607,7 +584,10 @@
                                          MAX_DIGEST_LIMITS, now_ms, &digest->message)
       > 0)
     replaced_loads += LOADS_PER_LIMITS;
-  replaced_loads += add_streams (gossip, digest);
+  if (gossip->origins != NULL)
+    streams = limpet_gossip_streams_collect (gossip->origins, &digest->streams,
+                                             &digest->message);
+  replaced_loads += (streams * LIMPET_GOSSIP_STREAM_BYTES + LOAD_BYTES - 1) / LOAD_BYTES;
   digest->message.n_load_targets = limpet_gossip_loads_collect (
       gossip->loads,
       LIMPET_GOSSIP_MAX_LOADS - MIN (LIMPET_GOSSIP_MAX_LOADS, replaced_loads),
--- a/src/liblimpetroad/cluster_state/gossip_streams.c
+++ b/src/liblimpetroad/cluster_state/gossip_streams.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 #include <stdlib.h>
 
+/* Origins in a regular digest. */
+#define MAX_DIGEST_STREAMS 24
+
 static int
 compare_versions (const void *a, const void *b)
 {
@@ -12,11 +15,12 @@
   return (left > right) - (left < right);
 }
 
-void
-limpet_gossip_streams_encode (LimpetGossipStreams *streams,
-                              LimpetStreamOrigin *list,
-                              uint32_t count,
-                              GossipMessage *message)
+/* Adds the origins in list, which it sorts, to message. */
+static void
+encode (LimpetGossipStreams *streams,
+        LimpetStreamOrigin *list,
+        uint32_t count,
+        GossipMessage *message)
 {
   StreamOrigins *group = NULL;
 
@@ -56,21 +60,36 @@
   return message->n_stream_origins > 0;
 }
 
-uint32_t
-limpet_gossip_streams_find (const LimpetStreamOrigins *origins,
-                            const GossipMessage *message,
-                            LimpetStreamOrigin *list)
+bool
+limpet_gossip_streams_answer (const LimpetStreamOrigins *origins,
+                              const GossipMessage *query,
+                              LimpetGossipStreams *streams,
+                              GossipMessage *answer)
 {
+  LimpetStreamOrigin list[LIMPET_GOSSIP_MAX_STREAMS];
   uint32_t count = 0;
 
-  for (size_t i = 0; i < message->n_stream_queries && count < LIMPET_GOSSIP_MAX_STREAMS;
+  for (size_t i = 0; i < query->n_stream_queries && count < LIMPET_GOSSIP_MAX_STREAMS;
        i++)
     {
-      uint64_t id = message->stream_queries[i];
-      uint32_t software_hash = limpet_stream_origins_find (origins, id);
+      LimpetStreamOrigin *origin = &list[count];
 
-      if (software_hash != 0)
-        list[count++] = (LimpetStreamOrigin){ .id = id, .software_hash = software_hash };
+      origin->id = query->stream_queries[i];
+      origin->software_hash = limpet_stream_origins_find (origins, origin->id);
+      count += origin->software_hash != 0;
     }
+  encode (streams, list, count, answer);
+  return count > 0;
+}
+
+uint32_t
+limpet_gossip_streams_collect (LimpetStreamOrigins *origins,
+                               LimpetGossipStreams *streams,
+                               GossipMessage *digest)
+{
+  LimpetStreamOrigin list[MAX_DIGEST_STREAMS];
+  uint32_t count = limpet_stream_origins_collect (origins, list, MAX_DIGEST_STREAMS);
+
+  encode (streams, list, count, digest);
   return count;
 }
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -1,6 +1,7 @@
 #include "limpetroad/quarantine.h"
 
 #include "limpetroad/logger.h"
+#include "private/suspect.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -97,24 +98,11 @@
   g_free (quarantine);
 }
 
-static bool
-is_request (const Suspect *suspect)
-{
-  return suspect->record.depth == LIMPET_QUARANTINE_REQUEST_DEPTH;
-}
-
-/* Key of the suspect's id in log lines. */
-static const char *
-log_key (const Suspect *suspect)
-{
-  return is_request (suspect) ? "request" : "part";
-}
-
 static uint32_t *
 quarantined_count (LimpetQuarantine *quarantine, const Suspect *suspect)
 {
-  return is_request (suspect) ? &quarantine->quarantined_requests
-                              : &quarantine->quarantined_parts;
+  return limpet_suspect_is_request (&suspect->record) ? &quarantine->quarantined_requests
+                                                      : &quarantine->quarantined_parts;
 }
 
 /* The fingerprints as a list, from the most general to the most specific. */
@@ -159,45 +147,17 @@
   return success_ms > 0 && success_ms + SUCCESS_VALIDITY_MS >= crash_ms;
 }
 
-static LimpetMs
-last_crash_ms (const Suspect *suspect)
-{
-  LimpetMs last_ms = 0;
-
-  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
-    last_ms = MAX (last_ms, suspect->record.crashes[i].at_ms);
-  return last_ms;
-}
-
-static LimpetMs
-first_crash_ms (const Suspect *suspect)
-{
-  LimpetMs first_ms = last_crash_ms (suspect);
-
-  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
-    first_ms = MIN (first_ms, suspect->record.crashes[i].at_ms);
-  return first_ms;
-}
-
 static LimpetMs
 quarantined_until_ms (const Suspect *suspect)
 {
-  LimpetMs last_ms = last_crash_ms (suspect);
-  LimpetMs duration_ms = QUARANTINE_FACTOR * (last_ms - first_crash_ms (suspect));
+  LimpetMs last_ms = limpet_suspect_last_crash_ms (&suspect->record);
+  LimpetMs duration_ms
+      = QUARANTINE_FACTOR * (last_ms - limpet_suspect_first_crash_ms (&suspect->record));
 
   return last_ms + CLAMP (duration_ms, MIN_QUARANTINE_MS, MAX_QUARANTINE_MS)
          + suspect->release_delay_ms;
 }
 
-static bool
-has_crash_of (const Suspect *suspect, uint32_t target_hash)
-{
-  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
-    if (suspect->record.crashes[i].target_hash == target_hash)
-      return true;
-  return false;
-}
-
 /* Returns whether another, quarantined suspect accounts for the crash of the target. */
 static bool
 is_explained (LimpetQuarantine *quarantine, const Suspect *suspect, uint32_t target_hash)
@@ -213,7 +173,7 @@
       const Suspect *other = value;
 
       if (other != suspect && other->record.is_quarantined
-          && has_crash_of (other, target_hash))
+          && limpet_suspect_has_crash_of (&other->record, target_hash))
         return true;
     }
   return false;
@@ -230,26 +190,6 @@
     suspect->sufficient_ms = now_ms;
 }
 
-static void
-remove_crash (Suspect *suspect, uint32_t index)
-{
-  LimpetSuspect *record = &suspect->record;
-
-  record->crashes[index] = record->crashes[--record->crash_count];
-}
-
-static uint32_t
-oldest_crash (const Suspect *suspect)
-{
-  const LimpetSuspect *record = &suspect->record;
-  uint32_t oldest = 0;
-
-  for (uint32_t i = 1; i < record->crash_count; i++)
-    if (record->crashes[i].at_ms < record->crashes[oldest].at_ms)
-      oldest = i;
-  return oldest;
-}
-
 /* Adds a crash and returns true if it is new, no success clears it, and it has no other
  * known cause unless takes_explained is set. The time of a known one stays as
  * it is: the times of other routers differ by the latency of messages, and taking the
@@ -264,43 +204,17 @@
   LimpetSuspect *record = &suspect->record;
 
   if (is_cleared_by (record->success_ms, crash->at_ms)
-      || has_crash_of (suspect, crash->target_hash)
+      || limpet_suspect_has_crash_of (record, crash->target_hash)
       || (!takes_explained && is_explained (quarantine, suspect, crash->target_hash)))
     return false;
-  if (record->crash_count == LIMPET_QUARANTINE_MAX_CRASHES)
-    {
-      if (crash->at_ms < last_crash_ms (suspect) + MIN_TIME_GAIN_MS)
-        return false;
-      remove_crash (suspect, oldest_crash (suspect));
-    }
-  record->crashes[record->crash_count++] = *crash;
+  if (record->crash_count == LIMPET_QUARANTINE_MAX_CRASHES
+      && crash->at_ms < limpet_suspect_last_crash_ms (record) + MIN_TIME_GAIN_MS)
+    return false;
+  limpet_suspect_add_crash (record, crash);
   record_change (suspect, now_ms);
   return true;
 }
 
-/* Removes the crashes for which is_removed returns true, but for the first kept_count of
- * them. Returns whether any was removed. */
-static bool
-remove_crashes (Suspect *suspect,
-                uint32_t kept_count,
-                bool (*is_removed) (const LimpetSuspectCrash *crash, const void *data),
-                const void *data)
-{
-  uint32_t old_count = suspect->record.crash_count;
-
-  for (uint32_t i = 0; i < suspect->record.crash_count;)
-    if (!is_removed (&suspect->record.crashes[i], data))
-      i++;
-    else if (kept_count > 0)
-      {
-        kept_count--;
-        i++;
-      }
-    else
-      remove_crash (suspect, i);
-  return suspect->record.crash_count < old_count;
-}
-
 static bool
 is_before_success (const LimpetSuspectCrash *crash, const void *success_ms)
 {
@@ -310,7 +224,7 @@
 static bool
 is_crash_of_suspect (const LimpetSuspectCrash *crash, const void *suspect)
 {
-  return has_crash_of (suspect, crash->target_hash);
+  return limpet_suspect_has_crash_of (suspect, crash->target_hash);
 }
 
 static bool
@@ -334,8 +248,8 @@
   suspect->record.is_quarantined = false;
   (*quarantined_count (quarantine, suspect))--;
   limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
-              "%s=%" PRIx64 " state=lifted reason=%s", log_key (suspect),
-              suspect->record.id, reason);
+              "%s=%" PRIx64 " state=lifted reason=%s",
+              limpet_suspect_log_key (&suspect->record), suspect->record.id, reason);
 }
 
 /* Records a success and removes the crashes that it clears. */
@@ -347,7 +261,8 @@
 {
   if (success_ms <= suspect->record.success_ms)
     return;
-  if (!remove_crashes (suspect, 0, is_before_success, &success_ms))
+  if (!limpet_suspect_remove_crashes (&suspect->record, 0, is_before_success,
+                                      &success_ms))
     return;
   suspect->record.success_ms = success_ms;
   record_change (suspect, now_ms);
@@ -382,8 +297,8 @@
   if (oldest == NULL)
     return false;
   limpet_log (LIMPET_LOG_WARNING, "quarantine", NULL,
-              "%s=%" PRIx64 " state=forgotten reason=too_many_suspects", log_key (oldest),
-              oldest->record.id);
+              "%s=%" PRIx64 " state=forgotten reason=too_many_suspects",
+              limpet_suspect_log_key (&oldest->record), oldest->record.id);
   g_hash_table_remove (quarantine->suspects, &oldest->record.id);
   return true;
 }
@@ -417,7 +332,7 @@
 {
   if (suspect->record.is_quarantined)
     return quarantined_until_ms (suspect) - now_ms;
-  if (is_request (suspect) && suspect->sufficient_ms > 0)
+  if (limpet_suspect_is_request (&suspect->record) && suspect->sufficient_ms > 0)
     return MAX (1, suspect->sufficient_ms + CONFIRMATION_MS - now_ms);
   return 0;
 }
@@ -467,7 +382,7 @@
         return &suspect->record;
       suspect->probe_ms = now_ms;
       limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL, "%s=%" PRIx64 " state=probed",
-                  log_key (suspect), suspect->record.id);
+                  limpet_suspect_log_key (&suspect->record), suspect->record.id);
     }
   return NULL;
 }
@@ -524,9 +439,9 @@
 log_state (const Suspect *suspect, const char *state, const char *source)
 {
   limpet_log (LIMPET_LOG_NOTICE, "quarantine", NULL,
-              "%s=%" PRIx64 " state=%s source=%s crashes=%u depth=%u", log_key (suspect),
-              suspect->record.id, state, source, suspect->record.crash_count,
-              suspect->record.depth);
+              "%s=%" PRIx64 " state=%s source=%s crashes=%u depth=%u",
+              limpet_suspect_log_key (&suspect->record), suspect->record.id, state,
+              source, suspect->record.crash_count, suspect->record.depth);
 }
 
 /* Returns how many crashes another suspect keeps that the quarantined one accounts for.
@@ -536,12 +451,13 @@
 {
   uint32_t unexplained = 0;
 
-  if (!is_request (quarantined))
+  if (!limpet_suspect_is_request (&quarantined->record))
     return 0;
-  if (!is_request (other))
+  if (!limpet_suspect_is_request (&other->record))
     return KEPT_PART_CRASHES;
   for (uint32_t i = 0; i < other->record.crash_count; i++)
-    unexplained += !has_crash_of (quarantined, other->record.crashes[i].target_hash);
+    unexplained += !limpet_suspect_has_crash_of (&quarantined->record,
+                                                 other->record.crashes[i].target_hash);
   return KEPT_REQUEST_CRASHES - MIN (KEPT_REQUEST_CRASHES, unexplained);
 }
 
@@ -566,15 +482,15 @@
       Suspect *other = value;
 
       if (!other->record.is_quarantined
-          && remove_crashes (other, kept_crashes (suspect, other), is_crash_of_suspect,
-                             suspect))
+          && limpet_suspect_remove_crashes (&other->record, kept_crashes (suspect, other),
+                                            is_crash_of_suspect, &suspect->record))
         {
           record_change (other, now_ms);
           other->is_changed = false; /* other routers conclude the same */
         }
     }
   record_change (suspect, now_ms);
-  if (suspect->own_crash_ms == last_crash_ms (suspect)
+  if (suspect->own_crash_ms == limpet_suspect_last_crash_ms (&suspect->record)
       && quarantine->ops->on_quarantined != NULL)
     quarantine->ops->on_quarantined (quarantine->user, &suspect->record);
 }
@@ -654,12 +570,12 @@
 {
   if (suspect->record.is_quarantined)
     {
-      if (now_ms - last_crash_ms (suspect) <= PROBATION_MS)
+      if (now_ms - limpet_suspect_last_crash_ms (&suspect->record) <= PROBATION_MS)
         return false;
       lift (quarantine, suspect, "expired");
       return true;
     }
-  if (remove_crashes (suspect, 0, is_expired, &now_ms)
+  if (limpet_suspect_remove_crashes (&suspect->record, 0, is_expired, &now_ms)
       && suspect->record.crash_count < LIMPET_QUARANTINE_MIN_CRASHES)
     suspect->sufficient_ms = 0;
   return suspect->record.crash_count == 0
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -1,6 +1,7 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
 #include "private/exchange.h"
+#include "private/suspect.h"
 #include "private/upstream.h"
 
 #include <inttypes.h>
@@ -63,23 +64,70 @@
     }
 }
 
-static bool is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms);
-static void refuse_quarantined (LimpetTask *task, LimpetMs remaining_ms);
+static void
+log_quarantined (const LimpetTask *task,
+                 const LimpetSuspect *suspect,
+                 LimpetMs remaining_ms)
+{
+  limpet_log (LIMPET_LOG_INFO, "quarantine", NULL,
+              "id=%s %s=%" PRIx64 " remaining_ms=%ld", task->call.id,
+              limpet_suspect_log_key (suspect), suspect->id, (long)remaining_ms);
+  limpet_counter_add (LIMPET_COUNTER_QUARANTINED, 1);
+}
+
+bool
+limpet_task_is_admitted (const LimpetTask *task, LimpetMs *remaining_ms)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+  const LimpetSuspect *suspect = NULL;
+
+  if (quarantine != NULL)
+    suspect = limpet_quarantine_admit (quarantine, &fingerprints, limpet_clock_boot_ms (),
+                                       remaining_ms);
+  if (suspect != NULL)
+    log_quarantined (task, suspect, *remaining_ms);
+  return suspect == NULL;
+}
+
+/* Refuses the call and returns true if it must not be sent any more. The one call that is
+ * admitted after a quarantine is not retried. */
+static bool
+refuse_if_quarantined (LimpetTask *task, bool is_retry)
+{
+  LimpetQuarantine *quarantine = task->exchange->quarantine;
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+  const LimpetSuspect *suspect = NULL;
+  LimpetMs now_ms = limpet_clock_boot_ms ();
+  LimpetMs remaining_ms = 0;
+
+  if (quarantine != NULL && is_retry)
+    suspect = limpet_quarantine_admit (quarantine, &fingerprints, now_ms, &remaining_ms);
+  else if (quarantine != NULL)
+    suspect = limpet_quarantine_find (quarantine, &fingerprints, now_ms, &remaining_ms);
+  if (suspect == NULL)
+    return false;
+  log_quarantined (task, suspect, remaining_ms);
+  if (task->head_sent)
+    limpet_relay_abort (task);
+  else if (task->may_have_run)
+    limpet_task_write_failure (task, LIMPET_REFUSAL_BROKEN, 0);
+  else
+    limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
+  return true;
+}
 
 /* The call may have been quarantined while it waited for a slot. */
 static void
 on_target (void *user, LimpetTarget *target)
 {
   LimpetTask *task = user;
-  LimpetMs remaining_ms;
+  LimpetDispatch *dispatch = task->exchange->dispatch;
 
-  if (!is_quarantined (task, &remaining_ms))
-    {
-      limpet_task_send (task, target);
-      return;
-    }
-  limpet_dispatch_release (task->exchange->dispatch, target);
-  refuse_quarantined (task, remaining_ms);
+  if (refuse_if_quarantined (task, false))
+    limpet_dispatch_release (dispatch, target);
+  else
+    limpet_task_send (task, target);
 }
 
 static void
@@ -398,60 +446,6 @@
   g_free (parts);
 }
 
-static void
-log_quarantined (const LimpetTask *task,
-                 const LimpetSuspect *suspect,
-                 LimpetMs remaining_ms)
-{
-  limpet_log (LIMPET_LOG_INFO, "quarantine", NULL,
-              "id=%s %s=%" PRIx64 " remaining_ms=%ld", task->call.id,
-              suspect->depth == LIMPET_QUARANTINE_REQUEST_DEPTH ? "request" : "part",
-              suspect->id, (long)remaining_ms);
-  limpet_counter_add (LIMPET_COUNTER_QUARANTINED, 1);
-}
-
-bool
-limpet_task_is_admitted (const LimpetTask *task, LimpetMs *remaining_ms)
-{
-  LimpetQuarantine *quarantine = task->exchange->quarantine;
-  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
-  const LimpetSuspect *suspect = NULL;
-
-  if (quarantine != NULL)
-    suspect = limpet_quarantine_admit (quarantine, &fingerprints, limpet_clock_boot_ms (),
-                                       remaining_ms);
-  if (suspect != NULL)
-    log_quarantined (task, suspect, *remaining_ms);
-  return suspect == NULL;
-}
-
-/* Returns whether an admitted call must not be sent any more. */
-static bool
-is_quarantined (const LimpetTask *task, LimpetMs *remaining_ms)
-{
-  const LimpetQuarantine *quarantine = task->exchange->quarantine;
-  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
-  const LimpetSuspect *suspect = NULL;
-
-  if (quarantine != NULL)
-    suspect = limpet_quarantine_find (quarantine, &fingerprints, limpet_clock_boot_ms (),
-                                      remaining_ms);
-  if (suspect != NULL)
-    log_quarantined (task, suspect, *remaining_ms);
-  return suspect != NULL;
-}
-
-static void
-refuse_quarantined (LimpetTask *task, LimpetMs remaining_ms)
-{
-  if (task->head_sent)
-    limpet_relay_abort (task);
-  else if (task->may_have_run)
-    limpet_task_write_failure (task, LIMPET_REFUSAL_BROKEN, 0);
-  else
-    limpet_task_write_failure (task, LIMPET_REFUSAL_QUARANTINED, remaining_ms);
-}
-
 void
 limpet_task_submit (LimpetTask *task)
 {
@@ -472,13 +466,8 @@
 static void
 resubmit (LimpetTask *task, const char *cause)
 {
-  LimpetMs remaining_ms;
-
-  if (is_quarantined (task, &remaining_ms))
-    {
-      refuse_quarantined (task, remaining_ms);
-      return;
-    }
+  if (refuse_if_quarantined (task, true))
+    return;
   limpet_log (LIMPET_LOG_INFO, "repeat",
               task->attempted_count > 0
                   ? task->attempted_targets[task->attempted_count - 1]->vm.id
--- a/src/liblimpetroad/private/gossip_streams.h
+++ b/src/liblimpetroad/private/gossip_streams.h
@@ -10,8 +10,11 @@
 
 /* Most origins, or queries, in one message, which keeps it within one packet. */
 #define LIMPET_GOSSIP_MAX_STREAMS 100
+/* Size of an encoded origin. */
+#define LIMPET_GOSSIP_STREAM_BYTES 8
 
-/* The encoded origins of a message, with the arrays that they point to. */
+/* The encoded origins of a message, with the arrays that they point to. The message
+ * refers to it. */
 typedef struct
 {
   StreamOrigins groups[LIMPET_GOSSIP_MAX_STREAMS]; /* one for each version */
@@ -19,19 +22,19 @@
   uint64_t ids[LIMPET_GOSSIP_MAX_STREAMS];
 } LimpetGossipStreams;
 
-/* Adds count origins to message, which refers to streams afterwards. Sorts the list. */
-void limpet_gossip_streams_encode (LimpetGossipStreams *streams,
-                                   LimpetStreamOrigin *list,
-                                   uint32_t count,
-                                   GossipMessage *message);
 /* Adds the origins in message. Returns whether there are any. */
 bool limpet_gossip_streams_receive (LimpetStreamOrigins *origins,
                                     const GossipMessage *message,
                                     LimpetMs now_ms);
-/* Fills list with the known ones of the origins that message asks for, and returns their
- * number. */
-uint32_t limpet_gossip_streams_find (const LimpetStreamOrigins *origins,
-                                     const GossipMessage *message,
-                                     LimpetStreamOrigin *list);
+/* Adds the known ones of the origins that query asks for to answer. Returns whether there
+ * are any. */
+bool limpet_gossip_streams_answer (const LimpetStreamOrigins *origins,
+                                   const GossipMessage *query,
+                                   LimpetGossipStreams *streams,
+                                   GossipMessage *answer);
+/* Adds the origins that are next to be told to a digest, and returns their number. */
+uint32_t limpet_gossip_streams_collect (LimpetStreamOrigins *origins,
+                                        LimpetGossipStreams *streams,
+                                        GossipMessage *digest);
 
 #endif
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -418,16 +418,7 @@
   before = sent_bytes;
   for (LimpetMs now_ms = 2000; now_ms < 6000; now_ms += 100)
     {
-      for (uint32_t i = 0; i < ROUTERS; i++)
-        for (uint32_t engine = 0; engine < 2; engine++)
-          {
-            LimpetGossipLoad load
-                = { .target_hash = 1000000007u * ((i * 2 + engine + 1) % 112 + 1),
-                    .inflight = 9,
-                    .at_ms = now_ms };
-
-            limpet_gossip_publish_load (routers[i].gossip, &load);
-          }
+      report_all_loads (now_ms);
       end += now_ms % 1000 == 0;
       run_fleet (now_ms, now_ms + 100, &end, NULL);
     }
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -315,16 +315,7 @@
   before = sent_bytes;
   for (LimpetMs now_ms = 24000; now_ms < 28000; now_ms += 100)
     {
-      for (uint32_t i = 0; i < ROUTERS; i++)
-        for (uint32_t engine = 0; engine < 2; engine++)
-          {
-            LimpetGossipLoad load
-                = { .target_hash = 1000000007u * ((i * 2 + engine + 1) % 112 + 1),
-                    .inflight = 9,
-                    .at_ms = now_ms };
-
-            limpet_gossip_publish_load (routers[i].gossip, &load);
-          }
+      report_all_loads (now_ms);
       run_fleet (now_ms, now_ms + 100, &end, NULL);
     }
   printf ("bytes per router and second with quarantined parts=%lu\n",
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -176,6 +176,21 @@
   return reads;
 }
 
+void
+report_all_loads (LimpetMs now_ms)
+{
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    for (uint32_t engine = 0; engine < 2; engine++)
+      {
+        LimpetGossipLoad load
+            = { .target_hash = 1000000007u * ((i * 2 + engine + 1) % 112 + 1),
+                .inflight = 9,
+                .at_ms = now_ms };
+
+        limpet_gossip_publish_load (routers[i].gossip, &load);
+      }
+}
+
 uint32_t
 count_outdated (int64_t end)
 {
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -49,6 +49,8 @@
  * raises *max_age_ms to the highest limpet_gossip_topic_age_ms() of any router. */
 uint32_t
 run_fleet (LimpetMs from_ms, LimpetMs until_ms, const int64_t *end, LimpetMs *max_age_ms);
+/* Each router reports the loads of two engines; together they report those of 112. */
+void report_all_loads (LimpetMs now_ms);
 /* Returns the number of routers that lack records before offset end. */
 uint32_t count_outdated (int64_t end);
 
--- a/src/test_liblimpetroad/software_version_tests.c
+++ b/src/test_liblimpetroad/software_version_tests.c
@@ -106,20 +106,10 @@
   before = sent_bytes;
   for (LimpetMs now_ms = 20000; now_ms < 24000; now_ms += 100)
     {
+      report_all_loads (now_ms);
       for (uint32_t i = 0; i < ROUTERS; i++)
-        {
-          for (uint32_t engine = 0; engine < 2; engine++)
-            {
-              LimpetGossipLoad load
-                  = { .target_hash = 1000000007u * ((i * 2 + engine + 1) % 112 + 1),
-                      .inflight = 9,
-                      .at_ms = now_ms };
-
-              limpet_gossip_publish_load (routers[i].gossip, &load);
-            }
-          for (uint32_t j = 0; j < STREAMS_PER_S / 10 + (now_ms % 1000 != 0); j++)
-            begin_stream (i, id++, true, now_ms);
-        }
+        for (uint32_t j = 0; j < STREAMS_PER_S / 10 + (now_ms % 1000 != 0); j++)
+          begin_stream (i, id++, true, now_ms);
       run_fleet (now_ms, now_ms + 100, &end, NULL);
     }
   bytes = (sent_bytes - before) / 4 / ROUTERS;
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -404,6 +404,12 @@
             f.wait_for(lambda: self.is_ready(router), name + " to be ready")
         return router
 
+    def wait_for_routers(self, count):
+        """Waits until each of the first routers knows all of them."""
+        for index in range(count):
+            f.wait_for(lambda: self.metric("limpetroad_routers ", index) == count,
+                       "the routers to find each other")
+
     def is_ready(self, router):
         try:
             with socket.create_connection((router["ip"], router["ready"]), 1) as s:
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -69,12 +69,7 @@
             self.add_server()
         self.platform.router_count = routers
         self.platform.start()
-        self.wait_for_routers(routers)
-
-    def wait_for_routers(self, count):
-        for index in range(count):
-            f.wait_for(lambda: self.platform.metric("limpetroad_routers ", index) == count,
-                       "the routers to find each other")
+        self.platform.wait_for_routers(routers)
 
     def __enter__(self):
         return self
@@ -231,7 +226,7 @@
         del fleet.platform.routers[:count]
         for _ in range(count):
             fleet.platform.add_router()
-        fleet.wait_for_routers(3)
+        fleet.platform.wait_for_routers(3)
         fleet.play(6)
         fleet.check_kept_away()
 
--- a/test/test_rate_limits.py
+++ b/test/test_rate_limits.py
@@ -37,9 +37,7 @@
             self.arrivals[server.id] = []
         self.platform.router_count = routers
         self.platform.start()
-        for index in range(routers):
-            f.wait_for(lambda: self.platform.metric("limpetroad_routers ", index) == routers,
-                       "the routers to find each other")
+        self.platform.wait_for_routers(routers)
 
     def __enter__(self):
         return self
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -32,9 +32,7 @@
         self.wait_for_routers(routers)
 
     def wait_for_routers(self, count):
-        for index in range(count):
-            f.wait_for(lambda: self.platform.metric("limpetroad_routers ", index) == count,
-                       "the routers to find each other")
+        self.platform.wait_for_routers(count)
         time.sleep(1.6)   # each router reads the records of the others in this time after its start
 
     def __enter__(self):
