Soak: engines of two software versions, and a check that a stream keeps to one

Each server now draws one of two versions at its start; streams_of_one_version checks each continuation.

--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -40,6 +40,17 @@
             and (c["body"] != whole if c["whole"] else not whole.startswith(c["body"]))]
 
 
+def streams_of_one_version(runs):
+    """Checks that a stream goes on only at the software version that sent the events before.
+
+    runs: id of the request, version, and first and last event of each run that was started."""
+    return ["%s goes on at %s after %s" % (r["id"], r["version"], [
+        (b["version"], b["last"]) for b in runs if b["id"] == r["id"] and b is not r])
+        for r in runs if r["first"] > 1
+        and not any(b["id"] == r["id"] and b["version"] == r["version"]
+                    and b["first"] < r["first"] <= b["last"] + 1 for b in runs)]
+
+
 # Unsafe calls and streams that may not resume run at most once.
 def at_most_once(calls, runs):
     once = {c["id"] for c in calls if c["kind"] in ("unsafe", "stream")}
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -39,6 +39,7 @@
         self.inflight = collections.Counter()  # requests in flight at each engine
         self.disturbances = [0.0]      # times of faults of the store and of routers
         self.link_disturbances = [0.0]  # times of faults of links and of server crashes
+        self.stream_runs = []            # see checks.streams_of_one_version()
         self.aborted_by_server = set()   # requests whose server closed the connection early
         self.stop = threading.Event()
         self.leave_lock = threading.Lock()
@@ -81,6 +82,7 @@
         server.store, server.service, server.is_engine = self.store, service, service == "model"
         server.slots, server.on_request, server.sequence, server.born = \
             16, None, 0, 10 ** 6 + Server.count
+        server.version = self.server_rng.choice(["v1", "v2"])
         server.ran, server.seen, server.closed, server.mode = [], [], [], "ok"
         server.listener = type("Shown", (), {"port": self.ports["server-%d" % position],
                                              "close": lambda self: None})()
@@ -154,6 +156,9 @@
     # Sends a stream from the event after Last-Event-Id on; in mode "torn" it may break off.
     def send_stream(self, server, connection, message, mode):
         first = int(message.fields.get("last-event-id", 0)) + 1
+        run = {"id": message.fields.get("request-id"), "version": server.version, "first": first,
+               "last": first - 1}
+        self.stream_runs.append(run)
         connection.sendall(server.head(message, 200, "Transfer-Encoding: chunked\r\n\r\n"))
         for number in range(first, checks.EVENTS + 1):
             if mode == "torn" and self.server_rng.random() < 0.2:
@@ -161,6 +166,7 @@
                 self.aborted_by_server.add(message.fields.get("request-id", ""))
                 reset(connection)
                 raise OSError("torn")
+            run["last"] = number
             connection.sendall(chunk(event(number)))
             time.sleep(0.01)
         connection.sendall(b"0\r\n\r\n")
@@ -488,6 +494,7 @@
     return {
         "complete_own_responses": checks.complete_own_responses(calls),
         "streams_in_order": checks.streams_in_order(calls),
+        "streams_of_one_version": checks.streams_of_one_version(platform.stream_runs),
         "at_most_once": checks.at_most_once(calls, runs),
         "not_run_outcomes": checks.not_run_outcomes(calls, runs),
         "leaving_servers": checks.leaving_servers(undisturbed_leaves, arrivals),
