--- a/src/liblimpetroad/cluster_state/software_mix.c
+++ b/src/liblimpetroad/cluster_state/software_mix.c
@@ -117,9 +117,7 @@
 
   g_hash_table_iter_init (&iter, mix->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      ((Service *)value)->has_several = false;
-    }
+    ((Service *)value)->has_several = false;
   for (uint32_t i = 0; i < view->count; i++)
     add_target (mix, view->targets[i]);
   g_hash_table_iter_init (&iter, mix->services);
