--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -4,6 +4,7 @@
 import time
 
 import fleet as f
+from crashing_fleet import CrashingFleet
 from platform_fake import Platform, route
 from run_all import table
 from test_platform import check, stream_events
@@ -15,7 +16,7 @@
 SERVERS = 6
 
 
-class CrashingFleet:
+class PartsFleet(CrashingFleet):
     """Routers with servers that crash under CRASHING_PART, and clients.
 
     framing, start: framing fields and start of the body of the response that a server sends before
@@ -27,28 +28,10 @@
         self.head = "Content-Type: text/event-stream\r\n%s\r\n\r\n" % framing
         self.start = start
         self.arrivals = []
-        self.crashes = []
-        self.served = []
-        self.stopped = threading.Event()
         self.is_crashing = True
-        self.platform = Platform(start=False, routes=[
+        super().__init__([
             route("resume", "/resume/", "streaming", "model", resumable=True, max_attempts=3),
-            route("stream", "/stream/", "streaming", "model")])
-        for _ in range(SERVERS):
-            self.add_server()
-        self.platform.router_count = routers
-        self.platform.start()
-        self.platform.wait_for_routers(routers)
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *unused):
-        self.stopped.set()
-        self.platform.__exit__()
-
-    def add_server(self):
-        self.platform.add_server("model", on_request=self.on_request)
+            route("stream", "/stream/", "streaming", "model")], "model", SERVERS, routers, RESTART_S)
 
     def on_request(self, server, message, connection):
         parts = [part.split(":")[0] for part in message.fields["prompt-prefix"].split(",")]
@@ -59,22 +42,9 @@
         connection.sendall(server.head(message, 200, self.head) + self.start)
         time.sleep(0.02)
         if self.is_crashing:
-            self.crash(server)
+            self.crash(server, time.monotonic())
         raise OSError("closed")
 
-    def crash(self, server):
-        if server not in self.platform.servers:
-            return  # another request has just crashed it
-        self.platform.servers.remove(server)
-        self.crashes.append(time.monotonic())
-        server.close()
-        threading.Timer(RESTART_S, self.replace, [server]).start()
-
-    def replace(self, server):
-        if not self.stopped.is_set():
-            server.remove()
-            self.add_server()
-
     # Sends one request; returns whether it was served completely.
     def request(self, path, number, has_part, router):
         parts = [FIRST_PART + ":64", "c%d:500" % (number % 5), "e%x:20" % number]
@@ -115,18 +85,13 @@
     def arrivals_after(self, at):
         return sum(arrived > at for arrived in self.arrivals)
 
-    # Returns the share of the requests without the part that were served, from the time on.
-    def served_after(self, at):
-        results = [served for sent, served in self.served if sent > at]
-        return sum(results) / max(1, len(results))
-
 
 @table([("chunked", "Transfer-Encoding: chunked", b"10\r\nid: 1\n"),
         ("without_length", "Connection: close", b"id: 1\n"),
         ("without_length_or_body", "Connection: close", b"")])
 def test_a_part_that_crashes_servers_is_kept_from_them(framing, start):
     """At most three requests with the part reach servers from 3 s after the fifth crash on."""
-    with CrashingFleet(framing=framing, start=start) as fleet:
+    with PartsFleet(framing=framing, start=start) as fleet:
         fleet.play(10)
         bound_at = (fleet.crashes[4] if len(fleet.crashes) > 4 else fleet.crashes[-1]) \
             + STABLE_WINDOW_S
@@ -138,7 +103,7 @@
 @table([("one", 1), ("all", 3)])
 def test_restarted_routers_know_the_part_that_crashes_servers(count):
     """At most three requests with the part reach servers from 3 s after the restart on."""
-    with CrashingFleet() as fleet:
+    with PartsFleet() as fleet:
         fleet.play(5)
         for router in fleet.platform.routers[:count]:
             router["process"].kill()
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-import fleet as f
-from platform_fake import Platform, chunk, event, reset, route
+from crashing_fleet import CrashingFleet
+from platform_fake import chunk, event, reset, route
 from run_all import table
 from test_platform import check, stream_events
 
@@ -41,7 +41,7 @@
 RESUMABLE = Kind("/resume/1", prompt="51:64,c1:500,MARK:20")
 
 
-class CrashingFleet:
+class RequestsFleet(CrashingFleet):
     """Routers with servers of one service that crash under some requests, and clients.
 
     arrivals: (time, mark) of the requests that reached a server and crash it; crashes: (time, mark)
@@ -54,32 +54,14 @@
         self.silent = silent
         self.events = events
         self.arrivals = []
-        self.crashes = []
-        self.served = []
         self.delays = []
-        self.stopped = threading.Event()
-        self.platform = Platform(start=False, routes=[
+        super().__init__([
             route("safe", "/safe/", "safe", "plain"),
             route("unsafe", "/unsafe/", "unsafe", "plain"),
             route("short", "/short/", "unsafe", "plain", timeout_ms=400),
             route("stream", "/stream/", "streaming", "model"),
-            route("resume", "/resume/", "streaming", "model", resumable=True)])
-        self.service = "model" if kind.prompt else "plain"
-        for _ in range(SERVERS):
-            self.add_server()
-        self.platform.router_count = routers
-        self.platform.start()
-        self.platform.wait_for_routers(routers)
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *unused):
-        self.stopped.set()
-        self.platform.__exit__()
-
-    def add_server(self):
-        self.platform.add_server(self.service, on_request=self.on_request)
+            route("resume", "/resume/", "streaming", "model", resumable=True)],
+            "model" if kind.prompt else "plain", SERVERS, routers, RESTART_S)
 
     def on_request(self, server, message, connection):
         prompt = message.fields.get("prompt-prefix", "")
@@ -99,26 +81,16 @@
             for number in range(self.events):
                 connection.sendall(chunk(event(number + 1)))
         time.sleep(0.03)
-        self.crash(server, mark)
+        self.crash(server, (time.monotonic(), mark))
         if self.silent:
             self.stopped.wait(30)
         raise OSError("closed")
 
-    def crash(self, server, mark):
-        if server not in self.platform.servers:
-            return  # another request has just crashed it
-        self.platform.servers.remove(server)
-        self.crashes.append((time.monotonic(), mark))
+    def close_server(self, server):
         if self.silent:
             server.listener.socket.close()
         else:
-            server.close()
-        threading.Timer(RESTART_S, self.replace, [server]).start()
-
-    def replace(self, server):
-        if not self.stopped.is_set():
-            server.remove()
-            self.add_server()
+            super().close_server(server)
 
     # Sends one request; returns whether it was served completely.
     def request(self, mark, router, request_id=None):
@@ -171,11 +143,6 @@
         times = [at for at, crashed in self.crashes if crashed == mark]
         return times[2] if len(times) > 2 else times[-1]
 
-    # Returns the share of the sound requests that were served, from the time on.
-    def served_after(self, at):
-        results = [served for sent, served in self.served if sent > at]
-        return sum(results) / max(1, len(results))
-
     def check_kept_away(self, marks=("bad",)):
         for mark in marks:
             late = self.arrivals_after(self.third_crash(mark) + STABLE_WINDOW_S, mark)
@@ -192,34 +159,34 @@
         ("stream", STREAM, None), ("resumable", RESUMABLE, None), ("same_id", SAFE_POST, "5a3e")])
 def test_a_request_that_crashes_servers_is_kept_from_them(kind, request_id):
     """At most three repeats reach servers from 3 s after the third crash on."""
-    with CrashingFleet(kind) as fleet:
+    with RequestsFleet(kind) as fleet:
         fleet.play(12, request_id=request_id)
         fleet.check_kept_away()
 
 
 @table([("stream", STREAM), ("resumable", RESUMABLE)])
 def test_a_request_that_crashes_servers_after_its_first_events_is_kept_from_them(kind):
-    with CrashingFleet(kind, events=2) as fleet:
+    with RequestsFleet(kind, events=2) as fleet:
         fleet.play(12)
         fleet.check_kept_away()
 
 
 def test_several_requests_that_crash_servers_are_kept_from_them():
     marks = ("bad1", "bad2", "bad3")
-    with CrashingFleet(SAFE_POST) as fleet:
+    with RequestsFleet(SAFE_POST) as fleet:
         fleet.play(20, marks=marks)
         fleet.check_kept_away(marks)
 
 
 def test_a_request_that_silences_servers_is_kept_from_them():
-    with CrashingFleet(SHORT, silent=True) as fleet:
+    with RequestsFleet(SHORT, silent=True) as fleet:
         fleet.play(14)
         fleet.check_kept_away()
 
 
 @table([("one", 1), ("all", 3)])
 def test_restarted_routers_know_the_request_that_crashes_servers(count):
-    with CrashingFleet(SAFE_GET) as fleet:
+    with RequestsFleet(SAFE_GET) as fleet:
         fleet.play(6)
         for router in fleet.platform.routers[:count]:
             router["process"].kill()
@@ -233,7 +200,7 @@
 
 def test_a_request_that_times_out_at_sound_servers_is_not_quarantined():
     """Every server answers other requests, and leaves in order in the end."""
-    with CrashingFleet(SHORT) as fleet:
+    with RequestsFleet(SHORT) as fleet:
         sent = 0
 
         def on_request(server, message, connection):
@@ -262,7 +229,7 @@
 @table([("reset", True), ("closed", False)])
 def test_a_request_whose_responses_are_lost_is_not_quarantined(is_reset):
     """Servers break its connections and serve other requests on."""
-    with CrashingFleet(SAFE_POST) as fleet:
+    with RequestsFleet(SAFE_POST) as fleet:
         def on_request(server, message, connection):
             if message.body == b"lost":
                 if is_reset:
