A response that does not continue a stream no longer reaches the caller

Callers saw: a stream broke off and the router continued it at another server. Whatever that server sent with status 200 went into the stream: the text of an error, events without an id, events that the caller already had; a response without events made the stream look complete.

Cause: the router took any response with status 200 on a stream's route for the stream, and any end of it for the stream's end. Ruled out: other statuses (500, 503, 204, 206: broken off before, too).

Change: a continuation has to be an event stream without an encoding, its first event has to follow the last one delivered (by exactly one where the ids did so before), and it has to have an event. Otherwise the attempt fails: another server goes on, or the stream is broken off. The same check of the first event holds for a stream that the caller itself resumes. Found on the way: a stream whose events have no ids was sent again from its start after a break, and a compressed stream was passed on. Class: a response is judged by its status only.

--- a/src/liblimpetroad/exchange/event_splitter.c
+++ b/src/liblimpetroad/exchange/event_splitter.c
@@ -19,28 +19,81 @@
   return 0;
 }
 
-/* Sets last_id to the value of the event's id line, if it has one. */
-static void
-update_last_id (LimpetEventSplitter *splitter, const char *event, size_t length)
+/* Copies the value of the event's id line to id; sets it to an empty string if there is
+ * none. Returns false if the event consists of comments only. */
+static bool
+read_event (const char *event, size_t length, char id[LIMPET_NAME_SIZE])
 {
   const char *end = event + length;
+  bool has_field = false;
 
+  id[0] = '\0';
   while (event < end)
     {
       const char *line_end = memchr (event, '\n', (size_t)(end - event));
       size_t line_length = (size_t)((line_end != NULL ? line_end : end) - event);
 
+      has_field = has_field || (line_length > 1 && event[0] != ':');
       if (line_length >= 3 && memcmp (event, "id:", 3) == 0)
         {
-          char value[LIMPET_NAME_SIZE];
-
-          g_strlcpy (value, event + 3, MIN (line_length - 3 + 1, sizeof value));
-          g_strlcpy (splitter->last_id, g_strstrip (value), sizeof splitter->last_id);
+          g_strlcpy (id, event + 3, MIN (line_length - 3 + 1, LIMPET_NAME_SIZE));
+          g_strstrip (id);
         }
       if (line_end == NULL)
-        return;
+        break;
       event = line_end + 1;
     }
+  return has_field;
+}
+
+static bool
+parse_id (const char *id, uint64_t *number)
+{
+  return g_ascii_string_to_unsigned (id, 10, 0, UINT64_MAX, number, NULL);
+}
+
+static LimpetIdSteps
+next_id_steps (LimpetIdSteps steps, const char *id, const char *next_id)
+{
+  uint64_t number;
+  uint64_t next;
+  bool is_one = parse_id (id, &number) && parse_id (next_id, &next) && next > number
+                && next - number == 1;
+
+  return is_one && steps != LIMPET_ID_STEPS_OTHER ? LIMPET_ID_STEPS_ONE
+                                                  : LIMPET_ID_STEPS_OTHER;
+}
+
+static void
+record_event (LimpetEventSplitter *splitter, const char *event, size_t length)
+{
+  char id[LIMPET_NAME_SIZE];
+
+  if (!read_event (event, length, id))
+    return;
+  if (!splitter->has_event)
+    g_strlcpy (splitter->first_id, id, sizeof splitter->first_id);
+  else
+    splitter->id_steps = next_id_steps (splitter->id_steps, splitter->last_id, id);
+  splitter->has_event = true;
+  if (id[0] != '\0')
+    g_strlcpy (splitter->last_id, id, sizeof splitter->last_id);
+}
+
+bool
+limpet_event_splitter_continues (const LimpetEventSplitter *splitter,
+                                 const char *last_id,
+                                 LimpetIdSteps steps)
+{
+  uint64_t last;
+  uint64_t first;
+
+  if (!splitter->has_event)
+    return true;
+  if (!parse_id (last_id, &last))
+    return splitter->first_id[0] != '\0' && strcmp (splitter->first_id, last_id) != 0;
+  return parse_id (splitter->first_id, &first) && first > last
+         && (steps != LIMPET_ID_STEPS_ONE || first - last == 1);
 }
 
 bool
@@ -66,7 +119,7 @@
                                       splitter->text->len - complete_length))
          > 0)
     {
-      update_last_id (splitter, splitter->text->str + complete_length, next_length);
+      record_event (splitter, splitter->text->str + complete_length, next_length);
       complete_length += next_length;
       count++;
     }
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -105,8 +105,11 @@
         exchange->load_observer (exchange->load_observer_user, task->target);
     }
   limpet_relay_discard_body (task);
-  task->is_streaming = is_event_stream (task) && task->response.is_from_target;
+  task->is_streaming = is_event_stream (task) && task->response.is_from_target
+                       && !task->response.is_encoded;
   task->ends_with_close = !head->is_chunked && head->content_length < 0;
+  if (!limpet_continuation_accepts_head (task, head))
+    return false;
   if (!task->head_sent)
     copy_head (task, head);
   return true;
@@ -211,27 +214,36 @@
   task->response_body = NULL;
 }
 
+/* Forwards the events that are complete with the data. Returns false if the first one
+ * does not continue the stream, or if an event exceeds the limit. */
+static bool
+relay_events (LimpetTask *task, const char *data, size_t length)
+{
+  GString *events = g_string_new (NULL);
+  bool had_event = task->events.has_event;
+  uint32_t count = limpet_event_splitter_feed (&task->events, data, length, events);
+  bool is_accepted = had_event || limpet_continuation_accepts_events (task);
+
+  if (!is_accepted)
+    limpet_event_splitter_clear (&task->events); /* its ids are not those of the stream */
+  else if (count > 0)
+    {
+      record_event_gap (task, count);
+      record_first_event (task);
+      limpet_counter_add (LIMPET_COUNTER_TOKENS, count);
+      write_events (task, events);
+    }
+  g_string_free (events, TRUE);
+  return is_accepted && !limpet_event_splitter_exceeds_limit (&task->events);
+}
+
 bool
 limpet_relay_body (LimpetTask *task, const char *data, size_t length)
 {
   if (task->response.is_for_other_call)
     return true;
-  if (task->is_streaming)
-    {
-      GString *events = g_string_new (NULL);
-      uint32_t count = limpet_event_splitter_feed (&task->events, data, length, events);
-
-      if (count > 0)
-        {
-          record_event_gap (task, count);
-          record_first_event (task);
-          limpet_counter_add (LIMPET_COUNTER_TOKENS, count);
-          write_events (task, events);
-        }
-      g_string_free (events, TRUE);
-      return !limpet_event_splitter_exceeds_limit (&task->events);
-    }
-  return buffer_body (task, data, length);
+  return task->is_streaming ? relay_events (task, data, length)
+                            : buffer_body (task, data, length);
 }
 
 /* Writes the rest of a stream: bytes after the last complete event, the response head if
@@ -362,6 +374,11 @@
       fail_attempt (task, "the stream ended inside an event");
       return;
     }
+  if (is_success && !limpet_continuation_accepts_end (task))
+    {
+      fail_attempt (task, "the response does not continue the stream");
+      return;
+    }
   if (is_success)
     {
       limpet_dispatch_record_result (task->exchange->dispatch, task->target,
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -319,8 +319,7 @@
   LimpetCallAttempt attempt = {
     .target = target,
     .remaining_ms = task->call.response_due_ms - limpet_clock_mono_ms (),
-    .last_event_id
-    = task->last_event_id[0] != '\0' ? task->last_event_id : task->call.last_event_id,
+    .last_event_id = limpet_continuation_last_event_id (task),
     .priority = limpet_dispatch_priority (task->exchange->dispatch, &task->call),
     .cache_source
     = limpet_dispatch_cache_source (task->exchange->dispatch, &task->call, target),
@@ -350,13 +349,13 @@
 log_resumption (const LimpetTask *task, const LimpetTarget *target)
 {
   const LimpetCall *call = &task->call;
+  const char *last_event_id = limpet_continuation_last_event_id (task);
 
-  if (task->last_event_id[0] == '\0' && call->last_event_id == NULL)
+  if (last_event_id == NULL)
     return;
   limpet_log (LIMPET_LOG_INFO, "resume", target->vm.id,
               "id=%s resumed_id=%s last_event=%s software=%s", call->id,
-              call->resumed_id != NULL ? call->resumed_id : "-",
-              task->last_event_id[0] != '\0' ? task->last_event_id : call->last_event_id,
+              call->resumed_id != NULL ? call->resumed_id : "-", last_event_id,
               target->vm.software_version);
 }
 
@@ -407,11 +406,14 @@
     limpet_dispatch_release (task->exchange->dispatch, target);
 }
 
-/* Returns whether the call may be retried; if so, takes one retry from the budget. */
+/* Returns whether the call may be retried; if so, takes one retry from the budget. A
+ * stream whose events have no ids cannot be continued once the caller has some of them.
+ */
 static bool
 acquire_retry (LimpetTask *task)
 {
-  return (int64_t)task->sent_count < task->call.route->max_targets
+  return (!task->head_sent || task->last_event_id[0] != '\0')
+         && (int64_t)task->sent_count < task->call.route->max_targets
          && task->call.response_due_ms - limpet_clock_mono_ms () > MIN_RETRY_TIME_MS
          && task->caller != NULL
          && limpet_dispatch_try_spend_retry (task->exchange->dispatch, &task->call);
@@ -502,6 +504,8 @@
   limpet_relay_discard_body (task);
   if (task->events.last_id[0] != '\0')
     g_strlcpy (task->last_event_id, task->events.last_id, sizeof task->last_event_id);
+  if (task->events.id_steps != LIMPET_ID_STEPS_UNKNOWN)
+    task->id_steps = task->events.id_steps;
   log_failed_attempt (task, status, cause);
   if (has_path)
     limpet_dispatch_record_result (task->exchange->dispatch, target, status);
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -134,6 +134,7 @@
   GByteArray *response_body;
   LimpetEventSplitter events;
   char last_event_id[LIMPET_NAME_SIZE]; /* from earlier attempts; empty if none */
+  LimpetIdSteps id_steps;               /* of the events of earlier attempts */
   GList origin_link;                    /* in awaiting_origin if awaits_origin is set */
   LimpetMs await_start_ms;              /* when it began to await the origin */
   LimpetMs query_ms;                    /* last query for the origin; 0 if none */
@@ -216,6 +217,18 @@
                                 LimpetRefusalReason reason,
                                 LimpetMs retry_ms);
 
+/* continuation.c */
+/* Returns the id of the last event that the caller has, or NULL if the stream has to
+ * begin with its first event. */
+const char *limpet_continuation_last_event_id (const LimpetTask *task);
+/* Return whether the head, the events received so far, and the complete response of the
+ * current attempt may continue the stream that the caller has begun to receive. They
+ * return true if there is none, and log why they return false. */
+bool limpet_continuation_accepts_head (const LimpetTask *task,
+                                       const LimpetHttpHead *head);
+bool limpet_continuation_accepts_events (const LimpetTask *task);
+bool limpet_continuation_accepts_end (const LimpetTask *task);
+
 /* relay.c */
 /* Process the head and a part of the body of a target's response. The attempt fails if
  * one returns false. */
--- a/src/test_liblimpetroad/http_tests.c
+++ b/src/test_liblimpetroad/http_tests.c
@@ -250,6 +250,63 @@
   g_string_free (out, TRUE);
 }
 
+static void
+test_a_stream_continues_only_with_the_event_after_the_last_one (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *last_id;
+    LimpetIdSteps steps;
+    bool expected;
+  } rows[] = {
+    { "", "6", LIMPET_ID_STEPS_ONE, true },
+    { ": wait\n\n", "6", LIMPET_ID_STEPS_ONE, true },
+    { "id: 7\ndata: a\n\n", "6", LIMPET_ID_STEPS_ONE, true },
+    { "id: 8\ndata: a\n\n", "6", LIMPET_ID_STEPS_ONE, false },
+    { "id: 8\ndata: a\n\n", "6", LIMPET_ID_STEPS_OTHER, true },
+    { "id: 8\ndata: a\n\n", "6", LIMPET_ID_STEPS_UNKNOWN, true },
+    { "id: 6\ndata: a\n\n", "6", LIMPET_ID_STEPS_OTHER, false },
+    { "id: 5\ndata: a\n\nid: 7\ndata: b\n\n", "6", LIMPET_ID_STEPS_OTHER, false },
+    { "id: 0\ndata: a\n\n", "18446744073709551615", LIMPET_ID_STEPS_ONE, false },
+    { "id: 99999999999999999999\ndata: a\n\n", "6", LIMPET_ID_STEPS_OTHER, false },
+    { "id: -7\ndata: a\n\n", "6", LIMPET_ID_STEPS_OTHER, false },
+    { "data: a\n\n", "6", LIMPET_ID_STEPS_OTHER, false },
+    { "data: a\n\n", "x", LIMPET_ID_STEPS_OTHER, false },
+    { "id: x\ndata: a\n\n", "x", LIMPET_ID_STEPS_OTHER, false },
+    { "id: y\ndata: a\n\n", "x", LIMPET_ID_STEPS_OTHER, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      LimpetEventSplitter splitter = { .text = NULL };
+      GString *out = g_string_new (NULL);
+
+      limpet_event_splitter_feed (&splitter, rows[i].text, strlen (rows[i].text), out);
+      CU_ASSERT_EQUAL (
+          limpet_event_splitter_continues (&splitter, rows[i].last_id, rows[i].steps),
+          rows[i].expected);
+      limpet_event_splitter_clear (&splitter);
+      g_string_free (out, TRUE);
+    }
+}
+
+static void
+test_steps_between_ids_are_recognised (void)
+{
+  LimpetEventSplitter splitter = { .text = NULL };
+  GString *out = g_string_new (NULL);
+
+  limpet_event_splitter_feed (&splitter, "id: 1\n\n", 7, out);
+  CU_ASSERT_EQUAL (splitter.id_steps, LIMPET_ID_STEPS_UNKNOWN);
+  limpet_event_splitter_feed (&splitter, ": wait\n\nid: 2\n\n", 15, out);
+  CU_ASSERT_EQUAL (splitter.id_steps, LIMPET_ID_STEPS_ONE);
+  limpet_event_splitter_feed (&splitter, "id: 4\n\nid: 5\n\n", 14, out);
+  CU_ASSERT_EQUAL (splitter.id_steps, LIMPET_ID_STEPS_OTHER);
+  limpet_event_splitter_clear (&splitter);
+  g_string_free (out, TRUE);
+}
+
 void
 add_http_tests (void)
 {
@@ -263,4 +320,6 @@
   CU_ADD_TEST (suite, test_corrupted_messages_are_handled_safely);
   CU_ADD_TEST (suite, test_hop_by_hop_fields_are_not_forwarded);
   CU_ADD_TEST (suite, test_only_complete_events_are_forwarded);
+  CU_ADD_TEST (suite, test_a_stream_continues_only_with_the_event_after_the_last_one);
+  CU_ADD_TEST (suite, test_steps_between_ids_are_recognised);
 }
