A refusal written again on a kept connection is not taken for the next call's

Callers saw (reported by operators of other systems): told 'not run, try again' for a call that the server was running, or a call that must not run twice ran at a second server as well.

Cause: a response without an id counts as the response to the call under way. On a kept connection it may be a copy of an earlier one. Ruled out: copies that name the earlier call (before, at once or in pieces; safe, unsafe, streams) were skipped before this change; a copy that arrives while no call is under way closes the connection; one call is never sent twice to a server, so a copy cannot have its id; connections through another router carry one call. Own interface by reading: a refusal counts only with the id of its attempt, which is drawn for each, or on a connection of its own.

Change: a response that does not name its call, on a connection that carried an earlier call, fails the attempt. Safe calls and streams go to another server, others get 502 (unknown whether run).

--- a/include/limpetroad/target_response.h
+++ b/include/limpetroad/target_response.h
@@ -14,6 +14,7 @@
 {
   int status;
   bool is_for_other_call; /**< the response belongs to another call and is skipped */
+  bool names_call;        /**< the response says to which call it belongs, if any can */
   bool is_from_target;    /**< the head proves that the target created the response */
   bool not_executed;      /**< the head proves that the target did not run the call */
   bool is_misdirected;    /**< the address now belongs to another target */
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -185,6 +185,12 @@
       upstream->reader.request_is_head = strcmp (task->head->method, "HEAD") == 0;
       return;
     }
+  if (upstream->call_count > 1 && !task->response.names_call)
+    {
+      /* It may be a copy of the response to an earlier call. */
+      fail (upstream, LIMPET_STATUS_BROKEN, "the response does not name its call");
+      return;
+    }
   limpet_relay_complete (task, reusable);
 }
 
@@ -543,6 +549,7 @@
 {
   upstream->task = task;
   upstream->request = request;
+  upstream->call_count++;
   upstream->skipped_response = false;
   upstream->skipped_count = 0;
   limpet_http_reader_next (&upstream->reader);
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -22,6 +22,7 @@
   uint32_t relay_address;
   uint32_t relay_failures; /* routers that failed to relay it so far */
   LimpetMs idle_since_ms;
+  uint32_t call_count;    /* calls sent on the connection */
   uint32_t skipped_count; /* interim responses and responses to other calls */
   int open_handles;       /* handles whose close callback has not run yet */
   bool is_connected;
