--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -28,6 +28,7 @@
 /* Entries of the VM list, or targets in a router state. */
 #define LIMPET_MAX_TARGETS 4096
 #define LIMPET_MAX_ROUTERS 1024
+#define LIMPET_MAX_SLOTS 65535 /* of a target */
 #define LIMPET_MAX_PEER_MESSAGE_BYTES (2 * 1024 * 1024)
 
 #define LIMPET_CONNECT_TIMEOUT_MS 400
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -14,6 +14,9 @@
 /* Entries that expire in an outage do so together. If no more than this part of all
  * entries is missing after an outage, the missing targets have left. */
 #define MASS_EXPIRY_RATIO 0.25
+/* A target writes about once a heartbeat, and a write arrives at most some seconds late.
+ */
+#define MAX_LATE_WRITES 100
 /* For this time after the removal of a target, its stale entries can still arrive. */
 #define TOMBSTONE_LIFE_MS 60000
 
@@ -54,6 +57,14 @@
   g_free (directory);
 }
 
+/* Returns whether sequence is that of a write that arrived late. One that is much lower
+ * is not: the higher one was written by somebody else than the target. */
+static bool
+is_late_write (const Entry *entry, int64_t sequence)
+{
+  return sequence < entry->sequence && entry->sequence - sequence <= MAX_LATE_WRITES;
+}
+
 /* Returns whether vm is older than the known entry. Within an incarnation, a missing
  * entry is replaced only by one with a higher sequence: an entry with the same sequence
  * was written before it went missing. */
@@ -62,7 +73,7 @@
 {
   if (vm->incarnation != entry->vm.incarnation)
     return vm->incarnation < entry->vm.incarnation;
-  return sequence < entry->sequence
+  return is_late_write (entry, sequence)
          || (sequence == entry->sequence && entry->remove_at_ms > 0);
 }
 
--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -30,7 +30,8 @@
     NULL },
   { "software_version", LIMPET_FIELD_NAME, offsetof (LimpetVm, software_version), false,
     0, 0, NULL },
-  { "slots", LIMPET_FIELD_INT, offsetof (LimpetVm, slots), false, 1, 65535, NULL },
+  { "slots", LIMPET_FIELD_INT, offsetof (LimpetVm, slots), false, 1, LIMPET_MAX_SLOTS,
+    NULL },
   { "leaving", LIMPET_FIELD_BOOL, offsetof (LimpetVm, leaving), false, 0, 0, NULL },
   { .key = NULL },
 };
