One odd entry of the VM list no longer stops routers from following it

Operators saw (reported by others, on their lists): after one odd entry the routers kept the list that they had: new engines were not used, leaving ones got chats.

Cause: the first invalid entry made the whole list invalid, and a value nested more than 24 deep made it unreadable.

Change: an invalid entry is skipped and logged; a value that is nested too deeply is read as null, which makes its entry invalid only.

Evidence: test_the_vm_list_is_followed_beside_an_odd_entry, 9 of 9 cases failed before (port, slots, incarnation, kind, unknown field, nesting, long name, text), 9 of 9 pass. Unit test of the depth limit.

--- a/include/limpetroad/vm_list.h
+++ b/include/limpetroad/vm_list.h
@@ -62,8 +62,8 @@
   /** Fetches the list; blocks for at most LIMPET_CONTROL_TIMEOUT_MS. On LIMPET_STATUS_OK
    *  the caller frees \p list with limpet_vm_list_clear(); with any other status it is
    *  empty. Returns LIMPET_STATUS_UNCHANGED if the list has not changed since the last
-   *  successful fetch, and sets \p error on failure. A single invalid entry makes the
-   *  whole fetch fail. */
+   *  successful fetch, and sets \p error on failure. An invalid entry is skipped and
+   *  logged. */
   LimpetStatus (*fetch) (LimpetVmListClient *client,
                          LimpetVmList *list,
                          LimpetError *error);
--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -1,5 +1,6 @@
 #include "limpetroad/vm_list.h"
 
+#include "limpetroad/logger.h"
 #include "private/http_client.h"
 #include "private/schema.h"
 
@@ -74,24 +75,28 @@
 read_list (json_object *root, LimpetVmList *list, LimpetError *error)
 {
   json_object *array = json_object_object_get (root, "vms");
-  LimpetStatus status = LIMPET_STATUS_OK;
 
   if (!json_object_is_type (array, json_type_array)
       || json_object_array_length (array) > LIMPET_MAX_TARGETS)
     return limpet_error_set (error, LIMPET_STATUS_INVALID, "vm_list", NULL,
                              "vms: must be an array of at most %d entries",
                              LIMPET_MAX_TARGETS);
-  list->count = json_object_array_length (array);
-  list->vms = g_new0 (LimpetVm, list->count);
-  for (uint32_t i = 0; i < list->count && status == LIMPET_STATUS_OK; i++)
+  list->vms = g_new0 (LimpetVm, json_object_array_length (array));
+  for (size_t i = 0; i < json_object_array_length (array); i++)
     {
+      LimpetVm *vm = &list->vms[list->count];
       char path[32];
 
-      g_snprintf (path, sizeof path, "vms[%u]", i);
-      list->vms[i].slots = 1;
-      status = read_vm (json_object_array_get_idx (array, i), &list->vms[i], path, error);
+      g_snprintf (path, sizeof path, "vms[%zu]", i);
+      *vm = (LimpetVm){ .slots = 1 };
+      if (read_vm (json_object_array_get_idx (array, i), vm, path, error)
+          == LIMPET_STATUS_OK)
+        list->count++;
+      else
+        limpet_log (LIMPET_LOG_WARNING, "vm_list", NULL, "entry ignored: %s",
+                    error->message);
     }
-  return status;
+  return LIMPET_STATUS_OK;
 }
 
 static LimpetStatus
@@ -109,6 +114,8 @@
   };
   LimpetHttpResponse response;
   json_object *root = NULL;
+  char *text = NULL;
+  size_t length;
   LimpetStatus status;
 
   *list = (LimpetVmList){ .count = 0 };
@@ -127,7 +134,9 @@
                                  "the VM list returned HTTP status %ld", response.code);
       goto out;
     }
-  root = limpet_schema_parse (response.body->str, response.body->len, self->url, error);
+  length = response.body->len;
+  text = limpet_schema_limit_depth (response.body->str, &length);
+  root = limpet_schema_parse (text, length, self->url, error);
   status = root != NULL ? read_list (root, list, error) : LIMPET_STATUS_INVALID;
   if (status == LIMPET_STATUS_OK)
     g_strlcpy (self->etag, response.etag, sizeof self->etag);
@@ -136,6 +145,7 @@
   if (status != LIMPET_STATUS_OK)
     limpet_vm_list_clear (list);
   json_object_put (root);
+  g_free (text);
   g_free (if_none_match);
   g_free (url);
   return status;
--- a/src/liblimpetroad/private/schema.h
+++ b/src/liblimpetroad/private/schema.h
@@ -34,6 +34,10 @@
   const LimpetField *fields; /* of LIMPET_FIELD_OBJECT; the last entry has a NULL key */
 };
 
+/* Returns a copy of a JSON text in which each array or object that is nested too deeply
+ * for limpet_schema_parse() is replaced by null. Sets length to that of the copy, which
+ * the caller frees with g_free(). */
+char *limpet_schema_limit_depth (const char *text, size_t *length);
 /* Parses JSON, which may contain comments. The caller releases the object with
  * json_object_put(). On failure, returns NULL and sets error to a message with file and
  * line number. */
--- a/src/liblimpetroad/shared/schema.c
+++ b/src/liblimpetroad/shared/schema.c
@@ -6,6 +6,9 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* json-c counts a value in the innermost array or object as one more level. */
+#define MAX_CONTAINER_DEPTH (LIMPET_MAX_JSON_DEPTH - 1)
+
 /* Returns the Levenshtein distance. Only the first LIMPET_NAME_SIZE characters count. */
 static size_t
 edit_distance (const char *a, const char *b)
@@ -208,6 +211,38 @@
   return line;
 }
 
+char *
+limpet_schema_limit_depth (const char *text, size_t *length)
+{
+  GString *out = g_string_sized_new (*length);
+  int depth = 0;
+  bool in_string = false;
+
+  for (size_t i = 0; i < *length; i++)
+    {
+      char c = text[i];
+      bool opens = !in_string && (c == '[' || c == '{');
+      bool closes = !in_string && (c == ']' || c == '}');
+      bool was_too_deep = depth > MAX_CONTAINER_DEPTH;
+
+      depth += opens - closes;
+      if (c == '"')
+        in_string = !in_string;
+      if (opens && depth == MAX_CONTAINER_DEPTH + 1)
+        g_string_append (out, "null");
+      else if (!was_too_deep)
+        g_string_append_c (out, c);
+      if (in_string && c == '\\' && i + 1 < *length)
+        {
+          i++;
+          if (!was_too_deep)
+            g_string_append_c (out, text[i]);
+        }
+    }
+  *length = out->len;
+  return g_string_free (out, FALSE);
+}
+
 json_object *
 limpet_schema_parse (const char *text,
                      size_t length,
--- a/src/test_liblimpetroad/settings_tests.c
+++ b/src/test_liblimpetroad/settings_tests.c
@@ -1,6 +1,7 @@
 #include "tests.h"
 
 #include "limpetroad/settings.h"
+#include "private/schema.h"
 
 #include <glib.h>
 #include <glib/gstdio.h>
@@ -87,10 +88,44 @@
     }
 }
 
+static void
+test_values_that_are_nested_too_deeply_become_null (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *expected;
+  } rows[] = {
+    { "[1,{\"a\":[\"]\"]}]", "[1,{\"a\":[\"]\"]}]" },
+    { "[\"[[[\\\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[\"]",
+      "[\"[[[\\\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[\"]" },
+    { "[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]",
+      "[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]" },
+    { "[[[[[[[[[[[[[[[[[[[[[[[[1,{\"]\":2}],3]]]]]]]]]]]]]]]]]]]]]]]",
+      "[[[[[[[[[[[[[[[[[[[[[[[null,3]]]]]]]]]]]]]]]]]]]]]]]" },
+    { "", "" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      size_t length = strlen (rows[i].text);
+      char *text = limpet_schema_limit_depth (rows[i].text, &length);
+      json_object *object = limpet_schema_parse (text, length, "test", NULL);
+
+      CU_ASSERT_STRING_EQUAL (text, rows[i].expected);
+      CU_ASSERT_EQUAL (length, strlen (rows[i].expected));
+      CU_ASSERT_EQUAL (object != NULL, length > 0);
+      if (object != NULL)
+        json_object_put (object);
+      g_free (text);
+    }
+}
+
 void
 add_settings_tests (void)
 {
   CU_pSuite suite = CU_add_suite ("settings", NULL, NULL);
 
   CU_add_test (suite, "valid and invalid files", test_valid_and_invalid_files);
+  CU_ADD_TEST (suite, test_values_that_are_nested_too_deeply_become_null);
 }
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -304,8 +304,9 @@
             vm["software_version"] = entry["software_version"]
         return vm
 
-    def publish_vms(self):
-        vms = [self.vm("engine", e, MODEL) for e in self.engines]
+    def publish_vms(self, odd=()):
+        """odd: entries that come first in the list."""
+        vms = list(odd) + [self.vm("engine", e, MODEL) for e in self.engines]
         vms += [self.vm("service", s, "booking") for s in self.services]
         vms += [self.vm("router", r, "limpetroad") for r in self.routers]
         request(self.vms_port, "POST", "/vms", {"vms": vms})
--- a/test/test_chats.py
+++ b/test/test_chats.py
@@ -207,6 +207,25 @@
         assert check_responses(run_chats(fleet, 8)) == 8
 
 
+NESTED = [7]
+for _ in range(24):
+    NESTED = [NESTED]
+
+
+@table([("port_out_of_range", {"port": 70000}), ("slots_too_large", {"slots": 2 ** 63}),
+        ("incarnation_too_large", {"incarnation": 1e300}), ("negative", {"incarnation": -1}),
+        ("no_kind", {"kind": "other"}), ("unknown_field", {"extra": 1}), ("nested", {"zone": NESTED}),
+        ("long_name", {"zone": "x" * 5000}), ("text", {"port": "80"})])
+def test_the_vm_list_is_followed_beside_an_odd_entry(fields):
+    with chat_fleet(engines=2, proxied=[]) as fleet:
+        odd = dict(fleet.vm("engine", fleet.engines[0], f.MODEL), id="odd", **fields)
+        fleet.engines[0]["leaving"] = True
+        fleet.publish_vms(odd=[odd])
+        f.wait_for(lambda: any(t["leaving"] for t in fleet.dump(fleet.routers[0])["targets"]["list"]),
+                   "the leaving mark")
+        assert check_responses(run_chats(fleet, 4)) == 4
+
+
 def test_a_rolling_restart_of_every_router_interrupts_no_chat():
     with chat_fleet(routers=3, proxied=[]) as fleet:
         stop, results = [], []
