--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -160,6 +160,18 @@
     "1\",\"ready\":\"10.0.0.1:2\"},\"platform\":{\"address\":\"10.0.0.2:3\"},\"more\":[]"
     "}",
     NULL },
+  { "{\"node\":\"n\",\"zone\":\"z\",\"ip\":\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0.1:"
+    "1\",\"ready\":\"10.0.0.1:2\"},\"platform\":{\"address\":\"10.0.0.2:3\"},\"bounds\":{"
+    "\"drain_ms\":1e300}}",
+    "drain_ms" },
+  { "{\"node\":\"n\",\"zone\":\"z\",\"ip\":\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0.1:"
+    "1\",\"ready\":\"10.0.0.1:2\"},\"platform\":{\"address\":\"10.0.0.2:3\"},\"bounds\":{"
+    "\"retry_slack\":-1}}",
+    "retry_slack" },
+  { "{\"node\":\"n\",\"zone\":\"z\",\"ip\":\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0.1:"
+    "1\",\"ready\":\"10.0.0.1:2\"},\"platform\":{\"address\":\"10.0.0.2:3\"},"
+    "\"port_range\":[7340,73400]}",
+    "port_range" },
   { "{\"zone\":\"z\"}", "node" },
   { "{\"node\":\"n\",\"zone\":\"z\",\"ip\":\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0."
     "1\""
@@ -228,6 +240,71 @@
   limpet_call_clear (&call);
 }
 
+static void
+test_numbers_in_request_headers_are_limited (void)
+{
+  LimpetHttpHead head = {
+    .method = "POST",
+    .target = "/x/1",
+    .fields = { { "Host", "a.example" },
+                { "Deadline-Ms", "99999999999999999999" },
+                { "Prompt-Prefix", "1:9223372036854775807,2:9223372036854775807,3:-5" },
+                { "Token-Usage", "9223372036854775807,-9223372036854775808" } },
+    .fields_count = 4,
+  };
+  LimpetCallerCodec *codec = platform_caller_codec ();
+  LimpetCall call = { .route = NULL };
+  LimpetError error;
+
+  CU_ASSERT_EQUAL (codec->ops->read_call (codec, &head, &call, &error), LIMPET_STATUS_OK);
+  CU_ASSERT_EQUAL (call.caller_timeout_ms, INT64_MAX);
+  CU_ASSERT_EQUAL (call.prompt_parts[0].tokens, 1 << 30);
+  CU_ASSERT_EQUAL (call.prompt_parts[2].tokens, 0);
+  CU_ASSERT_EQUAL (limpet_call_shared_tokens (&call), INT64_C (2) << 30);
+  CU_ASSERT_EQUAL (call.prompt_tokens, 1 << 30);
+  CU_ASSERT_EQUAL (call.max_output_tokens, 0);
+  limpet_call_clear (&call);
+}
+
+static void
+test_a_load_with_numbers_out_of_range_is_no_load (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool has_load;
+  } rows[] = {
+    { "3,0,8", true },
+    { "3,1,8,100", true },
+    { "1000000,0,8", true },
+    { "1000001,0,8", false },
+    { "99999999999999999999,0,8", false },
+    { "-1,0,8", false },
+    { "3,0", false },
+    { "3,,8", false },
+    { "3,0,8x", false },
+    { "", false },
+  };
+  LimpetTargetCodec *codec = platform_target_codec ();
+  LimpetTarget target = { .vm = { .id = "i-1" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      LimpetHttpHead head = {
+        .status = 200,
+        .fields = { { "Server-Load", (char *)rows[i].text },
+                    { "Keep-Alive", "timeout=99999999999999999999" } },
+        .fields_count = 2,
+      };
+      LimpetCall call = { .route = NULL };
+      LimpetTargetResponse response = { .status = 200 };
+
+      codec->ops->read_response (codec, &head, &call, &target, &response);
+      CU_ASSERT_EQUAL (response.has_load, rows[i].has_load);
+      CU_ASSERT_EQUAL (response.keep_alive_ms, 3600 * 1000);
+    }
+}
+
 /* The router does not forward the client's API key and control headers to a target, and
  * writes its own control headers instead. */
 static void
@@ -502,6 +579,8 @@
   CU_ADD_TEST (suite, test_malformed_server_entries_are_rejected);
   CU_ADD_TEST (suite, test_settings_errors_name_the_field_and_the_file);
   CU_ADD_TEST (suite, test_request_headers_are_decoded);
+  CU_ADD_TEST (suite, test_numbers_in_request_headers_are_limited);
+  CU_ADD_TEST (suite, test_a_load_with_numbers_out_of_range_is_no_load);
   CU_ADD_TEST (suite, test_router_headers_replace_those_of_the_client);
   CU_ADD_TEST (suite, test_records_received_during_a_read_are_applied_once);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
