A sound request is not quarantined because its servers leave

Callers would get 503 for a sound request for minutes.

Cause: a request without a response (timed out, or its connection broke) counts as the cause of a crash when its server vanishes from the registry. Not load: load only made the last requests time out late enough. With the latest code before this a changed entry counted, too.

Change: a target that vanished is probed; only one that cannot be reached has crashed, as for broken connections. A start under the same id without notice counts as before.

--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -213,10 +213,12 @@
       LimpetTarget *target = old->targets[i];
       const LimpetTarget *successor = find_by_id (view, target->vm.id);
 
-      if (successor != target && !atomic_load (&target->leaving))
-        atomic_store (&target->has_vanished, true);
+      if (successor != NULL && successor->vm.incarnation != target->vm.incarnation
+          && !atomic_load (&target->leaving))
+        atomic_store (&target->has_restarted, true);
       if (successor == NULL)
         {
+          atomic_store (&target->has_vanished, true);
           record_departure (targets, target->vm.id, now_ms);
           limpet_target_mark_leaving (target, "the VM list");
         }
--- a/src/liblimpetroad/exchange/pending_crashes.c
+++ b/src/liblimpetroad/exchange/pending_crashes.c
@@ -17,6 +17,7 @@
   LimpetFingerprints fingerprints;
   LimpetMs sent_ms;
   LimpetMs ended_ms; /* when the attempt ended */
+  bool is_probed;    /* after its target vanished from the registry */
 } PendingCrash;
 
 static void
@@ -86,17 +87,23 @@
   const LimpetTarget *target = pending->target;
   LimpetMs unreachable_ms = atomic_load (&target->unreachable_ms);
 
-  return atomic_load (&target->has_vanished)
+  return atomic_load (&target->has_restarted)
          || (unreachable_ms >= pending->sent_ms
              && exchange->responded_ms >= unreachable_ms);
 }
 
 /* Returns whether the entry can be dropped. */
 static bool
-check (LimpetExchange *exchange, const PendingCrash *pending, LimpetMs now_ms)
+check (LimpetExchange *exchange, PendingCrash *pending, LimpetMs now_ms)
 {
   LimpetMs ended_ago_ms = now_ms - pending->ended_ms;
 
+  if (atomic_load (&pending->target->has_vanished) && !pending->is_probed)
+    {
+      /* A target that leaves in order still accepts connections for some seconds. */
+      pending->is_probed = true;
+      limpet_upstream_probe (exchange, pending->target);
+    }
   if (has_crashed (exchange, pending))
     {
       limpet_quarantine_record_crash (exchange->quarantine, &pending->fingerprints,
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -251,3 +251,25 @@
         for index in range(3):
             check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
             check(fleet.platform.metric("limpet_quarantined_total", index) == 0, index)
+
+
+@table([("declared", True), ("undeclared", False)])
+def test_a_request_that_timed_out_at_servers_that_then_leave_is_not_quarantined(is_declared):
+    """Routers may read that a server leaves together with its removal, or only the latter."""
+    with RequestsFleet(SHORT) as fleet:
+        def on_request(server, message, connection):
+            time.sleep(0.6)
+            server.reply(connection, message)
+            return True
+
+        for server in fleet.platform.servers:
+            server.on_request = on_request
+        for number in range(9):
+            fleet.request("slow", number % 3)
+        for server in fleet.platform.servers[1:]:
+            if is_declared:
+                server.write("draining")
+            server.remove()
+        time.sleep(2)
+        for index in range(3):
+            check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
