--- a/test/test_chats.py
+++ b/test/test_chats.py
@@ -120,6 +120,63 @@
         assert running["e02"] > 0
 
 
+# Returns events of a chat: the tokens tag.first to tag.last, as engines write them.
+def token_events(tag, first, last):
+    return b"".join(
+        b'id: %d\ndata: {"choices":[{"index":0,"delta":{"content":"%s.%d "}}]}\n\n'
+        % (n, tag.encode(), n) for n in range(first, last + 1))
+
+
+MAX_RESUMES = 6  # of a chat, by the router
+DONE = b"id: 30\ndata: [DONE]\n\n"
+
+
+# Each row: the type and body of a response with status 200 to a request that resumes a chat after
+# its token 9, and whether it continues the chat.
+@table([("sound", "text/event-stream", token_events("tag", 10, 29) + DONE, True),
+        ("json", "application/json", b'{"error":"bad"}', False),
+        ("empty", "text/event-stream", b"", False),
+        ("event_without_id", "text/event-stream", b"event: error\ndata: error\n\n", False),
+        ("token_left_out", "text/event-stream", token_events("tag", 11, 29) + DONE, False),
+        ("end_too_early", "text/event-stream", b"id: 9\ndata: [DONE]\n\n", False)])
+def test_a_response_that_is_no_continuation_does_not_reach_the_caller(type, body, is_sound):
+    resumed = []
+
+    def respond(connection):
+        message = Message(connection.makefile("rb"))
+        head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: %s\r\n" \
+            "Transfer-Encoding: chunked\r\n\r\n"
+        attempt_id = message.fields.get("x-attempt-id", "")
+        if "last-event-id" not in message.fields:
+            connection.sendall((head % (attempt_id, "text/event-stream")).encode()
+                               + chunk(token_events("tag", 0, 9)))
+            time.sleep(0.1)
+            return
+        resumed.append(message.fields["last-event-id"])
+        connection.sendall((head % (attempt_id, type)).encode() + (chunk(body) if body else b"")
+                           + b"0\r\n\r\n")
+
+    with f.Fleet(routers=1, engines=0, services=0,
+                 fleet={"default_deadline_ms": 2000}) as fleet:
+        for index in range(3):
+            fleet.engines.append({"id": "e%02d" % index, "port": Listener(respond).port,
+                                  "slots": 32, "leaving": False, "incarnation": 1})
+        fleet.publish_vms()
+        fleet.start()
+        router = fleet.routers[0]
+        f.wait_for(lambda: router["process"].log_text().count("joined") == 3, "the targets", 5)
+        response = f.chat(router["port"], fleet.key("team-0"), "tag", 30)
+        assert resumed == ["9"] * (1 if is_sound else MAX_RESUMES), resumed
+        if is_sound:
+            assert response.is_complete("tag", 30), response.tokens
+        else:
+            assert response.error["type"] == "cut", response.error
+            tokens, router_error, rest = response.error["partial"].encode().partition(
+                b'event: error\ndata: {"error":{"type":"')
+            assert tokens == token_events("tag", 0, 9) and router_error, response.error
+            assert rest.count(b"\n") == 2 and b'"request_id"' in rest, response.error
+
+
 def test_a_response_cut_off_on_the_way_to_the_caller_is_not_complete():
     with chat_fleet() as fleet:
         fleet.proxy("callers-r00", cut_after=1500)
