--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -78,8 +78,7 @@
   _Atomic int32_t failures;        /**< consecutive failed exchanges */
   _Atomic LimpetMs unreachable_ms; /**< last failed connect; 0 if there was none */
   _Atomic LimpetMs responded_ms;   /**< last response; 0 if there was none */
-  /** The registry removed the target; it may have crashed, or left with or without
-   * notice. */
+  /** The registry removed the target, which had not been announced as leaving. */
   _Atomic bool has_vanished;
   /** The target has started again without having been announced as leaving. */
   _Atomic bool has_restarted;
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -213,12 +213,13 @@
       LimpetTarget *target = old->targets[i];
       const LimpetTarget *successor = find_by_id (view, target->vm.id);
 
-      if (successor != NULL && successor->vm.incarnation != target->vm.incarnation
-          && !atomic_load (&target->leaving))
+      if (!atomic_load (&target->leaving) && successor == NULL)
+        atomic_store (&target->has_vanished, true);
+      else if (!atomic_load (&target->leaving)
+               && successor->vm.incarnation != target->vm.incarnation)
         atomic_store (&target->has_restarted, true);
       if (successor == NULL)
         {
-          atomic_store (&target->has_vanished, true);
           record_departure (targets, target->vm.id, now_ms);
           limpet_target_mark_leaving (target, "the VM list");
         }
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -253,12 +253,14 @@
             check(fleet.platform.metric("limpet_quarantined_total", index) == 0, index)
 
 
-@table([("declared", True), ("undeclared", False)])
-def test_a_request_that_timed_out_at_servers_that_then_leave_is_not_quarantined(is_declared):
+@table([("declared", True, False), ("declared_and_gone_later", True, True),
+        ("undeclared", False, False)])
+def test_a_request_that_timed_out_at_servers_that_then_leave_is_not_quarantined(is_declared, is_gone):
     """Routers may read that a server leaves together with its removal, or only the latter."""
     with RequestsFleet(SHORT) as fleet:
         def on_request(server, message, connection):
-            time.sleep(0.6)
+            if message.body == b"slow":
+                time.sleep(0.6)
             server.reply(connection, message)
             return True
 
@@ -269,7 +271,15 @@
         for server in fleet.platform.servers[1:]:
             if is_declared:
                 server.write("draining")
-            server.remove()
+            if not is_gone:
+                server.remove()
         time.sleep(2)
+        if is_gone:
+            for server in fleet.platform.servers[1:]:
+                server.remove()
+                server.close()
+            for number in range(60):  # responses of other servers confirm a crash
+                fleet.request("1", number % 3)
+                time.sleep(0.03)
         for index in range(3):
             check(fleet.platform.metric("limpetroad_quarantined_requests ", index) == 0, index)
