--- a/include/limpetroad/target_response.h
+++ b/include/limpetroad/target_response.h
@@ -14,17 +14,17 @@
 {
   int status;
   bool is_for_other_call; /**< the response belongs to another call and is skipped */
-  bool names_call;        /**< the response says to which call it belongs, if any can */
-  bool is_from_target;    /**< the head proves that the target created the response */
-  bool not_executed;      /**< the head proves that the target did not run the call */
-  bool is_misdirected;    /**< the address now belongs to another target */
-  bool is_leaving;        /**< the target takes no new requests from now on */
-  bool is_encoded;        /**< the body has a content encoding, e.g. gzip */
-  bool has_load;          /**< running, waiting and slots are set */
-  int32_t running;        /**< requests that the target is running */
-  int32_t waiting;        /**< requests in the target's queue */
-  int32_t slots;          /**< requests that the target can run at once */
-  bool has_rate_limit;    /**< rate_limit_per_s is set */
+  bool names_call;     /**< the response has the id of its call, or the call has none */
+  bool is_from_target; /**< the head proves that the target created the response */
+  bool not_executed;   /**< the head proves that the target did not run the call */
+  bool is_misdirected; /**< the address now belongs to another target */
+  bool is_leaving;     /**< the target takes no new requests from now on */
+  bool is_encoded;     /**< the body has a content encoding, e.g. gzip */
+  bool has_load;       /**< running, waiting and slots are set */
+  int32_t running;     /**< requests that the target is running */
+  int32_t waiting;     /**< requests in the target's queue */
+  int32_t slots;       /**< requests that the target can run at once */
+  bool has_rate_limit; /**< rate_limit_per_s is set */
   /** Requests per second that the target takes from all routers together. */
   double rate_limit_per_s;
   bool is_brittle; /**< max_refusals_per_s is set */
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -14,8 +14,7 @@
 /* Entries that expire in an outage do so together. If no more than this part of all
  * entries is missing after an outage, the missing targets have left. */
 #define MASS_EXPIRY_RATIO 0.25
-/* A target writes about once a heartbeat, and a write arrives at most some seconds late.
- */
+/* A write arrives at most some seconds late, and a target writes once a heartbeat. */
 #define MAX_LATE_WRITES 100
 /* For this time after the removal of a target, its stale entries can still arrive. */
 #define TOMBSTONE_LIFE_MS 60000
