--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -99,7 +99,8 @@
             calls = [lambda r=r, k=key: f.order(r["port"], fleet.key("team-0"), k)
                      for r in fleet.routers for _ in range(2)]
             responses = run_together(calls)
-            assert sum(a.outcome == "done" and "X-Repeat" not in a.headers for a in responses) == 1
+            assert sum(a.outcome == "done" and "X-Repeat" not in a.headers for a in responses) == 1, \
+                [(a.status, a.outcome, a.headers) for a in responses]
             results += [(key, a) for a in responses]
         check_outcomes(fleet, results)
         assert len(fleet.runs()) == 15
