Tests: one server of late replies for both tests of sound requests that time out

Read once more: the same on_request stood in two tests of test_crashing_requests. Assertions and times are as before.

--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -198,19 +198,20 @@
         fleet.check_kept_away()
 
 
+def reply_late_to_slow_requests(server, message, connection):
+    """Replies to the body "slow" only after the time-out of the route (400 ms)."""
+    if message.body == b"slow":
+        time.sleep(0.6)
+    server.reply(connection, message)
+    return True
+
+
 def test_a_request_that_times_out_at_sound_servers_is_not_quarantined():
     """Every server answers other requests, and leaves in order in the end."""
     with RequestsFleet(SHORT) as fleet:
         sent = 0
-
-        def on_request(server, message, connection):
-            if message.body == b"slow":
-                time.sleep(0.6)
-            server.reply(connection, message)
-            return True
-
         for server in fleet.platform.servers:
-            server.on_request = on_request
+            server.on_request = reply_late_to_slow_requests
         for number in range(12):
             fleet.request("slow", number % 3)
             for mark in ("1", "2", "3", "4"):
@@ -258,14 +259,8 @@
 def test_a_request_that_timed_out_at_servers_that_then_leave_is_not_quarantined(is_declared, is_gone):
     """Routers may read that a server leaves together with its removal, or only the latter."""
     with RequestsFleet(SHORT) as fleet:
-        def on_request(server, message, connection):
-            if message.body == b"slow":
-                time.sleep(0.6)
-            server.reply(connection, message)
-            return True
-
         for server in fleet.platform.servers:
-            server.on_request = on_request
+            server.on_request = reply_late_to_slow_requests
         for number in range(9):
             fleet.request("slow", number % 3)
         for server in fleet.platform.servers[1:]:
