CivetWeb ports: a path has its handler before the first request

Connections wait in the backlog meanwhile, so a request comes with the first accept, and what comes before the handlers gets CivetWeb's own 404. limpetroadd did the same on both of its ports: a caller that reconnects to a router that starts got 404, the answer for an unknown model, and gave up. Ruled out: two processes on one port (the ports of one run are given out under a lock, and a second listen fails); the log's own 404 (limpetctl's path always matches). Change: the handlers are added in init_context, which CivetWeb calls before it handles requests. Also in limpetfake and limpetproxy.

--- a/src/liblimpetroad/threaded_router/router.c
+++ b/src/liblimpetroad/threaded_router/router.c
@@ -205,14 +205,42 @@
   return usable;
 }
 
+/* Both run before CivetWeb handles requests: a path without a handler gets 404. */
+static void
+add_operator_handlers (const struct mg_context *context)
+{
+  struct mg_context *server = (struct mg_context *)context;
+  LimpetRouter *router = mg_get_user_data (context);
+
+  mg_set_request_handler (server, "/metrics$", handle_metrics, router);
+  mg_set_request_handler (server, "/dump$", handle_dump, router);
+  mg_set_request_handler (server, "/healthz$", handle_health, router);
+  mg_set_request_handler (server, "/readyz$", handle_ready, router);
+}
+
+static void
+add_caller_handlers (const struct mg_context *context)
+{
+  struct mg_context *server = (struct mg_context *)context;
+  LimpetRouter *router = mg_get_user_data (context);
+
+  mg_set_request_handler (server, "/v1/chat/completions$", handle_chat, router);
+  mg_set_request_handler (server, "/v1/services/", handle_service, router);
+  mg_set_request_handler (server, "/v1/models$", handle_models, router);
+  mg_set_request_handler (server, "/healthz$", handle_health, router);
+  mg_set_request_handler (server, "/readyz$", handle_ready, router);
+}
+
 static struct mg_context *
 open_port (LimpetRouter *router,
            const LimpetListener *listener,
            const char *threads,
            const char *step,
+           void (*add_handlers) (const struct mg_context *context),
            LimpetError *error)
 {
-  static const struct mg_callbacks callbacks = { .log_message = on_log_message };
+  const struct mg_callbacks callbacks
+      = { .log_message = on_log_message, .init_context = add_handlers };
   bool tls = listener->tls_certificate_file != NULL;
   char port[LIMPET_NAME_SIZE + 16];
   const char *options[] = {
@@ -262,25 +290,14 @@
   char workers[16];
 
   g_snprintf (workers, sizeof workers, "%d", (int)router->settings->workers);
-  router->operator_server = open_port (router, &router->settings->operators,
-                                       OPERATOR_THREADS, "operators", error);
+  router->operator_server
+      = open_port (router, &router->settings->operators, OPERATOR_THREADS, "operators",
+                   add_operator_handlers, error);
   if (router->operator_server == NULL)
     return LIMPET_STATUS_INTERNAL;
-  mg_set_request_handler (router->operator_server, "/metrics$", handle_metrics, router);
-  mg_set_request_handler (router->operator_server, "/dump$", handle_dump, router);
-  mg_set_request_handler (router->operator_server, "/healthz$", handle_health, router);
-  mg_set_request_handler (router->operator_server, "/readyz$", handle_ready, router);
-  router->caller_server
-      = open_port (router, &router->settings->callers, workers, "callers", error);
-  if (router->caller_server == NULL)
-    return LIMPET_STATUS_INTERNAL;
-  mg_set_request_handler (router->caller_server, "/v1/chat/completions$", handle_chat,
-                          router);
-  mg_set_request_handler (router->caller_server, "/v1/services/", handle_service, router);
-  mg_set_request_handler (router->caller_server, "/v1/models$", handle_models, router);
-  mg_set_request_handler (router->caller_server, "/healthz$", handle_health, router);
-  mg_set_request_handler (router->caller_server, "/readyz$", handle_ready, router);
-  return LIMPET_STATUS_OK;
+  router->caller_server = open_port (router, &router->settings->callers, workers,
+                                     "callers", add_caller_handlers, error);
+  return router->caller_server != NULL ? LIMPET_STATUS_OK : LIMPET_STATUS_INTERNAL;
 }
 
 static void
--- a/src/limpetfake/main.c
+++ b/src/limpetfake/main.c
@@ -90,9 +90,25 @@
   return NULL;
 }
 
+typedef struct
+{
+  const Role *role;
+  const FakeOptions *options;
+} Fake;
+
+static void
+start_role (const struct mg_context *context)
+{
+  const Fake *fake = mg_get_user_data (context);
+
+  fake->role->start ((struct mg_context *)context, fake->options);
+}
+
 static int
 run (const Role *role, const FakeOptions *options)
 {
+  const struct mg_callbacks callbacks = { .init_context = start_role };
+  Fake fake = { .role = role, .options = options };
   char port[80];
   char threads[16];
   const char *server_options[] = {
@@ -126,13 +142,12 @@
   g_snprintf (port, sizeof port, "%s:%d", options->address, options->port);
   g_snprintf (threads, sizeof threads, "%d", options->threads);
   mg_init_library (0);
-  server = mg_start (NULL, NULL, server_options);
+  server = mg_start (&callbacks, &fake, server_options);
   if (server == NULL)
     {
       fprintf (stderr, "limpetfake: cannot listen on %s\n", port);
       return EXIT_FAILURE;
     }
-  role->start (server, options);
   sigwait (&signals, &number);
   _Exit (EXIT_SUCCESS);
 }
--- a/src/limpetproxy/main.c
+++ b/src/limpetproxy/main.c
@@ -86,6 +86,12 @@
   return 200;
 }
 
+static void
+add_handlers (const struct mg_context *context)
+{
+  mg_set_request_handler ((struct mg_context *)context, "/fault$", handle_fault, NULL);
+}
+
 static bool
 add_link (const char *text)
 {
@@ -111,6 +117,7 @@
 {
   char port[80];
   const char *options[] = { "listening_ports", port, "num_threads", "4", NULL };
+  const struct mg_callbacks callbacks = { .init_context = add_handlers };
   struct mg_context *server;
   sigset_t signals;
   int number = 0;
@@ -134,10 +141,9 @@
       }
   g_snprintf (port, sizeof port, "127.0.0.1:%s", argv[1]);
   mg_init_library (0);
-  server = mg_start (NULL, NULL, options);
+  server = mg_start (&callbacks, NULL, options);
   if (server == NULL)
     return EXIT_FAILURE;
-  mg_set_request_handler (server, "/fault$", handle_fault, NULL);
   sigwait (&signals, &number);
   _Exit (EXIT_SUCCESS);
 }
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -89,10 +89,11 @@
 class Process:
     """A child process whose output is appended to a log file."""
 
-    def __init__(self, arguments, log_path):
+    def __init__(self, arguments, log_path, environment=()):
         self.log_path = log_path
         self.log = open(log_path, "ab")
-        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log)
+        self.popen = subprocess.Popen(arguments, stdout=self.log, stderr=self.log,
+                                      env=dict(os.environ, **dict(environment)))
 
     def signal(self, number):
         self.popen.send_signal(number)
@@ -142,6 +143,7 @@
                  software_versions=()):
         self.directory = tempfile.mkdtemp(prefix="limpet-")
         self.processes = []
+        self.environment = {}  # variables added for the processes started from now on
         self.proxied = set(proxied)
         self.proxy_port = None
         self.extra_settings = extra_settings or {}
@@ -204,7 +206,8 @@
         assert status == 200, "limpetproxy rejected the fault for link " + link
 
     def spawn(self, name, arguments):
-        process = Process([str(a) for a in arguments], os.path.join(self.directory, name + ".log"))
+        process = Process([str(a) for a in arguments], os.path.join(self.directory, name + ".log"),
+                          self.environment)
         self.processes.append(process)
         return process
 
