Quarantine: a part keeps one crash of each quarantined request in any order of the records

But a crash received later was refused if any quarantined request accounts for it. A router that starts and reads the request's record before the part's, as they are written, takes too few of the part's crashes and does not quarantine it: in the traced run 2 of the 3 that the store held, then 12 requests with the part reached servers. If all of the part's crashes are kept ones, none of the routers that start know the part. Change: a part takes one crash of each quarantined request, no more, also when it is received. Requests are treated as before.

--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -158,7 +158,30 @@
          + suspect->release_delay_ms;
 }
 
-/* Returns whether another, quarantined suspect accounts for the crash of the target. */
+/* Returns how many crashes of the suspect another one accounts for. */
+static uint32_t
+common_crashes (const Suspect *suspect, const Suspect *other)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < suspect->record.crash_count; i++)
+    count += limpet_suspect_has_crash_of (&other->record,
+                                          suspect->record.crashes[i].target_hash);
+  return count;
+}
+
+/* Returns whether the suspect can take one more of the crashes that a quarantined one
+ * accounts for. */
+static bool
+keeps_crash_of (const Suspect *suspect, const Suspect *quarantined)
+{
+  return limpet_suspect_is_request (&quarantined->record)
+         && !limpet_suspect_is_request (&suspect->record)
+         && common_crashes (suspect, quarantined) < KEPT_PART_CRASHES;
+}
+
+/* Returns whether another, quarantined suspect accounts for the crash of the target, so
+ * that the suspect does not take it. */
 static bool
 is_explained (LimpetQuarantine *quarantine, const Suspect *suspect, uint32_t target_hash)
 {
@@ -173,7 +196,8 @@
       const Suspect *other = value;
 
       if (other != suspect && other->record.is_quarantined
-          && limpet_suspect_has_crash_of (&other->record, target_hash))
+          && limpet_suspect_has_crash_of (&other->record, target_hash)
+          && !keeps_crash_of (suspect, other))
         return true;
     }
   return false;
@@ -449,15 +473,13 @@
 static uint32_t
 kept_crashes (const Suspect *quarantined, const Suspect *other)
 {
-  uint32_t unexplained = 0;
+  uint32_t unexplained;
 
   if (!limpet_suspect_is_request (&quarantined->record))
     return 0;
   if (!limpet_suspect_is_request (&other->record))
     return KEPT_PART_CRASHES;
-  for (uint32_t i = 0; i < other->record.crash_count; i++)
-    unexplained += !limpet_suspect_has_crash_of (&quarantined->record,
-                                                 other->record.crashes[i].target_hash);
+  unexplained = other->record.crash_count - common_crashes (other, quarantined);
   return KEPT_REQUEST_CRASHES - MIN (KEPT_REQUEST_CRASHES, unexplained);
 }
 
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -448,11 +448,11 @@
   limpet_quarantine_delete (quarantine);
 }
 
-/* Each of three requests with the part crashes as many targets as a quarantine takes. */
-static void
-test_retried_requests_do_not_hide_the_part_that_crashes_targets (void)
+/* Each of three requests with the part crashes as many targets as a quarantine takes.
+ * Returns the time after that. */
+static LimpetMs
+crash_by_retried_requests (LimpetQuarantine *quarantine)
 {
-  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
   LimpetMs now_ms = 20000;
 
   for (uint32_t i = 0; i < 3; i++)
@@ -466,11 +466,48 @@
       tick_until (quarantine, now_ms, now_ms + 2000);
       now_ms += 2000;
     }
+  return now_ms;
+}
+
+static void
+test_retried_requests_do_not_hide_the_part_that_crashes_targets (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetMs now_ms = crash_by_retried_requests (quarantine);
+
   CU_ASSERT_TRUE (is_found (quarantine, CRASHING, now_ms));
   CU_ASSERT_FALSE (is_found (quarantine, TEAM, now_ms));
   limpet_quarantine_delete (quarantine);
 }
 
+/* Neither at a router that starts, in whichever order it reads the records. */
+static void
+test_quarantined_requests_do_not_hide_a_part_from_a_router_that_starts (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetMs now_ms = crash_by_retried_requests (quarantine);
+  LimpetSuspect records[4];
+
+  CU_ASSERT_EQUAL_FATAL (limpet_quarantine_collect_first (quarantine, records, 4), 4);
+  for (uint32_t first = 0; first < 4; first++)
+    for (uint32_t step = 1; step < 4; step += 2) /* upwards and downwards */
+      {
+        LimpetQuarantine *started = limpet_quarantine_new (&quarantine_ops, NULL, 2);
+
+        for (uint32_t i = 0; i < 4; i++)
+          {
+            CU_ASSERT_TRUE (records[i].is_quarantined);
+            limpet_quarantine_receive (started, &records[(first + step * i) % 4], now_ms);
+          }
+        CU_ASSERT_TRUE (is_found (started, CRASHING, now_ms));
+        CU_ASSERT_FALSE (is_found (started, TEAM, now_ms));
+        for (uint32_t i = 0; i < 3; i++)
+          CU_ASSERT_TRUE (is_request_found (started, 100 + i, now_ms));
+        limpet_quarantine_delete (started);
+      }
+  limpet_quarantine_delete (quarantine);
+}
+
 /* The request comes at all routers in turn, and crashes a target 50 ms after it is sent.
  * Returns the number of times it is sent. */
 static uint32_t
@@ -581,6 +618,8 @@
                test_a_second_request_that_crashes_targets_is_found_by_its_next_crash);
   CU_ADD_TEST (suite, test_a_request_quarantined_by_mistake_is_served_again);
   CU_ADD_TEST (suite, test_retried_requests_do_not_hide_the_part_that_crashes_targets);
+  CU_ADD_TEST (suite,
+               test_quarantined_requests_do_not_hide_a_part_from_a_router_that_starts);
   CU_ADD_TEST (suite, test_a_request_is_kept_from_targets_by_all_routers);
   CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
   CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
--- a/test/slow_handlers.c
+++ b/test/slow_handlers.c
@@ -1,5 +1,5 @@
-/* Preloaded into a program that uses CivetWeb: adds each request handler late, as on a machine
- * that runs other programs meanwhile. */
+/* Preloaded into a program that uses CivetWeb: adds each request handler late, as on a
+ * machine that runs other programs meanwhile. */
 
 #include <civetweb.h>
 #include <dlfcn.h>
