Quarantine: late crashes of a quarantined request do not count against its parts

Cause: a crash was added to the call's prompt parts before its request, so that for each part the target was not yet one that the quarantined request accounts for; and a request whose record is full takes no further target at all. Calls that were in flight when the request was quarantined could so bring a part to three crashes, though no other request broke: sound calls with the part were refused for two minutes and more. Ruled out: that the confirmation time hides it (crashes 100 ms and 1500 ms apart, both fail). Change: while the call's own request is quarantined, a part takes one crash in all of those, as when the request was quarantined first. Before: the new unit test fails at both intervals.

--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -418,6 +418,10 @@
                                 LimpetMs now_ms)
 {
   LimpetSuspectCrash crash = { .target_hash = target_hash, .at_ms = now_ms };
+  const Suspect *request = fingerprints->request != 0
+                               ? find_suspect (quarantine, fingerprints->request)
+                               : NULL;
+  bool is_request_quarantined = request != NULL && request->record.is_quarantined;
 
   for (uint32_t i = 0; i < fingerprint_count (fingerprints); i++)
     {
@@ -430,6 +434,9 @@
           = ensure_suspect (quarantine, id, fingerprint_depth (fingerprints, i), now_ms);
       if (suspect == NULL)
         continue;
+      if (is_request_quarantined && !suspect->record.is_quarantined
+          && !keeps_crash_of (suspect, request))
+        continue;
       if (!add_crash (quarantine, suspect, &crash, suspect->record.is_quarantined,
                       now_ms))
         continue;
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -508,6 +508,34 @@
   limpet_quarantine_delete (quarantine);
 }
 
+/* Calls that were sent before their request was quarantined may still crash targets. */
+static void
+test_late_crashes_of_a_quarantined_request_do_not_quarantine_its_parts (void)
+{
+  LimpetFingerprints fingerprints
+      = { .parts = { TEAM, SESSION }, .parts_count = 2, .request = CRASHING_REQUEST };
+
+  for (LimpetMs interval_ms = 100; interval_ms <= 1500; interval_ms += 1400)
+    {
+      LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+      LimpetMs now_ms = 22000;
+
+      for (uint32_t i = 0; i < 3; i++)
+        limpet_quarantine_record_crash (quarantine, &fingerprints, i, 20000);
+      tick_until (quarantine, 20000, 22000);
+      for (uint32_t i = 3; i < 9; i++)
+        {
+          now_ms += interval_ms;
+          limpet_quarantine_record_crash (quarantine, &fingerprints, i, now_ms);
+        }
+      tick_until (quarantine, now_ms, now_ms + 2000);
+      CU_ASSERT_TRUE (is_request_found (quarantine, CRASHING_REQUEST, now_ms + 2000));
+      CU_ASSERT_FALSE (is_found (quarantine, SESSION, now_ms + 2000));
+      CU_ASSERT_FALSE (is_found (quarantine, TEAM, now_ms + 2000));
+      limpet_quarantine_delete (quarantine);
+    }
+}
+
 /* The request comes at all routers in turn, and crashes a target 50 ms after it is sent.
  * Returns the number of times it is sent. */
 static uint32_t
@@ -620,6 +648,8 @@
   CU_ADD_TEST (suite, test_retried_requests_do_not_hide_the_part_that_crashes_targets);
   CU_ADD_TEST (suite,
                test_quarantined_requests_do_not_hide_a_part_from_a_router_that_starts);
+  CU_ADD_TEST (suite,
+               test_late_crashes_of_a_quarantined_request_do_not_quarantine_its_parts);
   CU_ADD_TEST (suite, test_a_request_is_kept_from_targets_by_all_routers);
   CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
   CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
