Rate limits: engines get a weight and a place when all of them have named a limit of 0

Ruled out: the intervals of the routers (next_send_ms had passed); the queue (the calls waited for 590 ms each, one after the other, at every router). Change: the weights are set as soon as an engine of the group has a limit.

--- a/src/liblimpetroad/routing/target_rate.c
+++ b/src/liblimpetroad/routing/target_rate.c
@@ -154,6 +154,7 @@
   int64_t own_unlimited;
   int64_t inflight; /* of engines without a limit, by all routers */
   int64_t slots;    /* the same */
+  uint32_t limited; /* engines with a limit */
   double max_limit_per_slot;
 } Sums;
 
@@ -232,6 +233,7 @@
         continue;
       if (target->rate_limit.is_set)
         {
+          sums.limited++;
           sums.own_limited += atomic_load (&target->own_inflight);
           sums.max_limit_per_slot
               = MAX (sums.max_limit_per_slot,
@@ -313,6 +315,10 @@
   gpointer name;
   gpointer value;
 
+  /* Limits may be known before a call of the group has ended. */
+  for (uint32_t i = 0; i < view->count; i++)
+    if (view->targets[i]->rate_limit.is_set)
+      get_group (balancer, view->targets[i]->vm.group);
   g_hash_table_iter_init (&iter, balancer->groups);
   while (g_hash_table_iter_next (&iter, &name, &value))
     {
@@ -320,7 +326,7 @@
 
       update_averages (value, &sums);
       ((Group *)value)->part_factor = part_factor (value, &sums);
-      for (uint32_t i = 0; sums.max_limit_per_slot > 0 && i < view->count; i++)
+      for (uint32_t i = 0; sums.limited > 0 && i < view->count; i++)
         if (is_engine_of (view->targets[i], name) && view->targets[i]->rate_limit.is_set)
           update_engine (view->targets[i], value, &sums);
     }
--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -479,6 +479,39 @@
   CU_ASSERT_EQUAL (first, 900);
 }
 
+/* All engines have named a limit of 0. One gets a call once it is due, and only one. */
+static void
+test_an_engine_with_a_limit_of_zero_gets_the_call_that_is_due (void)
+{
+  Fixture fixture;
+  LimpetTargetView *view;
+  const double limit_per_s = 0;
+
+  for (uint64_t seed = 0; seed < 20; seed++)
+    {
+      Attempt attempts[2];
+
+      make_fixture (&fixture, 2);
+      view = limpet_targets_snapshot (fixture.targets);
+      for (uint32_t i = 0; i < 2; i++)
+        limpet_dispatch_record_rate_limit (fixture.dispatch, view->targets[i],
+                                           &limit_per_s, limpet_clock_mono_ms ());
+      limpet_dispatch_tick (fixture.dispatch, limpet_clock_mono_ms ());
+      atomic_store (&view->targets[0]->next_send_ms, 0);
+      atomic_store (&view->targets[1]->next_send_ms, INT64_MAX);
+      for (uint32_t i = 0; i < 2; i++)
+        submit (&fixture, &attempts[i], fixture.chat_route, 0x9e3779b97f4a7c15ULL, seed);
+      CU_ASSERT_PTR_EQUAL (attempts[0].target, view->targets[0]);
+      CU_ASSERT_PTR_NULL (attempts[1].target);
+      limpet_dispatch_cancel (fixture.dispatch, &attempts[1].dispatch_request);
+      if (attempts[0].target != NULL)
+        limpet_dispatch_release (fixture.dispatch, attempts[0].target);
+      limpet_dispatch_cancel (fixture.dispatch, &attempts[0].dispatch_request);
+      limpet_target_view_release (view);
+      free_fixture (&fixture);
+    }
+}
+
 void
 add_dispatch_tests (void)
 {
@@ -497,4 +530,5 @@
   CU_ADD_TEST (suite, test_retries_stay_within_the_budget);
   CU_ADD_TEST (suite, test_the_longest_matching_path_prefix_wins);
   CU_ADD_TEST (suite, test_calls_are_split_by_weight);
+  CU_ADD_TEST (suite, test_an_engine_with_a_limit_of_zero_gets_the_call_that_is_due);
 }
