Rate limits: a service whose targets all take nothing is probed four seconds apart

While no target of the service takes more, all its callers are refused until one asks. Change: the targets of such a service get 0.25 requests a second together. Services of three targets and more, and those with a target that takes requests, are probed as before. The users count up to 5 requests in 4 s beyond a limit of 0; with 81 routers it is one on average.

--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -45,6 +45,9 @@
   double per_s;
   LimpetMs at_ms;   /**< monotonic time of the response that named it, or that did not */
   double own_per_s; /**< this router's part; 0 if there is no limit */
+  /** Requests per second that it gets although its limit is lower, so that the service is
+   *  known to take requests again; 0 if other targets of the service take some. */
+  double min_per_s;
   /** For an engine: its part of the contexts, relative to an engine without a limit. */
   double weight;
   double max_inflight; /**< for an engine: most requests that it may hold */
--- a/src/liblimpetroad/private/target_rate.h
+++ b/src/liblimpetroad/private/target_rate.h
@@ -11,13 +11,17 @@
  * router: it leaves a minimum interval between its requests to the target, and no more
  * requests are in flight than the limit explains.
  *
- * limpet_target_rate_set() with each response, limpet_target_rate_update() after it and
- * regularly, limpet_target_rate_record_send() with each request. While the target must
- * not get a request, limpet_target_is_paced() returns true. Times are monotonic. */
+ * limpet_target_rate_set() with each response, limpet_target_rate_set_minimum() and
+ * limpet_target_rate_update() after it and regularly, limpet_target_rate_record_send()
+ * with each request. While the target must not get a request, limpet_target_is_paced()
+ * returns true. Times are monotonic. */
 
 /* Records the limit that the target named, or that it named none (NULL). Returns false if
  * newer information is known. */
 bool limpet_target_rate_set (LimpetTarget *target, const double *per_s, LimpetMs at_ms);
+/* Sets the least that the target gets although its limit is lower, because of the limits
+ * of the other targets of its group. */
+void limpet_target_rate_set_minimum (LimpetTarget *target, const LimpetTargetView *view);
 /* Sets this router's part of the limit: part_factor divided by the number of routers.
  * Forgets an old limit. */
 void limpet_target_rate_update (LimpetTarget *target,
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -473,11 +473,15 @@
 
 /* Sets this router's part of a target's rate limit. */
 static void
-update_rate (LimpetDispatch *dispatch, LimpetTarget *target, LimpetMs now_ms)
+update_rate (LimpetDispatch *dispatch,
+             LimpetTarget *target,
+             const LimpetTargetView *view,
+             LimpetMs now_ms)
 {
   double part_factor
       = limpet_rate_balancer_part_factor (dispatch->balancer, target->vm.group);
 
+  limpet_target_rate_set_minimum (target, view);
   limpet_target_rate_update (target, dispatch->routers, part_factor, now_ms);
 }
 
@@ -487,9 +491,14 @@
                                    const double *per_s,
                                    LimpetMs at_ms)
 {
-  if ((per_s != NULL || target->rate_limit.is_set)
-      && limpet_target_rate_set (target, per_s, at_ms))
-    update_rate (dispatch, target, limpet_clock_mono_ms ());
+  LimpetTargetView *view;
+
+  if ((per_s == NULL && !target->rate_limit.is_set)
+      || !limpet_target_rate_set (target, per_s, at_ms))
+    return;
+  view = limpet_targets_snapshot (dispatch->targets);
+  update_rate (dispatch, target, view, limpet_clock_mono_ms ());
+  limpet_target_view_release (view);
 }
 
 void
@@ -605,7 +614,7 @@
   limpet_rate_balancer_tick (dispatch->balancer, view);
   for (uint32_t i = 0; i < view->count; i++)
     if (view->targets[i]->rate_limit.is_set)
-      update_rate (dispatch, view->targets[i], now_ms);
+      update_rate (dispatch, view->targets[i], view, now_ms);
   limpet_target_view_release (view);
 }
 
--- a/src/liblimpetroad/routing/target_rate.c
+++ b/src/liblimpetroad/routing/target_rate.c
@@ -9,6 +9,9 @@
 /* A limited target gets at least this many requests per second, so that its responses
  * show when the limit ends. */
 #define MIN_RATE_PER_S 0.1
+/* The targets of a group together get at least this many, because callers are refused
+ * while all of them are limited to less. */
+#define MIN_GROUP_RATE_PER_S 0.25
 /* Fraction of a limit that the routers plan with; the rest is a margin for requests of
  * several routers that coincide. */
 #define PLANNED_LIMIT_FRACTION 0.9
@@ -64,7 +67,8 @@
 static double
 planned_per_s (const LimpetTarget *target)
 {
-  return MAX (PLANNED_LIMIT_FRACTION * target->rate_limit.per_s, MIN_RATE_PER_S);
+  return MAX (PLANNED_LIMIT_FRACTION * target->rate_limit.per_s,
+              MAX (target->rate_limit.min_per_s, MIN_RATE_PER_S));
 }
 
 /* Returns the minimum interval between requests of this router. */
@@ -91,6 +95,40 @@
   return allowed / (LIMIT_WINDOW_S * planned_per_s (target));
 }
 
+/* Returns the part of MIN_GROUP_RATE_PER_S of each target of a group; 0 if one of them
+ * has no limit or all of them take more. */
+static double
+group_minimum_per_s (const LimpetTargetView *view, const char *group)
+{
+  double limits_per_s = 0;
+  uint32_t targets = 0;
+
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      const LimpetTarget *target = view->targets[i];
+
+      if (strcmp (target->vm.group, group) != 0 || atomic_load (&target->leaving))
+        continue;
+      if (!target->rate_limit.is_set)
+        return 0;
+      limits_per_s += target->rate_limit.per_s;
+      targets++;
+    }
+  if (targets == 0 || PLANNED_LIMIT_FRACTION * limits_per_s >= MIN_GROUP_RATE_PER_S)
+    return 0;
+  return MIN_GROUP_RATE_PER_S / targets;
+}
+
+void
+limpet_target_rate_set_minimum (LimpetTarget *target, const LimpetTargetView *view)
+{
+  LimpetTargetRateLimit *limit = &target->rate_limit;
+
+  limit->min_per_s = 0;
+  if (limit->is_set && PLANNED_LIMIT_FRACTION * limit->per_s < MIN_GROUP_RATE_PER_S)
+    limit->min_per_s = group_minimum_per_s (view, target->vm.group);
+}
+
 void
 limpet_target_rate_update (LimpetTarget *target,
                            uint32_t routers,
--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -512,6 +512,50 @@
     }
 }
 
+/* Requests per second that all routers together may send to a target, of a service with
+ * so many engines, that has named a limit of 0. */
+static double
+probes_per_s (uint32_t engines, uint32_t limited_engines, uint32_t routers)
+{
+  Fixture fixture;
+  LimpetTargetView *view;
+  double per_s;
+
+  make_fixture (&fixture, engines);
+  limpet_dispatch_set_router_count (fixture.dispatch, routers);
+  view = limpet_targets_snapshot (fixture.targets);
+  for (uint32_t i = 0; i < limited_engines; i++)
+    {
+      LimpetMs now_ms = limpet_clock_mono_ms ();
+      const double limit_per_s = 0;
+
+      limpet_dispatch_record_rate_limit (fixture.dispatch, view->targets[i], &limit_per_s,
+                                         now_ms);
+      limpet_dispatch_tick (fixture.dispatch, now_ms);
+    }
+  per_s = view->targets[0]->rate_limit.own_per_s * routers;
+  limpet_target_view_release (view);
+  free_fixture (&fixture);
+  return per_s;
+}
+
+/* The callers of a service are refused while none of its targets takes requests, so it
+ * has to show soon that one does again. */
+static void
+test_a_service_without_a_target_that_takes_requests_is_probed_more_often (void)
+{
+  for (uint32_t routers = 1; routers <= 81; routers += 8)
+    {
+      CU_ASSERT_TRUE (probes_per_s (1, 1, routers) > 0.24);
+      CU_ASSERT_TRUE (2 * probes_per_s (2, 2, routers) > 0.24);
+      /* The users allow 5 requests in 4 s beyond a limit of 0. */
+      CU_ASSERT_TRUE (probes_per_s (1, 1, routers) < 0.26);
+      CU_ASSERT_TRUE (probes_per_s (4, 4, routers) < 0.11);
+      /* Beside an engine that has room, each router may use three times its part. */
+      CU_ASSERT_TRUE (probes_per_s (2, 1, routers) < 3 * 0.11);
+    }
+}
+
 void
 add_dispatch_tests (void)
 {
@@ -531,4 +575,6 @@
   CU_ADD_TEST (suite, test_the_longest_matching_path_prefix_wins);
   CU_ADD_TEST (suite, test_calls_are_split_by_weight);
   CU_ADD_TEST (suite, test_an_engine_with_a_limit_of_zero_gets_the_call_that_is_due);
+  CU_ADD_TEST (suite,
+               test_a_service_without_a_target_that_takes_requests_is_probed_more_often);
 }
