Tests: a fleet that cannot start ends its processes

Cause: a fleet that failed in its constructor or in start() was never entered as a context, so that nothing ended its log, VM list, engines and routers. A failed case left these programs and their threads to the rest of the run. With it, a stand-in that does not start was awaited for 40 s, or, had another program its port, believed to have started. Change: both end what they have started; a stand-in that has exited fails its case at once with its output. Platform.start() likewise. Before: both new cases fail (after 40 s, and with no process ended). After: both pass.

--- a/test/fleet.py
+++ b/test/fleet.py
@@ -154,8 +154,18 @@
         self.retention_ms = retention_ms
         self.workers = workers
         self.control_bytes_per_s = control_bytes_per_s
+        try:
+            self.prepare(routers, engines, services, engine_options, log_options,
+                         service_options, software_versions)
+        except BaseException:
+            self.stop()
+            raise
+
+    def prepare(self, routers, engines, services, engine_options, log_options, service_options,
+                software_versions):
+        """Starts the stand-ins, writes the settings of the routers and publishes the VM list."""
         self.log_port, self.vms_port = free_ports(2)
-        self.start_stand_in("log", self.log_port, "--retention-ms", retention_ms,
+        self.start_stand_in("log", self.log_port, "--retention-ms", self.retention_ms,
                             *(log_options or []))
         self.start_stand_in("vms", self.vms_port, "--lag-ms", 300)
         ports = free_ports(engines + services)
@@ -215,7 +225,9 @@
         process = self.spawn("%s-%d" % (role, port),
                              [program("limpetfake"), role, "--port", port, "--threads",
                               600 if role == "log" else 100, *options])
-        wait_for(lambda: socket.create_connection(("127.0.0.1", port), 1).close() or True, role)
+        wait_for(lambda: process.popen.poll() is not None
+                 or socket.create_connection(("127.0.0.1", port), 1).close() is None, role)
+        assert process.popen.poll() is None, "%s: %s" % (role, process.log_text())
         return process
 
     def add_engine(self, vm_id, port, options):
@@ -341,8 +353,12 @@
 
     def start(self):
         """Puts the first bundle in force and starts the routers."""
-        self.version = self.roll(self.bundle())
-        self.start_routers()
+        try:
+            self.version = self.roll(self.bundle())
+            self.start_routers()
+        except BaseException:
+            self.__exit__(*sys.exc_info())
+            raise
         return self
 
     # Sets faults of a stand-in, by the names that its /fake/fault takes.
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -378,8 +378,12 @@
         return server
 
     def start(self):
-        for _ in range(self.router_count):
-            self.add_router()
+        try:
+            for _ in range(self.router_count):
+                self.add_router()
+        except BaseException:
+            self.__exit__()
+            raise
 
     def add_router(self, wait=True, store=None):
         ip = "127.%d.%d.%d" % (random.randrange(1, 250), random.randrange(250),
--- a/test/test_starts.py
+++ b/test/test_starts.py
@@ -77,3 +77,24 @@
         statuses = statuses_while_starting(fleet, router[port], method, path, body,
                                            lambda: fleet.start_router(router, wait=False))
     assert 404 not in statuses, statuses[:20]
+
+
+@table([("stand_in", ["--no-such-option", "1"], "engine: ", 3),
+        ("bundle", [], "bundle.fleet: is missing", 4)])
+def test_a_fleet_that_cannot_start_leaves_no_process(engine_options, message, processes):
+    exit_codes = []
+
+    class UnstartableFleet(f.Fleet):
+        def bundle(self):
+            return {"models": {}}
+
+        def stop(self, keep=False):
+            super().stop(keep)
+            exit_codes.extend(p.popen.poll() for p in self.processes)
+
+    try:
+        UnstartableFleet(routers=1, engines=1, engine_options=engine_options).start()
+        raise ValueError("the fleet has started")
+    except AssertionError as error:
+        assert message in str(error), error
+    assert len(exit_codes) == processes and None not in exit_codes, exit_codes
