Paths: a call is no longer on trial once the isolation has ended

Cause: a router that takes its servers for unreachable sends one call over its own links on trial and fails it after 1 s without a response. If a response to another call ends the isolation meanwhile, the call stayed on trial: a call that the server works on for longer was broken off, sent again or answered with 502. Ruled out: that the response ends the trial too (the log of the new test: state=direct at once, failed="no response on trial of the own links" 1.1 s later). Change: the check of the trials first looks whether the router is still isolated.

--- a/src/liblimpetroad/exchange/paths.c
+++ b/src/liblimpetroad/exchange/paths.c
@@ -246,7 +246,12 @@
     {
       LimpetUpstream *upstream = ((LimpetTask *)link->data)->upstream;
 
-      if (upstream == NULL || !upstream->is_trial
+      if (upstream == NULL || !upstream->is_trial)
+        continue;
+      /* Other calls may have shown that the own links are sound. */
+      if (!limpet_paths_are_isolated (exchange, upstream->target))
+        upstream->is_trial = false;
+      if (!upstream->is_trial
           || now_ms - upstream->task->sent_ms < LIMPET_ISOLATION_TRIAL_MS)
         continue;
       limpet_upstream_fail_trial (upstream);
--- a/test/test_isolated_routers.py
+++ b/test/test_isolated_routers.py
@@ -251,3 +251,33 @@
         except ConnectionResetError:
             pass
         check(response == b"", response)
+
+
+def test_a_slow_call_goes_on_when_the_isolation_ends_while_it_is_on_trial():
+    """The router takes a server that is slow for silent. Its first call over its own links after
+    that is as slow, and the response to an earlier one shows that the links are sound."""
+    arrivals = []
+    slow_has_come = threading.Event()
+
+    def on_request(server, message, connection):
+        arrivals.append(message.fields["request-id"])
+        if arrivals[-1] == "first":
+            slow_has_come.wait(10)
+        else:
+            slow_has_come.set()
+            time.sleep(2)
+        server.reply(connection, message)
+        return True
+
+    with Platform(start=False) as platform:
+        platform.add_server("plain", on_request=on_request)
+        platform.router_count = 2
+        platform.start()
+        platform.wait_for_routers(2)
+        with platform.client() as first, platform.client() as slow:
+            first.send("/unsafe/1", "POST", body=b"x", request_id="first")
+            f.wait_for(lambda: "state=trial" in platform.log(), "the trial")
+            response = slow.call("/safe/1", request_id="slow")
+            check(response.status == 200, response.line, arrivals, platform.log())
+            check(first.read().status == 200)
+        check(arrivals == ["first", "slow"], arrivals)
