Targets, continuations: one read of the leaving flag; the end of a type is compared in words

With two reads a target that announces in between that it leaves was neither taken as vanished nor as restarted, which is right, but hard to see.

--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -212,11 +212,11 @@
     {
       LimpetTarget *target = old->targets[i];
       const LimpetTarget *successor = find_by_id (view, target->vm.id);
+      bool was_announced = atomic_load (&target->leaving);
 
-      if (!atomic_load (&target->leaving) && successor == NULL)
+      if (!was_announced && successor == NULL)
         atomic_store (&target->has_vanished, true);
-      else if (!atomic_load (&target->leaving)
-               && successor->vm.incarnation != target->vm.incarnation)
+      else if (!was_announced && successor->vm.incarnation != target->vm.incarnation)
         atomic_store (&target->has_restarted, true);
       if (successor == NULL)
         {
--- a/src/liblimpetroad/exchange/continuation.c
+++ b/src/liblimpetroad/exchange/continuation.c
@@ -26,9 +26,9 @@
   const char *type = limpet_http_head_field (head, "Content-Type");
   size_t length = strlen (EVENT_STREAM_TYPE);
 
-  return type == NULL
-         || (g_ascii_strncasecmp (type, EVENT_STREAM_TYPE, length) == 0
-             && strchr ("; \t", type[length]) != NULL);
+  if (type == NULL || g_ascii_strncasecmp (type, EVENT_STREAM_TYPE, length) != 0)
+    return type == NULL;
+  return type[length] == '\0' || strchr ("; \t", type[length]) != NULL;
 }
 
 bool
