Rate limits: the search for a service without a target ends at its third target

What a target gets at least, since all targets of its service are limited, was reckoned over all targets of the service, for each of them, in each tick and with each response: 112 engines at 0 compare 112 x 112 names ten times a second. From the third target on 0.1 a second each is more than 0.25 together, so the result cannot matter; the loop ends there, as it does at a target that takes requests.

--- a/src/liblimpetroad/routing/target_rate.c
+++ b/src/liblimpetroad/routing/target_rate.c
@@ -96,7 +96,7 @@
 }
 
 /* Returns the part of MIN_GROUP_RATE_PER_S of each target of a group; 0 if one of them
- * has no limit or all of them take more. */
+ * has no limit, if they take more, or if MIN_RATE_PER_S for each of them is enough. */
 static double
 group_minimum_per_s (const LimpetTargetView *view, const char *group)
 {
@@ -109,14 +109,14 @@
 
       if (strcmp (target->vm.group, group) != 0 || atomic_load (&target->leaving))
         continue;
-      if (!target->rate_limit.is_set)
-        return 0;
-      limits_per_s += target->rate_limit.per_s;
       targets++;
+      limits_per_s += target->rate_limit.per_s;
+      if (!target->rate_limit.is_set
+          || PLANNED_LIMIT_FRACTION * limits_per_s >= MIN_GROUP_RATE_PER_S
+          || targets * MIN_RATE_PER_S >= MIN_GROUP_RATE_PER_S)
+        return 0;
     }
-  if (targets == 0 || PLANNED_LIMIT_FRACTION * limits_per_s >= MIN_GROUP_RATE_PER_S)
-    return 0;
-  return MIN_GROUP_RATE_PER_S / targets;
+  return targets > 0 ? MIN_GROUP_RATE_PER_S / targets : 0;
 }
 
 void
