--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -70,6 +70,13 @@
     connection.close()
 
 
+def break_off(connection):
+    """Resets a connection after what was sent on it has arrived, and ends its thread."""
+    time.sleep(0.05)
+    reset(connection)
+    raise OSError("closed")
+
+
 class Message:
     """An HTTP message read from a binary file: start line, fields by lower-case name, body.
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -6,7 +6,7 @@
 import time
 
 import fleet as f
-from platform_fake import Message, ROUTES, Platform, chunk, event, reset, route
+from platform_fake import Message, ROUTES, Platform, break_off, chunk, event, reset, route
 from run_all import table
 
 
@@ -435,9 +435,7 @@
             return True
         stream_events(server, connection, message, 1, 6, end=False)
         connection.sendall(b"20\r\nid: 7\nda")  # breaks off in the middle of an event
-        time.sleep(0.05)
-        reset(connection)
-        raise OSError("closed")
+        break_off(connection)
 
     with Platform(start=False) as platform:
         servers = [platform.add_server("model", on_request=on_request) for _ in range(3)]
@@ -453,9 +451,7 @@
     def on_request(server, message, connection):
         server.ran.append(1)
         stream_events(server, connection, message, 1, 3, end=False)
-        time.sleep(0.05)
-        reset(connection)
-        raise OSError("closed")
+        break_off(connection)
 
     with Platform(start=False) as platform:
         servers = [platform.add_server("model", on_request=on_request) for _ in range(2)]
--- a/test/test_stream_continuations.py
+++ b/test/test_stream_continuations.py
@@ -1,9 +1,8 @@
 """Streams that break off and go on at another server, whose response may not continue them."""
 
 import gzip
-import time
 
-from platform_fake import Client, Message, Platform, chunk, event, reset, route
+from platform_fake import Client, Message, Platform, break_off, chunk, event, route
 from run_all import table
 from test_platform import check, stream_events
 
@@ -72,9 +71,7 @@
     def on_request(self, server, message, connection):
         if "last-event-id" not in message.fields:
             stream_events(server, connection, message, 1, FIRST, end=False)
-            time.sleep(0.05)
-            reset(connection)
-            raise OSError("closed")
+            break_off(connection)
         self.continuations += 1
         check(message.fields["last-event-id"] == str(FIRST), message.fields)
         if self.sound and self.continuations > 1:
@@ -156,9 +153,7 @@
         server.ran.append(1)
         connection.sendall(server.head(message, 200, EVENTS + "Transfer-Encoding: chunked\r\n\r\n")
                            + chunk(b"data: one\n\n"))
-        time.sleep(0.05)
-        reset(connection)
-        raise OSError("closed")
+        break_off(connection)
 
     with Platform(start=False) as platform:
         servers = [platform.add_server("model", on_request=on_request) for _ in range(3)]
