--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -106,6 +106,8 @@
   LimpetMs heard_ms;
   bool is_brittle; /**< it falls over if it turns more than max_refusals_per_s away */
   double max_refusals_per_s;
+  LimpetMs joined_ms;  /**< when this router learned of its start */
+  LimpetMs brittle_ms; /**< since when this router has known that it is brittle */
   LimpetTargetRateLimit rate_limit; /**< used by the dispatcher's thread only */
 } LimpetTarget;
 
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -130,6 +130,7 @@
   atomic_store (&target->own_weight, LIMPET_WEIGHT_FULL);
   atomic_store (&target->peers_weight, LIMPET_WEIGHT_FULL);
   atomic_store (&target->slow_start_ms, slow_start_ms);
+  target->joined_ms = limpet_clock_mono_ms ();
   return target;
 }
 
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -548,6 +548,21 @@
                 MAX (atomic_load (&target->rest_until_ms), until_ms));
 }
 
+/* What this router knew of a brittle target that has turned a call away. */
+static void
+log_brittle_refusal (const LimpetDispatch *dispatch,
+                     const LimpetTarget *target,
+                     LimpetMs now_ms)
+{
+  limpet_log (LIMPET_LOG_NOTICE, "refused", target->vm.id,
+              "own_inflight=%d inflight=%d report_age_ms=%ld routers=%u waiting=%u "
+              "max_refusals_per_s=%.1f known_for_ms=%ld joined_ago_ms=%ld",
+              atomic_load (&target->own_inflight), limpet_target_inflight (target),
+              target->report.at_ms > 0 ? (long)(now_ms - target->report.at_ms) : -1L,
+              dispatch->routers, dispatch->waiting.length, target->max_refusals_per_s,
+              (long)(now_ms - target->brittle_ms), (long)(now_ms - target->joined_ms));
+}
+
 void
 limpet_dispatch_record_target_full (LimpetDispatch *dispatch, LimpetTarget *target)
 {
@@ -555,8 +570,10 @@
 
   limpet_counter_add (LIMPET_COUNTER_TARGET_REFUSALS, 1);
   atomic_store (&target->full_until_ms, now_ms + FULL_BACKOFF_MS);
-  if (target->is_brittle)
-    extend_rest (target, now_ms + brittle_rest_ms (dispatch, target));
+  if (!target->is_brittle)
+    return;
+  log_brittle_refusal (dispatch, target, now_ms);
+  extend_rest (target, now_ms + brittle_rest_ms (dispatch, target));
 }
 
 void
@@ -566,9 +583,12 @@
 {
   (void)dispatch;
   if (target->is_brittle != (max_refusals_per_s != NULL))
-    limpet_log (LIMPET_LOG_NOTICE, "brittle", target->vm.id,
-                "is_brittle=%d max_refusals_per_s=%.1f", max_refusals_per_s != NULL,
-                max_refusals_per_s != NULL ? *max_refusals_per_s : 0);
+    {
+      limpet_log (LIMPET_LOG_NOTICE, "brittle", target->vm.id,
+                  "is_brittle=%d max_refusals_per_s=%.1f", max_refusals_per_s != NULL,
+                  max_refusals_per_s != NULL ? *max_refusals_per_s : 0);
+      target->brittle_ms = limpet_clock_mono_ms ();
+    }
   target->is_brittle = max_refusals_per_s != NULL;
   target->max_refusals_per_s = max_refusals_per_s != NULL ? *max_refusals_per_s : 0;
 }
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -274,10 +274,10 @@
             self.reply(connection, message)
 
     # Returns the head of a response, without the empty line that ends it.
-    def head(self, message, status=200, extra=""):
+    def head(self, message, status=200, extra="", running=0):
         return ("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n"
                 "Server-Load: %d,0,%d\r\n%s" % (status, message.fields.get("request-id", ""),
-                                                self.id, 0, self.slots, extra)).encode()
+                                                self.id, running, self.slots, extra)).encode()
 
     def reply(self, connection, message, body=b"done", status=200):
         connection.sendall(self.head(message, status, "Content-Length: %d\r\n\r\n" % len(body))
