Brittle servers: their slots are divided among the routers, and their service counts as brittle

Cause: the refusals of a server by all routers are bounded, and each router kept that bound alone, by what it knew of one start of one server. A server that came back counted as sound (254 of 737 refusals came within 50 ms of the router's learning otherwise, at a server listed for under a second); nine routers that saw one free slot of an engine by its last report all used it; with more routers than slots one call of each is too much. Ruled out as a cause: waiting calls that go out at once (in 114 of 737 refusals calls were waiting).

Change: a service is brittle once one of its servers says so, to any router (gossip, pushed at once), and until a server says otherwise or 30 s pass; the slots of a brittle server are divided among the routers by rendezvous hashing, in turns where routers outnumber slots. A router that has just started or lost sight of the others takes a small part.

--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -58,6 +58,10 @@
 void limpet_dispatch_set_load_limit (LimpetDispatch *dispatch, double mean_factor);
 /** Sets the number of live routers, including this one. */
 void limpet_dispatch_set_router_count (LimpetDispatch *dispatch, uint32_t count);
+/** Sets the addresses of the live routers, this one first, and their number. */
+void limpet_dispatch_set_routers (LimpetDispatch *dispatch,
+                                  const uint32_t *addresses,
+                                  uint32_t count);
 /** Requests a target. Calls exactly one of the functions of \p request, before it returns
  *  or later, unless the request is cancelled first. */
 void limpet_dispatch_submit (LimpetDispatch *dispatch, LimpetDispatchRequest *request);
@@ -124,6 +128,12 @@
 void limpet_dispatch_record_brittle (LimpetDispatch *dispatch,
                                      LimpetTarget *target,
                                      const double *max_refusals_per_s);
+/** Records that a target of a service, given by LimpetTarget.group_hash, said so to
+ * another router at \p at_ms (monotonic). */
+void limpet_dispatch_record_peer_brittle (LimpetDispatch *dispatch,
+                                          uint32_t group_hash,
+                                          double max_refusals_per_s,
+                                          LimpetMs at_ms);
 /** Records that the target gets no calls from this router for \p rest_ms. */
 void limpet_dispatch_record_rest (LimpetDispatch *dispatch,
                                   LimpetTarget *target,
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -103,8 +103,10 @@
 /** Sets the load limit of the policy "homes": the highest load of an engine, as a
  *  multiple of the mean load. */
 void limpet_exchange_set_load_limit (LimpetExchange *exchange, double mean_factor);
-/** Sets the number of routers that share the load, including this one. */
-void limpet_exchange_set_router_count (LimpetExchange *exchange, uint32_t count);
+/** Sets the addresses of the routers that share the load, this one first. */
+void limpet_exchange_set_routers (LimpetExchange *exchange,
+                                  const uint32_t *addresses,
+                                  uint32_t count);
 
 /** Sets the quarantine, which is borrowed: the exchange records crashes
  *  and successes there, and refuses calls with a quarantined part. */
@@ -179,6 +181,19 @@
                                         const double *per_s,
                                         LimpetMs at_ms);
 
+/** Sets a function to call for each response of a brittle target. */
+void limpet_exchange_set_brittle_observer (LimpetExchange *exchange,
+                                           void (*observer) (void *user,
+                                                             const LimpetTarget *target),
+                                           void *user);
+/** Records that a target of a service, given by LimpetTarget.group_hash, said to another
+ *  router at the monotonic time \p at_ms that it falls over beyond \p
+ *  max_refusals_per_s. */
+void limpet_exchange_record_peer_brittle (LimpetExchange *exchange,
+                                          uint32_t group_hash,
+                                          double max_refusals_per_s,
+                                          LimpetMs at_ms);
+
 /** Records that the target with \p id_hash wants no calls from this router for \p
  * rest_ms, which it said in a response to a call relayed for another router. */
 void limpet_exchange_record_relayed_rest (LimpetExchange *exchange,
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -4,6 +4,7 @@
 #include "limpetroad/quarantine.h"
 #include "limpetroad/stream_origins.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -69,6 +70,9 @@
 typedef struct
 {
   uint32_t target_hash;
+  /** The target is brittle: per_s are the refusals that each target of its service bears,
+   *  and target_hash is LimpetTarget.group_hash. */
+  bool is_of_refusals;
   bool is_set;    /**< false if the target no longer names a limit */
   double per_s;   /**< requests per second from all routers together */
   LimpetMs at_ms; /**< time of the response, by the boot clock of this machine */
@@ -85,7 +89,7 @@
   int64_t (*on_batch) (void *user, const LimpetGossipBatch *batch);
   /** Delivers a load report that another router received. */
   void (*on_load) (void *user, const LimpetGossipLoad *load);
-  /** Delivers a rate limit, or its end, that another router received. */
+  /** Delivers a rate limit of either kind, or its end, that another router received. */
   void (*on_limit) (void *user, const LimpetGossipLimit *limit);
   /** A target has said to another router that it is leaving. May be NULL. */
   void (*on_leaving) (void *user, uint32_t target_hash);
@@ -146,7 +150,8 @@
 void limpet_gossip_publish_load (LimpetGossip *gossip, const LimpetGossipLoad *load);
 
 /** Records the rate limit in a response that this router received. If it has changed, it
- *  is sent to other routers with the next tick. The end of an unknown limit is ignored.
+ *  is sent to other routers with the next tick, or at once if it is one of refusals. The
+ * end of an unknown limit is ignored.
  */
 void limpet_gossip_publish_limit (LimpetGossip *gossip, const LimpetGossipLimit *limit);
 
@@ -179,6 +184,10 @@
 /** Notifies all known routers that this one stops. */
 void limpet_gossip_leave (LimpetGossip *gossip);
 
+/** Sets \p addresses, an array of uint32_t, to those of the known routers, this one
+ * first.
+ */
+void limpet_gossip_get_routers (const LimpetGossip *gossip, GArray *addresses);
 /** Returns the number of known routers, this one included. */
 uint32_t limpet_gossip_router_count (const LimpetGossip *gossip);
 /** Returns the number of other known routers that have sent a message to this one. */
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -61,6 +61,7 @@
   uint32_t id_hash;    /**< of the VM id and its incarnation */
   uint32_t route_hash; /**< of the VM id alone, so that a restarted VM keeps its chats */
   uint32_t software_hash; /**< of the VM's software version; never 0 */
+  uint32_t group_hash;    /**< of the name of its model or plain service */
   struct urcu_ref references;
   _Atomic int32_t own_inflight; /**< requests in flight from this router */
   _Atomic int32_t own_long;     /**< long requests among own_inflight */
@@ -104,10 +105,16 @@
   /** When bytes last arrived on this router's own connections to it; 0 before that. Used
    *  by the exchange's thread only. */
   LimpetMs heard_ms;
-  bool is_brittle; /**< it falls over if it turns more than max_refusals_per_s away */
+  /** It falls over if it turns more than max_refusals_per_s away. Used by the
+   * dispatcher's thread only, as are the fields up to slot_share. */
+  bool is_brittle;
   double max_refusals_per_s;
-  LimpetMs joined_ms;  /**< when this router learned of its start */
-  LimpetMs brittle_ms; /**< since when this router has known that it is brittle */
+  LimpetMs joined_ms;      /**< when this router learned of its start */
+  LimpetMs brittle_ms;     /**< since when it has counted as brittle */
+  LimpetMs not_brittle_ms; /**< last response that did not say so; 0 for none */
+  bool has_slot_share;     /**< this router may have slot_share calls in flight at it */
+  int32_t slot_share;
+  uint32_t slot_share_version;      /**< 0 before slot_share was set */
   LimpetTargetRateLimit rate_limit; /**< used by the dispatcher's thread only */
 } LimpetTarget;
 
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -439,16 +439,6 @@
     }
 }
 
-static void
-receive_limits (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
-{
-  LimpetGossipLimit limit;
-
-  for (size_t i = 0; i < message->n_limits; i++)
-    if (limpet_gossip_limits_receive (gossip->limits, message->limits[i], now_ms, &limit))
-      gossip->ops->on_limit (gossip->user, &limit);
-}
-
 /* Sends the limits that have changed to random routers, which pass on what is new to
  * them. */
 static void
@@ -462,6 +452,22 @@
     send_to_random_members (gossip, &message, push_fanout (gossip), 0);
 }
 
+static void
+receive_limits (LimpetGossip *gossip, const GossipMessage *message, LimpetMs now_ms)
+{
+  LimpetGossipLimit limit;
+  bool has_refusals = false;
+
+  for (size_t i = 0; i < message->n_limits; i++)
+    if (limpet_gossip_limits_receive (gossip->limits, message->limits[i], now_ms, &limit))
+      {
+        has_refusals = has_refusals || limit.is_of_refusals;
+        gossip->ops->on_limit (gossip->user, &limit);
+      }
+  if (has_refusals)
+    push_limits (gossip, now_ms);
+}
+
 void
 limpet_gossip_publish_leaving (LimpetGossip *gossip, uint32_t target_hash)
 {
@@ -587,7 +593,8 @@
 void
 limpet_gossip_publish_limit (LimpetGossip *gossip, const LimpetGossipLimit *limit)
 {
-  limpet_gossip_limits_record_own (gossip->limits, limit);
+  if (limpet_gossip_limits_record_own (gossip->limits, limit) && limit->is_of_refusals)
+    push_limits (gossip, limit->at_ms);
 }
 
 static uint32_t
@@ -756,6 +763,19 @@
   return limpet_gossip_members_is_confirmed (gossip->members, address);
 }
 
+void
+limpet_gossip_get_routers (const LimpetGossip *gossip, GArray *addresses)
+{
+  g_array_set_size (addresses, 0);
+  g_array_append_val (addresses, gossip->own_address);
+  for (uint32_t i = 0; i < limpet_gossip_members_count (gossip->members); i++)
+    {
+      uint32_t address = limpet_gossip_members_address (gossip->members, i);
+
+      g_array_append_val (addresses, address);
+    }
+}
+
 uint32_t
 limpet_gossip_router_count (const LimpetGossip *gossip)
 {
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -536,7 +536,7 @@
   (ProtobufCMessageInit) stream_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor target_limit__field_descriptors[4] =
+static const ProtobufCFieldDescriptor target_limit__field_descriptors[5] =
 {
   {
     "target",
@@ -586,17 +586,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refusals",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, refusals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned target_limit__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   1,   /* field[1] = lifted */
   2,   /* field[2] = per_s */
+  4,   /* field[4] = refusals */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange target_limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor target_limit__descriptor =
 {
@@ -606,7 +619,7 @@
   "TargetLimit",
   "",
   sizeof(TargetLimit),
-  4,
+  5,
   target_limit__field_descriptors,
   target_limit__field_indices_by_name,
   1,  target_limit__number_ranges,
--- a/src/liblimpetroad/cluster_state/gossip_limits.c
+++ b/src/liblimpetroad/cluster_state/gossip_limits.c
@@ -52,7 +52,8 @@
   return g_hash_table_lookup (limits->entries, GUINT_TO_POINTER (target_hash));
 }
 
-static void
+/* Returns whether other routers have to be told. */
+static bool
 store (LimpetGossipLimits *limits, Entry *known, const LimpetGossipLimit *limit)
 {
   if (known == NULL)
@@ -63,17 +64,18 @@
     }
   known->is_changed = known->is_changed || !is_same (&known->limit, limit);
   known->limit = *limit;
+  return known->is_changed;
 }
 
-void
+bool
 limpet_gossip_limits_record_own (LimpetGossipLimits *limits,
                                  const LimpetGossipLimit *limit)
 {
   Entry *known = find_entry (limits, limit->target_hash);
 
   if (known == NULL && !limit->is_set)
-    return;
-  store (limits, known, limit);
+    return false;
+  return store (limits, known, limit);
 }
 
 bool
@@ -86,6 +88,7 @@
 
   *limit = (LimpetGossipLimit){
     .target_hash = received->target,
+    .is_of_refusals = received->refusals,
     .is_set = !received->lifted,
     .per_s = received->lifted ? 0 : (double)received->per_s,
     .at_ms = now_ms - (LimpetMs)received->age_ms - LIMPET_GOSSIP_HOP_MS,
@@ -113,6 +116,7 @@
   target_limit__init (limit);
   limit->target = entry->limit.target_hash;
   limit->lifted = !entry->limit.is_set;
+  limit->refusals = entry->limit.is_of_refusals;
   limit->per_s = (float)entry->limit.per_s;
   limit->age_ms = (uint32_t)MAX (0, now_ms - entry->limit.at_ms);
   encoded->pointers[index] = limit;
@@ -165,6 +169,24 @@
     }
 }
 
+/* Adds the limits of refusals, up to max_count. Returns their number. */
+static uint32_t
+add_refusals (const LimpetGossipLimits *limits,
+              LimpetGossipEncodedLimits *encoded,
+              uint32_t max_count,
+              LimpetMs now_ms)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, limits->entries);
+  while (count < max_count && g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const Entry *)value)->limit.is_of_refusals)
+      add (value, encoded, count++, now_ms);
+  return count;
+}
+
 uint32_t
 limpet_gossip_limits_collect_next (LimpetGossipLimits *limits,
                                    LimpetGossipEncodedLimits *encoded,
@@ -174,18 +196,22 @@
 {
   uint32_t total;
   uint32_t first;
-  uint32_t count = 0;
+  uint32_t count;
+  uint32_t window;
   uint32_t position = 0;
   GHashTableIter iter;
   gpointer value;
 
   remove_old (limits, now_ms);
+  count = add_refusals (limits, encoded, max_count, now_ms);
+  window = max_count - count;
   total = g_hash_table_size (limits->entries);
   first = total > 0 ? limits->next_collected % total : 0;
   g_hash_table_iter_init (&iter, limits->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if ((position++ + total - first) % total < max_count)
+    if ((position++ + total - first) % total < window
+        && !((const Entry *)value)->limit.is_of_refusals)
       add (value, encoded, count++, now_ms);
-  limits->next_collected = first + count;
+  limits->next_collected = first + window;
   return finish (encoded, count, message);
 }
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -123,6 +123,7 @@
   target->route_hash = XXH32 (vm->id, strlen (vm->id), 0);
   target->software_hash
       = MAX (1, XXH32 (vm->software_version, strlen (vm->software_version), 0));
+  target->group_hash = XXH32 (vm->group, strlen (vm->group), 0);
   urcu_ref_init (&target->references);
   pthread_mutex_init (&target->lock, NULL);
   atomic_store (&target->reported_inflight, -1);
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -88,9 +88,31 @@
 }
 
 void
-limpet_exchange_set_router_count (LimpetExchange *exchange, uint32_t count)
+limpet_exchange_set_routers (LimpetExchange *exchange,
+                             const uint32_t *addresses,
+                             uint32_t count)
 {
-  limpet_dispatch_set_router_count (exchange->dispatch, count);
+  limpet_dispatch_set_routers (exchange->dispatch, addresses, count);
+}
+
+void
+limpet_exchange_set_brittle_observer (LimpetExchange *exchange,
+                                      void (*observer) (void *user,
+                                                        const LimpetTarget *target),
+                                      void *user)
+{
+  exchange->brittle_observer = observer;
+  exchange->brittle_observer_user = user;
+}
+
+void
+limpet_exchange_record_peer_brittle (LimpetExchange *exchange,
+                                     uint32_t group_hash,
+                                     double max_refusals_per_s,
+                                     LimpetMs at_ms)
+{
+  limpet_dispatch_record_peer_brittle (exchange->dispatch, group_hash, max_refusals_per_s,
+                                       at_ms);
 }
 
 void
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -55,6 +55,19 @@
     exchange->limit_observer (exchange->limit_observer_user, task->target);
 }
 
+static void
+record_brittle (LimpetTask *task)
+{
+  LimpetExchange *exchange = task->exchange;
+  const LimpetTargetResponse *response = &task->response;
+
+  limpet_dispatch_record_brittle (exchange->dispatch, task->target,
+                                  response->is_brittle ? &response->max_refusals_per_s
+                                                       : NULL);
+  if (response->is_brittle && exchange->brittle_observer != NULL)
+    exchange->brittle_observer (exchange->brittle_observer_user, task->target);
+}
+
 /* The target sees the router that relays as the sender of the call. */
 static void
 record_rest (LimpetTask *task)
@@ -81,9 +94,7 @@
   exchange->target_codec->ops->read_response (exchange->target_codec, head, &task->call,
                                               task->target, &task->response);
   if (task->response.is_brittle || task->response.is_from_target)
-    limpet_dispatch_record_brittle (
-        exchange->dispatch, task->target,
-        task->response.is_brittle ? &task->response.max_refusals_per_s : NULL);
+    record_brittle (task);
   if (task->response.rest_ms > 0)
     record_rest (task);
   if (task->response.is_leaving)
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -47,6 +47,8 @@
   void *load_observer_user;
   void (*limit_observer) (void *user, const LimpetTarget *target);
   void *limit_observer_user;
+  void (*brittle_observer) (void *user, const LimpetTarget *target);
+  void *brittle_observer_user;
   void (*leaving_observer) (void *user, const LimpetTarget *target);
   void *leaving_observer_user;
   uv_tcp_t listener;
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -118,13 +118,14 @@
 
 
 /*
- * Requests per second that a target takes from all routers together.
+ * Requests per second that a target takes from all routers together; if refusals is set, the
+ * refusals per second that each target of a service bears.
  */
 struct  TargetLimit
 {
   ProtobufCMessage base;
   /*
-   * hash of the target's id and incarnation
+   * hash of the target's id and incarnation, or of the service's name
    */
   uint32_t target;
   /*
@@ -136,10 +137,11 @@
    * time since the response that named it, or that did not
    */
   uint32_t age_ms;
+  protobuf_c_boolean refusals;
 };
 #define TARGET_LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&target_limit__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  TargetRest
--- a/src/liblimpetroad/private/gossip_limits.h
+++ b/src/liblimpetroad/private/gossip_limits.h
@@ -21,8 +21,9 @@
 LimpetGossipLimits *limpet_gossip_limits_new (void);
 void limpet_gossip_limits_delete (LimpetGossipLimits *limits);
 
-/* Stores a limit, or its end, from a response to this router. */
-void limpet_gossip_limits_record_own (LimpetGossipLimits *limits,
+/* Stores a limit, or its end, from a response to this router. Returns whether other
+ * routers have to be told. */
+bool limpet_gossip_limits_record_own (LimpetGossipLimits *limits,
                                       const LimpetGossipLimit *limit);
 /* Decodes a received limit. Stores it and returns true if it is newer than the known one.
  */
@@ -37,8 +38,8 @@
                                                LimpetGossipEncodedLimits *encoded,
                                                LimpetMs now_ms,
                                                GossipMessage *message);
-/* Adds up to max_count limits, in turn over the calls. Returns their number. Drops old
- * limits. */
+/* Adds up to max_count limits: those of refusals, which are few, each time, the others in
+ * turn over the calls. Returns their number. Drops old limits. */
 uint32_t limpet_gossip_limits_collect_next (LimpetGossipLimits *limits,
                                             LimpetGossipEncodedLimits *encoded,
                                             uint32_t max_count,
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -5,6 +5,7 @@
 #include "limpetroad/outlier.h"
 #include "limpetroad/popularity.h"
 #include "limpetroad/retry_budget.h"
+#include "private/brittle_targets.h"
 #include "private/target_rate.h"
 
 #include <string.h>
@@ -29,9 +30,6 @@
 #define RELEASE_GAP_ALPHA 0.1
 /* A target that refused a call because it was full gets no new calls for this time. */
 #define FULL_BACKOFF_MS 100
-/* See brittle_rest_ms(). */
-#define PLANNED_REFUSALS_FRACTION 0.5
-#define MAX_BRITTLE_REST_MS 10000
 /* Consecutive error responses after which a target is put into backoff. */
 #define FAILURES_BEFORE_BACKOFF 4
 /* When the last load report of a target is older than this, the load from other
@@ -54,6 +52,7 @@
   double release_gap_ms; /* moving average of the time between releases */
   LimpetMs last_release_ms;
   LimpetRateBalancer *balancer;
+  LimpetBrittleTargets *brittle;
   bool is_serving; /* serve_queue() is running; callbacks must not enter it again */
 };
 
@@ -73,6 +72,7 @@
   dispatch->load_limit = 2;
   dispatch->popularity = limpet_popularity_new ();
   dispatch->balancer = limpet_rate_balancer_new ();
+  dispatch->brittle = limpet_brittle_targets_new (limpet_clock_mono_ms ());
   dispatch->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&dispatch->waiting);
   return dispatch;
@@ -85,6 +85,7 @@
     return;
   limpet_popularity_delete (dispatch->popularity);
   limpet_rate_balancer_delete (dispatch->balancer);
+  limpet_brittle_targets_delete (dispatch->brittle);
   g_hash_table_destroy (dispatch->budgets);
   g_free (dispatch);
 }
@@ -119,6 +120,16 @@
   dispatch->routers = MAX (1, count);
 }
 
+void
+limpet_dispatch_set_routers (LimpetDispatch *dispatch,
+                             const uint32_t *addresses,
+                             uint32_t count)
+{
+  limpet_dispatch_set_router_count (dispatch, count);
+  limpet_brittle_targets_set_routers (dispatch->brittle, addresses, count,
+                                      limpet_clock_mono_ms ());
+}
+
 /* Returns the retry budget of the call's service, set to the current limits. */
 static LimpetRetryBudget *
 get_budget (LimpetDispatch *dispatch, const LimpetCall *call)
@@ -351,6 +362,25 @@
   return is_any_awake ? 0 : first_ms;
 }
 
+/* Returns whether the request may get no target now since this router has no part of the
+ * slots of any of them. */
+static bool
+has_no_slot_share (LimpetDispatch *dispatch, const LimpetDispatchRequest *request)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+  uint32_t without_share = 0;
+  bool has_share = false;
+
+  for (uint32_t i = 0; i < view->count && !has_share; i++)
+    if (may_get (request, view->targets[i]))
+      {
+        has_share = !view->targets[i]->has_slot_share || view->targets[i]->slot_share > 0;
+        without_share++;
+      }
+  limpet_target_view_release (view);
+  return !has_share && without_share > 0;
+}
+
 void
 limpet_dispatch_submit (LimpetDispatch *dispatch, LimpetDispatchRequest *request)
 {
@@ -373,7 +403,8 @@
       request->on_refused (request->user, rest_until_ms - now_ms);
       return;
     }
-  if (expected_wait_ms (dispatch) > request->wait_until_ms - now_ms)
+  if (expected_wait_ms (dispatch) > request->wait_until_ms - now_ms
+      || has_no_slot_share (dispatch, request))
     {
       request->on_refused (request->user, retry_after_ms (dispatch, call, now_ms));
       return;
@@ -528,19 +559,6 @@
     limpet_target_record_result (target, LIMPET_STATUS_BROKEN);
 }
 
-/* Returns how long a brittle target that has turned a call away gets no calls: all
- * routers together try it at most as often as PLANNED_REFUSALS_FRACTION of what it bears,
- * even if it refuses each time. */
-static LimpetMs
-brittle_rest_ms (const LimpetDispatch *dispatch, const LimpetTarget *target)
-{
-  double refusals_per_s = PLANNED_REFUSALS_FRACTION * target->max_refusals_per_s;
-
-  if (refusals_per_s * MAX_BRITTLE_REST_MS <= 1000.0 * dispatch->routers)
-    return MAX_BRITTLE_REST_MS;
-  return MAX (FULL_BACKOFF_MS, (LimpetMs)(1000.0 * dispatch->routers / refusals_per_s));
-}
-
 static void
 extend_rest (LimpetTarget *target, LimpetMs until_ms)
 {
@@ -555,9 +573,10 @@
                      LimpetMs now_ms)
 {
   limpet_log (LIMPET_LOG_NOTICE, "refused", target->vm.id,
-              "own_inflight=%d inflight=%d report_age_ms=%ld routers=%u waiting=%u "
-              "max_refusals_per_s=%.1f known_for_ms=%ld joined_ago_ms=%ld",
-              atomic_load (&target->own_inflight), limpet_target_inflight (target),
+              "own_inflight=%d slot_share=%d inflight=%d report_age_ms=%ld routers=%u "
+              "waiting=%u max_refusals_per_s=%.1f known_for_ms=%ld joined_ago_ms=%ld",
+              atomic_load (&target->own_inflight), target->slot_share,
+              limpet_target_inflight (target),
               target->report.at_ms > 0 ? (long)(now_ms - target->report.at_ms) : -1L,
               dispatch->routers, dispatch->waiting.length, target->max_refusals_per_s,
               (long)(now_ms - target->brittle_ms), (long)(now_ms - target->joined_ms));
@@ -573,7 +592,18 @@
   if (!target->is_brittle)
     return;
   log_brittle_refusal (dispatch, target, now_ms);
-  extend_rest (target, now_ms + brittle_rest_ms (dispatch, target));
+  extend_rest (target,
+               now_ms + limpet_brittle_targets_rest_ms (dispatch->brittle, target));
+}
+
+static void
+update_brittle (LimpetDispatch *dispatch)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  limpet_brittle_targets_update (dispatch->brittle, view, limpet_clock_mono_ms (),
+                                 limpet_clock_wall_ms ());
+  limpet_target_view_release (view);
 }
 
 void
@@ -581,16 +611,20 @@
                                 LimpetTarget *target,
                                 const double *max_refusals_per_s)
 {
-  (void)dispatch;
-  if (target->is_brittle != (max_refusals_per_s != NULL))
-    {
-      limpet_log (LIMPET_LOG_NOTICE, "brittle", target->vm.id,
-                  "is_brittle=%d max_refusals_per_s=%.1f", max_refusals_per_s != NULL,
-                  max_refusals_per_s != NULL ? *max_refusals_per_s : 0);
-      target->brittle_ms = limpet_clock_mono_ms ();
-    }
-  target->is_brittle = max_refusals_per_s != NULL;
-  target->max_refusals_per_s = max_refusals_per_s != NULL ? *max_refusals_per_s : 0;
+  if (limpet_brittle_targets_record_response (
+          dispatch->brittle, target, max_refusals_per_s, limpet_clock_mono_ms ()))
+    update_brittle (dispatch);
+}
+
+void
+limpet_dispatch_record_peer_brittle (LimpetDispatch *dispatch,
+                                     uint32_t group_hash,
+                                     double max_refusals_per_s,
+                                     LimpetMs at_ms)
+{
+  if (limpet_brittle_targets_record_peer (dispatch->brittle, group_hash,
+                                          max_refusals_per_s, at_ms))
+    update_brittle (dispatch);
 }
 
 void
@@ -606,6 +640,7 @@
 void
 limpet_dispatch_targets_changed (LimpetDispatch *dispatch)
 {
+  update_brittle (dispatch);
   serve_queue (dispatch);
 }
 
@@ -652,6 +687,7 @@
 {
   decay_reports (dispatch, now_ms);
   update_rates (dispatch, now_ms);
+  update_brittle (dispatch);
   detect_slow_engines (dispatch, now_ms);
   serve_queue (dispatch);
   refuse_overdue (dispatch, now_ms);
--- a/src/liblimpetroad/routing/homes.c
+++ b/src/liblimpetroad/routing/homes.c
@@ -32,9 +32,6 @@
 /* Fraction of the slots of a plain service's target that one router fills before it
  * queues calls. */
 #define SERVICE_SLOTS_FRACTION 1.0
-/* Fraction of the slots of a brittle engine that the routers fill, by the last reports.
- */
-#define BRITTLE_SLOTS_FRACTION 0.9
 /* One of PROBE_INTERVAL_CALLS calls goes to a target with a rate limit that no router has
  * heard of for MAX_LIMIT_SILENCE_MS, if there is one: a target with few contexts may get
  * no other call whose response shows that the limit has ended. */
@@ -97,17 +94,11 @@
   return randomized_limit (request, target, capacity, slots);
 }
 
-/* A brittle target should have no call to turn away, and lets few wait: each router fills
- * only its part of the slots, and of an engine none beyond its slots. */
 static bool
-has_brittle_capacity (const LimpetPolicyRequest *request, const LimpetTarget *target)
+is_within_slot_share (const LimpetTarget *target)
 {
-  int64_t own_slots = target->vm.slots / MAX (1, request->routers);
-
-  if (target->vm.kind == LIMPET_VM_ENGINE)
-    return limpet_target_inflight (target)
-           < BRITTLE_SLOTS_FRACTION * (double)target->vm.slots;
-  return atomic_load (&target->own_inflight) < MAX (1, own_slots);
+  return !target->has_slot_share
+         || atomic_load (&target->own_inflight) < target->slot_share;
 }
 
 static bool
@@ -118,8 +109,8 @@
   if (target->vm.kind == LIMPET_VM_ENGINE && target->rate_limit.is_set
       && limpet_target_inflight (target) >= target->rate_limit.max_inflight)
     return false;
-  if (target->is_brittle)
-    return has_brittle_capacity (request, target);
+  if (target->has_slot_share)
+    return is_within_slot_share (target);
   if (target->vm.kind == LIMPET_VM_ENGINE)
     return limpet_target_inflight (target) < engine_capacity (request, target, load);
   return atomic_load (&target->own_inflight)
@@ -274,6 +265,7 @@
       if (target->rate_limit.is_set
           && now_ms - target->rate_limit.at_ms > MAX_LIMIT_SILENCE_MS
           && limpet_policy_is_eligible (request, target, now_ms)
+          && is_within_slot_share (target)
           && (oldest == NULL || target->rate_limit.at_ms < oldest->rate_limit.at_ms))
         oldest = target;
     }
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -19,6 +19,7 @@
   add_dispatch_tests ();
   add_stale_load_tests ();
   add_isolation_tests ();
+  add_brittle_tests ();
   add_platform_tests ();
 }
 
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -55,7 +55,12 @@
 static void
 record_limit (void *user, const LimpetGossipLimit *limit)
 {
-  ((Router *)user)->limit = *limit;
+  Router *router = user;
+
+  if (limit->is_of_refusals)
+    router->refusal_limit = *limit;
+  else
+    router->limit = *limit;
 }
 
 static const LimpetGossipOps gossip_ops = { .send = send_datagram,
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -24,9 +24,10 @@
   int64_t next_offset; /* offset after the last record that it has */
   int64_t heard_end;   /* end of the topic in the last batch */
   uint32_t address;
-  LimpetGossipLimit limit;   /* last one received */
-  uint32_t load_reports;     /* number of load reports received */
-  LimpetMs busy_reported_ms; /* time of the last received report of BUSY_TARGET */
+  LimpetGossipLimit limit;         /* last one of requests received */
+  LimpetGossipLimit refusal_limit; /* the same of refusals */
+  uint32_t load_reports;           /* number of load reports received */
+  LimpetMs busy_reported_ms;       /* time of the last received report of BUSY_TARGET */
 } Router;
 
 extern Router routers[ROUTERS];
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -17,6 +17,7 @@
 void add_dispatch_tests (void);
 void add_stale_load_tests (void);
 void add_isolation_tests (void);
+void add_brittle_tests (void);
 /* Run alone, by test/test_rate_limits.py. */
 void add_limit_stress_tests (void);
 void add_platform_tests (void);
