Resumptions: a router whose view is not current asks for the version that began a stream

Cause: a service counted as mixed only if the router had seen or been told of two versions; what it did not know since it stood still looked like one version. Ruled out: a longer wait, which only moves the moment.

Change: the gossip tells whether the view is current (age of the newest read, last datagram, last tick); if not, the origin is needed as in a mixed service, and the servers are read again.

--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -113,14 +113,24 @@
 void limpet_exchange_set_quarantine (LimpetExchange *exchange,
                                      LimpetQuarantine *quarantine);
 
+/** What resumptions of streams need from outside the exchange. */
+typedef struct
+{
+  /** Asks the other routers for the origins of streams. */
+  void (*query) (void *user, uint64_t *ids, uint32_t count);
+  /** Returns whether the targets are known as they are now. Otherwise several software
+   *  versions may serve without this router's knowledge. */
+  bool (*is_view_current) (void *user);
+  /** Brings the targets up to date. */
+  void (*refresh_view) (void *user);
+} LimpetResumptionOps;
+
 /** Sets what is known of streams and of the services with several software versions; all
- *  are borrowed. \p query asks the other routers for the origins of streams. */
+ *  are borrowed. */
 void limpet_exchange_set_stream_origins (LimpetExchange *exchange,
                                          LimpetStreamOrigins *origins,
                                          LimpetSoftwareMix *mix,
-                                         void (*query) (void *user,
-                                                        uint64_t *ids,
-                                                        uint32_t count),
+                                         const LimpetResumptionOps *ops,
                                          void *user);
 /** Continues the calls that wait for an origin, after origins have been added. */
 void limpet_exchange_stream_origins_received (LimpetExchange *exchange);
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -146,6 +146,12 @@
 LimpetMs
 limpet_gossip_topic_age_ms (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms);
 
+/** Returns whether this router would have learned of a new record of a topic: some router
+ *  has read the topic lately, this one has not stood still since, and it hears from the
+ *  others unless it is alone. */
+bool
+limpet_gossip_is_current (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms);
+
 /** Records a load report that this router received, to be sent with the next digests. */
 void limpet_gossip_publish_load (LimpetGossip *gossip, const LimpetGossipLoad *load);
 
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -25,6 +25,16 @@
 /* A read without new records is forwarded only if it is more recent, by at least this
  * time, than the last read that this router knew of. */
 #define MIN_FORWARD_AGE_GAIN_MS 150
+/* A router whose newest known read is older, as a part of the maximum staleness, may have
+ * missed records. Without lost datagrams the age stays below READ_LIFE_RATIO +
+ * READ_DELAY_RATIO. */
+#define MAX_CURRENT_AGE_RATIO 0.75
+/* Neither is a router current that has heard nothing from others for this time, three
+ * digest periods, nor one whose last tick was that long ago: it stood still. */
+#define MAX_SILENCE_MS 600
+/* Datagrams that waited in the socket while this router stood still have all been
+ * received this long after. The ages in them are too low. */
+#define QUEUED_DATAGRAMS_MS 100
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
@@ -73,7 +83,12 @@
   LimpetStreamOrigins *origins; /* borrowed; NULL if there are none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
   LimpetMs last_digest_ms; /* when digests were last sent */
-  bool relays;             /* this router relays connections */
+  LimpetMs last_tick_ms;   /* 0 before the first */
+  LimpetMs heard_ms;       /* when the last message came; 0 for none */
+  /* When this router last went on after it had stood still, and the datagrams that had
+   * waited meanwhile were received; 0 for never. */
+  LimpetMs resumed_ms;
+  bool relays; /* this router relays connections */
 };
 
 /* Returns a random delay before a read. The number of routers grows exponentially with
@@ -346,6 +361,18 @@
   return true;
 }
 
+bool
+limpet_gossip_is_current (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms)
+{
+  LimpetMs read_ms = gossip->topics[topic].read_ms;
+  bool is_alone = limpet_gossip_members_count (gossip->members) == 0;
+
+  return read_ms > gossip->resumed_ms && now_ms - gossip->last_tick_ms <= MAX_SILENCE_MS
+         && (double)(now_ms - read_ms)
+                <= MAX_CURRENT_AGE_RATIO * (double)gossip->max_staleness_ms
+         && (is_alone || now_ms - MAX (read_ms, gossip->heard_ms) <= MAX_SILENCE_MS);
+}
+
 static void
 receive_topic (LimpetGossip *gossip,
                const TopicUpdate *received,
@@ -561,6 +588,7 @@
         gossip_message__free_unpacked (message, NULL);
       return;
     }
+  gossip->heard_ms = now_ms;
   limpet_counter_add (LIMPET_COUNTER_DIGESTS_RECEIVED, 1);
   limpet_counter_add (LIMPET_COUNTER_PEER_RECEIVED_BYTES, length);
   limpet_gossip_members_record_message (gossip->members, sender, message->leaving,
@@ -713,6 +741,9 @@
   uint32_t count = 0;
   Digest digest;
 
+  if (gossip->last_tick_ms > 0 && now_ms - gossip->last_tick_ms > MAX_SILENCE_MS)
+    gossip->resumed_ms = now_ms + QUEUED_DATAGRAMS_MS;
+  gossip->last_tick_ms = now_ms;
   if (gossip->quarantine != NULL)
     push_suspects (gossip, now_ms);
   push_limits (gossip, now_ms);
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -148,15 +148,13 @@
 limpet_exchange_set_stream_origins (LimpetExchange *exchange,
                                     LimpetStreamOrigins *origins,
                                     LimpetSoftwareMix *mix,
-                                    void (*query) (void *user,
-                                                   uint64_t *ids,
-                                                   uint32_t count),
+                                    const LimpetResumptionOps *ops,
                                     void *user)
 {
   exchange->stream_origins = origins;
   exchange->software_mix = mix;
-  exchange->query_streams = query;
-  exchange->query_user = user;
+  exchange->resumption_ops = ops;
+  exchange->resumption_user = user;
 }
 
 void
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -406,7 +406,10 @@
       return;
     }
   if (task->is_streaming)
-    end_stream (task);
+    {
+      limpet_resumption_record (task); /* the end may not reach the caller */
+      end_stream (task);
+    }
   else if (task->head_sent)
     {
       /* The caller has received the start of a stream, and this response is no stream. */
--- a/src/liblimpetroad/exchange/resumption.c
+++ b/src/liblimpetroad/exchange/resumption.c
@@ -11,11 +11,22 @@
 /* Retry delay for the caller if the marks did not arrive in time. */
 #define MARKS_UNKNOWN_RETRY_MS 500
 
+static bool
+is_view_current (const LimpetTask *task)
+{
+  LimpetExchange *exchange = task->exchange;
+
+  return exchange->resumption_ops->is_view_current (exchange->resumption_user);
+}
+
+/* Returns whether several versions serve, or may serve without this router's knowledge.
+ */
 static bool
 is_mixed (const LimpetTask *task)
 {
   return limpet_software_mix_is_mixed (task->exchange->software_mix,
-                                       task->call.service->name, limpet_clock_boot_ms ());
+                                       task->call.service->name, limpet_clock_boot_ms ())
+         || !is_view_current (task);
 }
 
 static uint64_t
@@ -43,10 +54,11 @@
 static void
 refuse (LimpetTask *task, bool are_marks_known)
 {
-  limpet_log (LIMPET_LOG_NOTICE, "resume", NULL,
-              "id=%s resumed_id=%s refused=unknown_version marks_known=%d", task->call.id,
-              task->call.resumed_id != NULL ? task->call.resumed_id : "-",
-              are_marks_known);
+  limpet_log (
+      LIMPET_LOG_NOTICE, "resume", NULL,
+      "id=%s resumed_id=%s refused=unknown_version marks_known=%d view_current=%d",
+      task->call.id, task->call.resumed_id != NULL ? task->call.resumed_id : "-",
+      are_marks_known, is_view_current (task));
   limpet_resumption_cancel (task);
   limpet_task_write_failure (task, LIMPET_REFUSAL_UNKNOWN_VERSION,
                              are_marks_known ? 0 : MARKS_UNKNOWN_RETRY_MS);
@@ -67,8 +79,8 @@
       limpet_task_submit (task);
       return true;
     }
-  if ((are_marks_known && (task->call.resumed_id == NULL || waited_ms >= MAX_QUERY_MS))
-      || waited_ms >= MAX_MARKS_WAIT_MS)
+  if ((are_marks_known && waited_ms >= MAX_QUERY_MS) || waited_ms >= MAX_MARKS_WAIT_MS
+      || (are_marks_known && task->call.resumed_id == NULL && is_view_current (task)))
     {
       refuse (task, are_marks_known);
       return true;
@@ -92,8 +104,8 @@
       g_array_append_val (ids, id);
     }
   if (ids->len > 0)
-    exchange->query_streams (exchange->query_user, (uint64_t *)(void *)ids->data,
-                             ids->len);
+    exchange->resumption_ops->query (exchange->resumption_user,
+                                     (uint64_t *)(void *)ids->data, ids->len);
   g_array_free (ids, TRUE);
 }
 
@@ -134,6 +146,8 @@
     }
   if (try_decide (task, 0))
     return;
+  if (!is_view_current (task))
+    exchange->resumption_ops->refresh_view (exchange->resumption_user);
   task->await_start_ms = limpet_clock_mono_ms ();
   task->query_ms = 0;
   task->origin_link.data = task;
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -58,8 +58,8 @@
   GQueue pending_crashes;    /* broken calls, see pending_crashes.c */
   LimpetStreamOrigins *stream_origins; /* borrowed; NULL if there are none */
   LimpetSoftwareMix *software_mix;     /* borrowed */
-  void (*query_streams) (void *user, uint64_t *ids, uint32_t count);
-  void *query_user;
+  const LimpetResumptionOps *resumption_ops;
+  void *resumption_user;
   GQueue awaiting_origin;  /* of LimpetTask */
   uv_timer_t origin_timer; /* active while a task awaits the origin of its stream */
   size_t buffered_bytes;   /* of the response bodies of all tasks */
--- a/src/test_liblimpetroad/software_version_tests.c
+++ b/src/test_liblimpetroad/software_version_tests.c
@@ -282,6 +282,26 @@
     }
 }
 
+/* Streams must not be resumed by what was known before. */
+static void
+test_a_router_that_stood_still_or_hears_nothing_is_not_current (void)
+{
+  int64_t end = 5;
+
+  start_routers (45);
+  run_fleet (1, 8000, &end, NULL);
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    CU_ASSERT_TRUE (limpet_gossip_is_current (routers[i].gossip, STORE_TOPIC, 8000));
+  CU_ASSERT_FALSE (limpet_gossip_is_current (routers[0].gossip, STORE_TOPIC, 8700));
+  limpet_gossip_tick (routers[0].gossip, 8700);
+  CU_ASSERT_FALSE (limpet_gossip_is_current (routers[0].gossip, STORE_TOPIC, 8710));
+  loss_ratio = 1;
+  for (LimpetMs now_ms = 8000; now_ms <= 8700; now_ms += 100)
+    limpet_gossip_tick (routers[1].gossip, now_ms);
+  CU_ASSERT_FALSE (limpet_gossip_is_current (routers[1].gossip, STORE_TOPIC, 8700));
+  stop_routers ();
+}
+
 void
 add_software_version_tests (void)
 {
@@ -296,4 +316,5 @@
   CU_ADD_TEST (suite, test_marks_outlast_a_restart);
   CU_ADD_TEST (suite, test_a_version_is_stored_at_changes_only);
   CU_ADD_TEST (suite, test_a_stored_version_that_no_longer_serves_means_mixed);
+  CU_ADD_TEST (suite, test_a_router_that_stood_still_or_hears_nothing_is_not_current);
 }
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -227,3 +227,105 @@
         time.sleep(0.5)
         check(isinstance(fleet.resume("new", 1, request_id, 5), tuple))
         fleet.check_versions(["new"], 2)
+
+
+# Sends resumptions of the begun streams to a router, on connections to it if there are some, and
+# returns the clients.
+def send_resumptions(fleet, router, begun, clients=None):
+    clients = clients or [fleet.platform.client(router) for _ in begun]
+    for client, (name, (_, request_id)) in zip(clients, begun.items()):
+        client.send("/resume/1", "POST", body=name.encode(),
+                    fields=[("Resumes", request_id), ("Last-Event-Id", "3")])
+    return clients
+
+
+# Opens connections to a router and stops it with the first byte of a request in each, which it
+# therefore reads before any later datagram.
+def stop_before_requests(fleet, router, count=16):
+    clients = [fleet.platform.client(router) for _ in range(count)]
+    time.sleep(0.3)
+    fleet.platform.routers[router]["process"].freeze()
+    for client in clients:
+        client.socket.sendall(b"\r\n")
+    return clients
+
+
+# Lets streams begin at the other routers than the first one and breaks them off.
+def begin_broken_streams(fleet, count=16):
+    begun = {name: fleet.begin(name, 1 + number % 2, 3)
+             for number, name in enumerate("s%d" % n for n in range(count))}
+    for client, _ in begun.values():
+        client.close()
+    return begun
+
+
+@table([("%s_%s" % (name, fate), stop_s, is_silent, fate == "old_leaves")
+        for name, stop_s, is_silent in (("stopped_2_s", 2, False), ("stopped_4_s", 4, False),
+                                        ("stopped_12_s", 12, False), ("stopped_without_store", 4, True))
+        for fate in ("old_stays", "old_leaves")])
+def test_a_router_that_stood_still_does_not_resume_a_stream_at_another_version(stop_s, is_silent, old_leaves):
+    """The resumptions are in its sockets before it goes on."""
+    with VersionedFleet(versions=("v1", "v1")) as fleet:
+        router = fleet.platform.routers[0]["process"]
+        clients = stop_before_requests(fleet, 0)
+        start = time.monotonic()
+        if old_leaves:
+            fleet.remove_version("v1")
+        for _ in range(2):
+            fleet.add_server("v2")
+        time.sleep(1.5)   # the other routers know of them
+        begun = begin_broken_streams(fleet)
+        send_resumptions(fleet, 0, begun, clients)
+        if is_silent:
+            fleet.platform.store.mode = "silent"
+        time.sleep(max(0, start + stop_s - time.monotonic()))
+        router.thaw()
+        for client in clients:
+            client.read()
+        for name in begun:
+            check(len({version for version, _ in fleet.runs[name]}) == 1, name, fleet.runs[name])
+
+
+@table([("old_stays", False), ("old_leaves", True)])
+def test_a_router_that_is_cut_off_does_not_resume_a_stream_at_another_version(old_leaves):
+    """Neither the store nor the other routers tell it of the new version."""
+    with VersionedFleet(versions=("v1", "v1")) as fleet:
+        store = fleet.platform.add_store()
+        fleet.platform.peer_port += 10
+        fleet.platform.add_router(store=store)
+        time.sleep(2)
+        store.mode = "silent"
+        time.sleep(1.5)
+        if old_leaves:
+            fleet.remove_version("v1")
+        for _ in range(2):
+            fleet.add_server("v2")
+        time.sleep(1.5)
+        begun = begin_broken_streams(fleet)
+        for client in send_resumptions(fleet, 3, begun):
+            client.read()
+        for name in begun:
+            check(len({version for version, _ in fleet.runs[name]}) == 1, name, fleet.runs[name])
+
+
+@table([("stopped", "stop"), ("store_away", "silent"), ("store_away_and_origin_killed", "kill")])
+def test_streams_of_one_version_go_on_at_a_router_with_old_knowledge(fault):
+    with VersionedFleet(versions=("v1", "v1")) as fleet:
+        router = fleet.platform.routers[0]["process"]
+        clients = None
+        if fault == "stop":
+            clients = stop_before_requests(fleet, 0)
+        else:
+            fleet.platform.store.mode = "silent"
+        time.sleep(3)
+        begun = {name: fleet.begin(name, 1, 3) for name in ("s%d" % n for n in range(16))}
+        time.sleep(0.3)
+        if fault == "kill":
+            fleet.platform.routers[1]["process"].kill()
+        for client, _ in begun.values():
+            client.close()
+        clients = send_resumptions(fleet, 0, begun, clients)
+        if fault == "stop":
+            router.thaw()
+        statuses = [client.read().status for client in clients]
+        check(statuses.count(200) == 16, statuses)
