Brittle servers: a router that starts bounds its calls for three seconds at most

Seen beside the tests of planned stops: a router whose first calls of a service take 4.2 s sent two to each server of 32 slots and refused others after 0.6 s until a response came, since it might be brittle. By the time that a router has found the others, at most 2 s after its start, the first digest has told it what is brittle; so the bound ends after 3 s.

--- a/src/liblimpetroad/routing/brittle_targets.c
+++ b/src/liblimpetroad/routing/brittle_targets.c
@@ -8,8 +8,11 @@
 
 /* A router counts for this time after it was last known. */
 #define ROUTER_MEMORY_MS 5000
-/* A router that has just started assumes this many until it has found the others. */
+/* A router that has just started assumes this many until it has found the others, and
+ * takes for this time only its part of the slots of services that have not responded yet:
+ * they may be brittle, which it would then learn from another router. */
 #define ASSUMED_ROUTERS 16
+#define LEARNING_MS 3000
 /* Parts of the refusals that a target bears. Routers that were turned away come back so
  * often that they are refused at most REST_FRACTION. Where routers take turns, one call
  * may be refused for each turn that begins while the call of an earlier one still runs,
@@ -39,6 +42,7 @@
 
 struct LimpetBrittleTargets
 {
+  LimpetMs start_ms;
   GHashTable *services; /* LimpetTarget.group_hash → Service */
   GArray *routers;      /* of Router; the first is this one */
   uint32_t version;     /* of the parts of the slots; never 0 */
@@ -51,6 +55,7 @@
   LimpetBrittleTargets *brittle = g_new0 (LimpetBrittleTargets, 1);
 
   brittle->services = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  brittle->start_ms = now_ms;
   brittle->version = 1;
   brittle->routers = g_array_new (FALSE, FALSE, sizeof (Router));
   /* The numbers of the assumed routers are no addresses of real ones. */
@@ -257,7 +262,9 @@
   target->max_refusals_per_s = target->is_brittle ? service->max_refusals_per_s : 0;
   if (target->is_brittle && !was_brittle)
     target->brittle_ms = now_ms;
-  target->has_slot_share = target->is_brittle || !service->is_heard;
+  target->has_slot_share
+      = target->is_brittle
+        || (!service->is_heard && now_ms - brittle->start_ms <= LEARNING_MS);
   if (target->has_slot_share
       && (target->is_brittle != was_brittle
           || target->slot_share_version != brittle->version))
