Planned stop: requests that cannot end in time are refused before they are sent

What callers saw, by another operator's report: requests that came late in the grace were passed on and cut at its end, unsafe ones too. Shown by test_planned_stops (8 of 12 rows failed): requests of 4.2 s that came 1.2 to 2.6 s after SIGTERM, with a grace of 6 s, ended with 502 or a broken stream; and of two pipelined requests the second was dropped with the connection, up to 4 s after it had been read.

Cause: a stopping router took requests for 2.8 s whatever their length, and announced the close of a connection without regard to what it had read on it. Ruled out: refusing all requests from SIGTERM on, which costs the callers whose requests are short.

Change: from SIGTERM on a request is sent only if its time limit, or the longest request of its route in the last 30 to 60 s, ends before the remaining ones are cut; otherwise 503, not run, at once. Not covered: requests relayed for an isolated router that began before SIGTERM; the own interface waits for all requests unless a limit is set.

--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -237,9 +237,10 @@
  *  to leaving targets and serves the queue of waiting calls. */
 void limpet_exchange_targets_changed (LimpetExchange *exchange);
 
-/** Begins a planned stop: from now on each caller's connection is closed after
- *  its next response. */
-void limpet_exchange_drain (LimpetExchange *exchange);
+/** Begins a planned stop: from now on each caller's connection is closed after its last
+ *  request, and calls that would not end by \p abort_ms (monotonic) are refused before
+ *  they are sent. limpet_exchange_abort_all() is to be called then. */
+void limpet_exchange_drain (LimpetExchange *exchange, LimpetMs abort_ms);
 /** Closes the listening port and the callers' connections that have no request. Requests
  *  that still arrive are refused at once, because they could not complete before the
  *  router stops. */
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -5,9 +5,6 @@
 
 /* Retry delay if the router has no configuration yet or the route has no service. */
 #define NOT_READY_RETRY_MS 500
-/* Retry delay while the router stops; short, because another router can take the request
- * at once. */
-#define STOPPING_RETRY_MS 20
 
 /* One step of checking a request and completing its call. Returns false and sets refusal
  * if the request is refused. */
@@ -24,7 +21,7 @@
 check_stopping (LimpetTask *task, LimpetRefusal *refusal)
 {
   if (task->exchange->is_refusing)
-    return refuse (refusal, LIMPET_REFUSAL_NOT_READY, STOPPING_RETRY_MS);
+    return refuse (refusal, LIMPET_REFUSAL_NOT_READY, LIMPET_STOPPING_RETRY_MS);
   return true;
 }
 
@@ -112,6 +109,14 @@
   return true;
 }
 
+static bool
+check_remaining_time (LimpetTask *task, LimpetRefusal *refusal)
+{
+  if (!limpet_task_can_end (task))
+    return refuse (refusal, LIMPET_REFUSAL_NOT_READY, LIMPET_STOPPING_RETRY_MS);
+  return true;
+}
+
 static void
 update_hash (XXH64_state_t *state, const void *data, size_t length)
 {
@@ -153,9 +158,10 @@
   return true;
 }
 
-static const CallFilter filters[]
-    = { check_stopping, acquire_table, read_call,       find_route,      authenticate,
-        set_times,      set_context,   set_fingerprint, check_quarantine };
+static const CallFilter filters[] = {
+  check_stopping, acquire_table,        read_call,   find_route,      authenticate,
+  set_times,      check_remaining_time, set_context, set_fingerprint, check_quarantine
+};
 
 bool
 limpet_call_run_filters (LimpetTask *task, LimpetRefusal *refusal)
--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -226,7 +226,10 @@
       if (progress == LIMPET_HTTP_ERROR)
         refuse_message (caller);
       else if (progress == LIMPET_HTTP_COMPLETE)
-        start_task (caller);
+        {
+          caller->has_more_input = offset < length;
+          start_task (caller);
+        }
     }
 }
 
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -50,6 +50,7 @@
   exchange->loop = loop;
   exchange->targets = targets;
   exchange->dispatch = limpet_dispatch_new (targets);
+  exchange->durations = limpet_call_durations_new ();
   g_queue_init (&exchange->callers);
   g_queue_init (&exchange->tasks);
   g_queue_init (&exchange->pending_crashes);
@@ -317,11 +318,10 @@
 }
 
 void
-limpet_exchange_drain (LimpetExchange *exchange)
+limpet_exchange_drain (LimpetExchange *exchange, LimpetMs abort_ms)
 {
   exchange->is_draining = true;
-  for (GList *link = exchange->tasks.head; link != NULL; link = link->next)
-    ((LimpetTask *)link->data)->closes_connection = true;
+  exchange->abort_ms = abort_ms;
 }
 
 void
@@ -401,6 +401,7 @@
   limpet_pending_crashes_clear (exchange);
   limpet_paths_clear (exchange);
   limpet_dispatch_delete (exchange->dispatch);
+  limpet_call_durations_delete (exchange->durations);
   limpet_route_table_unref (exchange->table);
   g_free (exchange);
 }
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -133,6 +133,7 @@
 static void
 append_framing (LimpetTask *task, GString *out)
 {
+  limpet_task_close_if_draining (task);
   task->is_chunked_to_caller = !task->is_http10 && !task->ends_with_close;
   if (task->is_chunked_to_caller)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
@@ -290,6 +291,7 @@
 
   if (task->caller == NULL)
     return;
+  limpet_task_close_if_draining (task);
   out = g_string_sized_new (task->response_head->len + length + 64);
   g_string_append_len (out, task->response_head->str, (gssize)task->response_head->len);
   if (has_body && task->ends_with_close)
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -117,7 +117,8 @@
   return true;
 }
 
-/* The call may have been quarantined while it waited for a slot. */
+/* The call may have been quarantined while it waited for a slot, or the router may be
+ * stopping now. */
 static void
 on_target (void *user, LimpetTarget *target)
 {
@@ -126,6 +127,12 @@
 
   if (refuse_if_quarantined (task, false))
     limpet_dispatch_release (dispatch, target);
+  else if (task->sent_count == 0 && !limpet_task_can_end (task))
+    {
+      limpet_dispatch_release (dispatch, target);
+      limpet_task_write_failure (task, LIMPET_REFUSAL_NOT_READY,
+                                 LIMPET_STOPPING_RETRY_MS);
+    }
   else
     limpet_task_send (task, target);
 }
@@ -154,7 +161,7 @@
   task->call.arrived_ms = limpet_clock_mono_ms ();
   task->body = g_byte_array_new ();
   task->is_http10 = head->minor_version == 0 && head->fields_count > 0;
-  task->closes_connection = !head->keep_alive || task->exchange->is_draining;
+  task->closes_connection = !head->keep_alive;
   copy_head (task, head, head->fields_count > 0 ? caller->reader.text : NULL);
   task->dispatch_request = (LimpetDispatchRequest){
     .call = &task->call,
@@ -168,6 +175,30 @@
   return task;
 }
 
+void
+limpet_task_close_if_draining (LimpetTask *task)
+{
+  const LimpetCaller *caller = task->caller;
+
+  if (task->exchange->is_draining
+      && (caller == NULL || (caller->pipelined == NULL && !caller->has_more_input)))
+    task->closes_connection = true;
+}
+
+bool
+limpet_task_can_end (const LimpetTask *task)
+{
+  const LimpetExchange *exchange = task->exchange;
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+  LimpetMs longest_ms;
+
+  if (!exchange->is_draining || task->call.response_due_ms <= exchange->abort_ms)
+    return true;
+  longest_ms = limpet_call_durations_longest (exchange->durations, task->call.route->name,
+                                              now_ms);
+  return longest_ms >= 0 && now_ms + longest_ms <= exchange->abort_ms;
+}
+
 static void
 free_task (uv_handle_t *handle)
 {
@@ -237,7 +268,13 @@
     return;
   times = &task->exchange->times[call->route->kind];
   if (task->first_sent_ms > 0)
-    limpet_histogram_record (&times->waited, task->first_sent_ms - call->arrived_ms);
+    {
+      LimpetMs now_ms = limpet_clock_mono_ms ();
+
+      limpet_histogram_record (&times->waited, task->first_sent_ms - call->arrived_ms);
+      limpet_call_durations_record (task->exchange->durations, call->route->name,
+                                    now_ms - task->first_sent_ms, now_ms);
+    }
   if (task->response_head_ms > 0)
     limpet_histogram_record (&times->first, task->response_head_ms - call->arrived_ms);
   limpet_histogram_record (&times->total, limpet_clock_mono_ms () - call->arrived_ms);
@@ -247,11 +284,13 @@
 limpet_task_finish (LimpetTask *task, const char *outcome)
 {
   LimpetCaller *caller = task->caller;
-  bool close = task->closes_connection;
+  bool close;
 
   if (task->is_finished)
     return; /* a failed write to the caller has already finished the task */
   task->is_finished = true;
+  limpet_task_close_if_draining (task);
+  close = task->closes_connection;
   limpet_task_end_attempt (task, 0);
   limpet_dispatch_cancel (task->exchange->dispatch, &task->dispatch_request);
   limpet_resumption_cancel (task);
@@ -277,6 +316,7 @@
   LimpetRefusal refusal = { .reason = reason, .retry_after_ms = retry_ms };
   GString *out = g_string_sized_new (256);
 
+  limpet_task_close_if_draining (task);
   for (size_t i = 0; i < G_N_ELEMENTS (refusal_status); i++)
     if (refusal_status[i].reason == reason)
       refusal.status = refusal_status[i].status;
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -5,6 +5,7 @@
 #include "limpetroad/exchange.h"
 #include "limpetroad/histogram.h"
 #include "limpetroad/software_mix.h"
+#include "private/call_durations.h"
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
 #include "private/stream_write.h"
@@ -26,6 +27,10 @@
 typedef struct LimpetTask LimpetTask;
 typedef struct LimpetUpstream LimpetUpstream;
 
+/* Retry delay while the router stops; short, because another router can take the request
+ * at once. */
+#define LIMPET_STOPPING_RETRY_MS 20
+
 /* Times from the arrival of a call, in ms, for one kind of route. */
 typedef struct
 {
@@ -76,7 +81,9 @@
   GQueue tunnels; /* see tunnel.c */
   LimpetCallTimes times[LIMPET_ROUTE_KIND_COUNT];
   bool is_listening;
-  bool is_draining; /* connections are closed after their response */
+  bool is_draining;  /* connections are closed after their response */
+  LimpetMs abort_ms; /* when the remaining calls are aborted, if is_draining is set */
+  LimpetCallDurations *durations;
   bool is_refusing; /* new requests are refused */
   /* Used by the reads of all connections: each read is processed before the next one. */
   char read_buffer[65536];
@@ -91,6 +98,7 @@
   LimpetHttpReader reader;
   LimpetTask *task; /* current request, from its head to its response; NULL if none */
   GByteArray *pipelined; /* bytes received after the current request; NULL if none */
+  bool has_more_input;   /* bytes came after the last request in the same read */
   /* Start of the wait for a request, for the rest of it or for the caller to close. */
   LimpetMs wait_start_ms;
   bool is_reading;
@@ -179,6 +187,12 @@
 /* Creates the task for a request head, which is copied. The caller's connection appends
  * the body before it calls limpet_task_start(). */
 LimpetTask *limpet_task_new (LimpetCaller *caller, const LimpetHttpHead *head);
+/* Has the connection closed after the response whose head is written next, if the router
+ * is stopping and no further request of the caller waits. */
+void limpet_task_close_if_draining (LimpetTask *task);
+/* Returns whether the call, if it is sent now, ends before the router stops, as far as
+ * can be told from earlier calls of its route. */
+bool limpet_task_can_end (const LimpetTask *task);
 /* Runs the filters on the complete request and submits the call to the dispatcher. */
 void limpet_task_start (LimpetTask *task);
 /* Called when the connection of the caller is closed before the task has finished. */
