--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -26,7 +26,6 @@
   double own_slot_share;        /**< fraction of those slots that this router may fill */
   uint64_t slot_rounding_salt; /**< differs between routers; decides how own_slot_share is
                                   rounded */
-  uint32_t routers;  /**< number of routers that share the targets; 0 if unknown */
   double load_limit; /**< "homes": highest load of an engine, as a multiple of the mean */
   double key_rate_per_s;  /**< estimated calls of the key per second in the whole
                              fleet; 0 if rare */
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -200,7 +200,6 @@
     .key_rate_per_s = fleet_rate (dispatch, call, now_ms),
     .usable_slots_percent = 100,
     .own_slot_share = 1,
-    .routers = dispatch->routers,
     .fleet = &dispatch->fleet,
     .load_limit = dispatch->load_limit,
     .software_hash = request->software_hash,
@@ -362,23 +361,26 @@
   return is_any_awake ? 0 : first_ms;
 }
 
-/* Returns whether the request may get no target now since this router has no part of the
- * slots of any of them. */
+/* Returns whether this router now has no part of the slots of any target that the request
+ * may get. */
 static bool
-has_no_slot_share (LimpetDispatch *dispatch, const LimpetDispatchRequest *request)
+lacks_slot_share (LimpetDispatch *dispatch, const LimpetDispatchRequest *request)
 {
   LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
-  uint32_t without_share = 0;
+  bool has_target = false;
   bool has_share = false;
 
   for (uint32_t i = 0; i < view->count && !has_share; i++)
-    if (may_get (request, view->targets[i]))
-      {
-        has_share = !view->targets[i]->has_slot_share || view->targets[i]->slot_share > 0;
-        without_share++;
-      }
+    {
+      const LimpetTarget *target = view->targets[i];
+
+      if (!may_get (request, target))
+        continue;
+      has_target = true;
+      has_share = !target->has_slot_share || target->slot_share > 0;
+    }
   limpet_target_view_release (view);
-  return !has_share && without_share > 0;
+  return has_target && !has_share;
 }
 
 void
@@ -404,7 +406,7 @@
       return;
     }
   if (expected_wait_ms (dispatch) > request->wait_until_ms - now_ms
-      || has_no_slot_share (dispatch, request))
+      || lacks_slot_share (dispatch, request))
     {
       request->on_refused (request->user, retry_after_ms (dispatch, call, now_ms));
       return;
