Brittle servers: slots are not divided where routers outnumber them by far

Reckoned for 73 routers before 18 slots: seven of ten routers have no part. Such a service would be refused to most callers for as long as its servers say that they are brittle, on deployments from which no fall was reported.

Ruled out here: a margin for light load, which a return of all callers at once turns into falls.

--- a/src/liblimpetroad/routing/brittle_targets.c
+++ b/src/liblimpetroad/routing/brittle_targets.c
@@ -23,6 +23,10 @@
 /* The parts of the slots are computed anew after this time, or when a router was added or
  * removed. */
 #define SHARE_VALIDITY_MS 400
+/* With fewer calls than this for each router, at all targets of a service together, most
+ * routers would have to refuse their callers beside idle targets. Each may then have one
+ * call at each target, and only the rests bound the refusals. */
+#define MIN_CALLS_PER_ROUTER 0.6
 #define MIN_REST_MS 100
 #define MAX_REST_MS 10000
 
@@ -32,6 +36,7 @@
   bool is_brittle;
   LimpetMs said_ms; /* when a target last said that it is brittle; 0 for never */
   double max_refusals_per_s;
+  uint32_t allowed; /* sum of allowed_calls() of its targets */
 } Service;
 
 typedef struct
@@ -215,21 +220,30 @@
   return MIN (routers, slots + (uint32_t)(EXTRA_FRACTION * max_refusals_per_s));
 }
 
+static bool
+are_slots_divided (const LimpetBrittleTargets *brittle, const Service *service)
+{
+  return service->allowed >= MIN_CALLS_PER_ROUTER * brittle->routers->len;
+}
+
 /* Returns how many of these are this router's. */
 static int32_t
 slot_share (const LimpetBrittleTargets *brittle,
+            const Service *service,
             const LimpetTarget *target,
-            double max_refusals_per_s,
             LimpetMs wall_ms)
 {
   const Router *own = &g_array_index (brittle->routers, Router, 0);
   uint32_t routers = brittle->routers->len;
+  double max_refusals_per_s = target->max_refusals_per_s;
   uint32_t allowed = allowed_calls (target, routers, max_refusals_per_s);
   uint32_t rotation
       = allowed < routers ? rotation_of (routers, max_refusals_per_s, wall_ms) : 0;
   uint32_t own_distance = distance (own, target, rotation);
   uint32_t rank = 0;
 
+  if (!are_slots_divided (brittle, service))
+    return 1;
   if (allowed % routers == 0)
     return (int32_t)(allowed / routers);
   for (guint i = 1; i < routers; i++)
@@ -241,9 +255,12 @@
 /* Sets this router's part of the slots. The first response of a service tells whether it
  * is brittle, so each target gets at least one call until then. */
 static void
-update_share (LimpetBrittleTargets *brittle, LimpetTarget *target, LimpetMs wall_ms)
+update_share (const LimpetBrittleTargets *brittle,
+              const Service *service,
+              LimpetTarget *target,
+              LimpetMs wall_ms)
 {
-  target->slot_share = slot_share (brittle, target, target->max_refusals_per_s, wall_ms);
+  target->slot_share = slot_share (brittle, service, target, wall_ms);
   if (!target->is_brittle)
     target->slot_share = MAX (1, target->slot_share);
   target->slot_share_version = brittle->version;
@@ -268,7 +285,7 @@
   if (target->has_slot_share
       && (target->is_brittle != was_brittle
           || target->slot_share_version != brittle->version))
-    update_share (brittle, target, wall_ms);
+    update_share (brittle, service, target, wall_ms);
 }
 
 /* Logs the services that have become brittle or sound. */
@@ -316,6 +333,20 @@
     }
 }
 
+static void
+sum_allowed_calls (LimpetBrittleTargets *brittle, const LimpetTargetView *view)
+{
+  for (uint32_t i = 0; i < view->count; i++)
+    get_service (brittle, view->targets[i]->group_hash)->allowed = 0;
+  for (uint32_t i = 0; i < view->count; i++)
+    {
+      Service *service = get_service (brittle, view->targets[i]->group_hash);
+
+      service->allowed += allowed_calls (view->targets[i], brittle->routers->len,
+                                         service->max_refusals_per_s);
+    }
+}
+
 void
 limpet_brittle_targets_update (LimpetBrittleTargets *brittle,
                                const LimpetTargetView *view,
@@ -327,6 +358,7 @@
       brittle->version++;
       brittle->version_ms = now_ms;
     }
+  sum_allowed_calls (brittle, view);
   for (uint32_t i = 0; i < view->count; i++)
     update_target (brittle, view->targets[i], now_ms, wall_ms);
   log_changes (brittle, view, now_ms);
@@ -337,9 +369,13 @@
 limpet_brittle_targets_rest_ms (const LimpetBrittleTargets *brittle,
                                 const LimpetTarget *target)
 {
+  const Service *service
+      = g_hash_table_lookup (brittle->services, GUINT_TO_POINTER (target->group_hash));
   uint32_t routers = brittle->routers->len;
-  uint32_t senders
-      = MIN (routers, allowed_calls (target, routers, target->max_refusals_per_s));
+  uint32_t allowed = allowed_calls (target, routers, target->max_refusals_per_s);
+  uint32_t senders = service != NULL && are_slots_divided (brittle, service)
+                         ? MIN (routers, allowed)
+                         : routers;
   double refusals_per_s = REST_FRACTION * target->max_refusals_per_s;
 
   if (refusals_per_s * MAX_REST_MS <= 1000.0 * senders)
--- a/src/test_liblimpetroad/brittle_tests.c
+++ b/src/test_liblimpetroad/brittle_tests.c
@@ -104,6 +104,8 @@
         /* One call more than slots is risked where routers take turns. */
         if (slots[s] < counts[c])
           allowed = MIN (allowed + 1, (int32_t)counts[c]);
+        if (TARGETS * allowed < 0.6 * counts[c])
+          continue; /* the slots are not divided, see below */
         init_fleet (fleet, counts[c], slots[s], 5);
         for (uint32_t i = 0; i < counts[c]; i++)
           update (&fleet[i], SETTLED_MS, 1234567);
@@ -113,6 +115,20 @@
       }
 }
 
+/* As 73 routers before three servers of 6 slots: with parts of the slots, nearly all
+ * would refuse their callers even if the servers were idle. */
+static void
+test_routers_that_far_outnumber_the_slots_may_each_send_one_call (void)
+{
+  static Believer fleet[MAX_ROUTERS];
+
+  init_fleet (fleet, 73, 3, 5);
+  update (&fleet[0], SETTLED_MS, 0);
+  for (uint32_t t = 0; t < TARGETS; t++)
+    CU_ASSERT_EQUAL (fleet[0].targets[t].slot_share, 1);
+  clear_fleet (fleet, 73);
+}
+
 /* Also the most turns that begin in a second, since the call of an earlier turn may still
  * hold the slot. */
 static void
@@ -315,6 +331,7 @@
 
   CU_ADD_TEST (suite, test_routers_share_out_all_slots_of_a_brittle_target);
   CU_ADD_TEST (suite, test_routers_take_turns_where_they_outnumber_the_slots);
+  CU_ADD_TEST (suite, test_routers_that_far_outnumber_the_slots_may_each_send_one_call);
   CU_ADD_TEST (suite, test_a_target_that_has_just_started_counts_as_brittle);
   CU_ADD_TEST (suite, test_brittleness_ends_with_a_response_or_after_silence);
   CU_ADD_TEST (suite, test_a_router_that_has_just_started_takes_a_small_part);
--- a/test/test_brittle_servers_in_overload.py
+++ b/test/test_brittle_servers_in_overload.py
@@ -1,5 +1,6 @@
 """Brittle servers stay up while callers ask for more than they can do."""
 
+import threading
 import time
 
 from falling_fleet import ALLOWED_FALLS, FallingFleet
@@ -80,3 +81,22 @@
         changes = []
         share = fleet.play(CALM_S, OVERLOAD_S, OVERLOAD, change)
         check_overload(fleet, share)
+
+
+@table([("6_routers", 6), ("9_routers", 9), ("24_routers", 24)])
+def test_brittle_servers_serve_nearly_all_of_a_light_load(routers):
+    """A sixth of the slots is asked for; the calls come to the routers by turns."""
+    with FallingFleet("plain", routers) as fleet:
+        time.sleep(CALM_S)
+        statuses = []
+
+        def call(number):
+            for router in range(number, 60 + number):
+                statuses.append(fleet.platform.call(fleet.path, router=router % routers).status)
+
+        callers = [threading.Thread(target=call, args=(7 * number,)) for number in range(6)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        check(not fleet.falls and statuses.count(200) >= 0.98 * len(statuses), statuses.count(200), len(statuses))
