--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -190,9 +190,7 @@
 /** Notifies all known routers that this one stops. */
 void limpet_gossip_leave (LimpetGossip *gossip);
 
-/** Sets \p addresses, an array of uint32_t, to those of the known routers, this one
- * first.
- */
+/** Sets the GArray of uint32_t \p addresses to the known routers, this one first. */
 void limpet_gossip_get_routers (const LimpetGossip *gossip, GArray *addresses);
 /** Returns the number of known routers, this one included. */
 uint32_t limpet_gossip_router_count (const LimpetGossip *gossip);
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -106,7 +106,7 @@
    *  by the exchange's thread only. */
   LimpetMs heard_ms;
   /** It falls over if it turns more than max_refusals_per_s away. Used by the
-   * dispatcher's thread only, as are the fields up to slot_share. */
+   *  dispatcher's thread only, as are the fields up to slot_share_version. */
   bool is_brittle;
   double max_refusals_per_s;
   LimpetMs joined_ms;      /**< when this router learned of its start */
