--- a/src/liblimpetroad/routing/brittle_targets.c
+++ b/src/liblimpetroad/routing/brittle_targets.c
@@ -27,6 +27,9 @@
  * routers would have to refuse their callers beside idle targets. Each may then have one
  * call at each target, and only the rests bound the refusals. */
 #define MIN_CALLS_PER_ROUTER 0.6
+/* Bounds of the time in which each router has its turn. */
+#define MIN_ROUND_MS 1024
+#define MAX_ROUND_MS (1024 * 1024)
 #define MIN_REST_MS 100
 #define MAX_REST_MS 10000
 
@@ -200,11 +203,11 @@
 rotation_of (uint32_t routers, double max_refusals_per_s, LimpetMs wall_ms)
 {
   double turns_per_s = TURN_FRACTION * max_refusals_per_s;
-  uint64_t round_ms = 1000;
+  uint64_t round_ms = MIN_ROUND_MS;
 
   if (turns_per_s <= 0)
     return 0;
-  while ((double)round_ms * turns_per_s < 1000.0 * routers)
+  while (round_ms < MAX_ROUND_MS && (double)round_ms * turns_per_s < 1000.0 * routers)
     round_ms *= 2;
   return (uint32_t)(((uint64_t)wall_ms % round_ms << 32) / round_ms);
 }
@@ -217,7 +220,8 @@
 
   if (slots >= routers)
     return slots;
-  return MIN (routers, slots + (uint32_t)(EXTRA_FRACTION * max_refusals_per_s));
+  return slots
+         + (uint32_t)MIN (EXTRA_FRACTION * max_refusals_per_s, (double)(routers - slots));
 }
 
 static bool
--- a/src/test_liblimpetroad/brittle_tests.c
+++ b/src/test_liblimpetroad/brittle_tests.c
@@ -115,6 +115,28 @@
       }
 }
 
+/* Servers may name any number; it comes from the wire. */
+static void
+test_extreme_numbers_of_refusals_give_parts_within_bounds (void)
+{
+  static const double numbers[] = { 0, 1e-300, 1e-9, 1e9, 1e38, 1e300 };
+  static Believer fleet[MAX_ROUTERS];
+
+  for (size_t n = 0; n < G_N_ELEMENTS (numbers); n++)
+    {
+      init_fleet (fleet, 24, 12, numbers[n]);
+      for (uint32_t i = 0; i < 24; i++)
+        update (&fleet[i], SETTLED_MS, 1234567890123);
+      for (uint32_t t = 0; t < TARGETS; t++)
+        CU_ASSERT_EQUAL (sum_shares (fleet, 24, t), numbers[n] < 1 ? 12 : 24);
+      CU_ASSERT_TRUE (
+          limpet_brittle_targets_rest_ms (fleet[0].brittle, &fleet[0].targets[0]) >= 100
+          && limpet_brittle_targets_rest_ms (fleet[0].brittle, &fleet[0].targets[0])
+                 <= 10000);
+      clear_fleet (fleet, 24);
+    }
+}
+
 /* As 73 routers before three servers of 6 slots: with parts of the slots, nearly all
  * would refuse their callers even if the servers were idle. */
 static void
@@ -331,6 +353,7 @@
 
   CU_ADD_TEST (suite, test_routers_share_out_all_slots_of_a_brittle_target);
   CU_ADD_TEST (suite, test_routers_take_turns_where_they_outnumber_the_slots);
+  CU_ADD_TEST (suite, test_extreme_numbers_of_refusals_give_parts_within_bounds);
   CU_ADD_TEST (suite, test_routers_that_far_outnumber_the_slots_may_each_send_one_call);
   CU_ADD_TEST (suite, test_a_target_that_has_just_started_counts_as_brittle);
   CU_ADD_TEST (suite, test_brittleness_ends_with_a_response_or_after_silence);
