--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -114,11 +114,12 @@
 class Store:
     """The platform's metadata store: a log of (key, value) records for each topic.
 
-    The offset of a record is its index. requested_paths: paths of all requests received."""
+    The offset of a record is its index. requested_paths: paths of all requests received.
+    topics, if given, are those of another store."""
 
-    def __init__(self):
+    def __init__(self, topics=None):
         self.lock = threading.Condition()
-        self.topics = {}
+        self.topics = {} if topics is None else topics
         self.requested_paths = []
         # For all requests: "ok", "busy" (503), "silent" (no response), "reset" or "endless" (a
         # body without end).
@@ -127,6 +128,9 @@
         self.bytes_per_s = 0   # limits the rate of each response; 0: no limit
         self.sent_bytes = {}   # bytes of all bodies sent, by topic
         self.lose = 0     # number of coming requests that get no response
+        # What happens to coming reads of the configuration, one after the other: "lost" (no
+        # response) or "half" (half of the body and nothing more).
+        self.faults = []
         self.first = {}   # offset of the oldest readable record of each topic
         self.listener = Listener(self.serve)
         self.port = self.listener.port
@@ -163,6 +167,10 @@
                 self.lose -= self.mode != "silent"
                 time.sleep(30)
                 return
+            fault = self.faults.pop(0) if self.faults and "topic=keyed.op" in path else None
+            if fault == "lost":
+                time.sleep(30)
+                return
             if self.mode == "reset":
                 reset(connection)
                 return
@@ -174,6 +182,10 @@
             connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
                                % (status, len(body)))
             topic = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(path).query))["topic"]
+            if fault == "half":
+                self.send_body(connection, topic, body[:len(body) // 2])
+                time.sleep(30)
+                return
             self.send_body(connection, topic, body)
 
     def send_body(self, connection, topic, body):
@@ -379,8 +391,7 @@
 
     def add_store(self):
         """Returns a second store with the same topics, but own faults and own requested paths."""
-        self.second_store = Store()
-        self.second_store.topics = self.store.topics
+        self.second_store = Store(self.store.topics)
         return self.second_store
 
     def add_server(self, service="plain", **more):
