Store client: the HTTP client moves into the library; no change of behaviour

New and unused so far: a call can be cancelled without its callback, and tells how long nothing has arrived.

--- /dev/null
+++ b/src/liblimpetroad/private/async_client.h
@@ -0,0 +1,63 @@
+#ifndef LIMPETROAD_PRIVATE_ASYNC_CLIENT_H
+#define LIMPETROAD_PRIVATE_ASYNC_CLIENT_H
+
+#include "limpetroad/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/* An HTTP/1.1 client of one address, for control calls in an event loop. It makes one
+ * call at a time and keeps its connection open between calls.
+ *
+ * limpet_async_client_new() → limpet_async_client_call() → … →
+ * limpet_async_client_close(), which also frees it. The callback of a call runs exactly
+ * once, unless the call is cancelled or the client is closed first. If a call times out,
+ * its connection is closed, because no more data is expected to arrive on it; the server
+ * may still have executed the call. */
+typedef struct LimpetAsyncClient LimpetAsyncClient;
+
+/* Counts the calls of several clients. */
+typedef struct
+{
+  uint64_t calls;
+  uint64_t failed_calls;   /* without a complete response; cancelled ones do not count */
+  uint64_t received_bytes; /* of bodies, those of failed calls included */
+} LimpetAsyncClientStats;
+
+/* Receives the response to a call. status is the HTTP status, or 0 if there was no
+ * complete response; error then states the reason and is NULL otherwise. body is what has
+ * arrived of the body, valid until the callback returns. */
+typedef void (*LimpetAsyncCallback) (
+    void *user, int status, const char *body, size_t length, const char *error);
+
+/* address is an IPv4 address and is copied; stats is borrowed. A connection is opened by
+ * the first call. */
+LimpetAsyncClient *limpet_async_client_new (uv_loop_t *loop,
+                                            const char *address,
+                                            int port,
+                                            LimpetAsyncClientStats *stats);
+
+/* Sends a request; no other call may be under way. method, path and body are copied; body
+ * may be NULL. timeout_ms limits the time to connect, the time until the response begins
+ * and each pause in it; a response that arrives too slowly fails as well. on_response may
+ * run before the function returns. */
+void limpet_async_client_call (LimpetAsyncClient *client,
+                               const char *method,
+                               const char *path,
+                               const char *body,
+                               size_t body_length,
+                               LimpetMs timeout_ms,
+                               LimpetAsyncCallback on_response,
+                               void *user);
+/* Closes the connection. A call under way ends with status 0 and reason as its error. */
+void limpet_async_client_reset (LimpetAsyncClient *client, const char *reason);
+/* Ends a call under way without its callback, and closes its connection. */
+void limpet_async_client_cancel (LimpetAsyncClient *client);
+bool limpet_async_client_is_busy (const LimpetAsyncClient *client);
+/* Returns the time since the call under way began or the last byte of its response came.
+ */
+LimpetMs limpet_async_client_silent_ms (const LimpetAsyncClient *client);
+void limpet_async_client_close (LimpetAsyncClient *client);
+
+#endif
