Store reads are hedged: a response that does not begin is asked for again

Callers of a router that lost one or two responses of the store were handled by an outdated configuration for up to 7.7 s after a cut, 15.3 s in a series of versions (revoked keys, old time-outs, 404 for new routes).

Cause: a router had one call to the store under way. A lost response was noticed after 900 ms although responses begin within some ms, and the next attempt waited for a delay that grows with the routers and with each loss. Class: how late a result is depends on the luck of one attempt.

Ruled out: late news (end= is ahead of offset= in them).

Change: a read without a byte for 250 ms, or for twice the usual wait if that is longer, is repeated on a second connection, up to three attempts; the first complete response counts. A response that is arriving is not repeated.

Unit test a_read_without_response_is_repeated.

--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -36,6 +36,7 @@
   uv_loop_t *loop;
   LimpetAsyncClientStats *stats; /* borrowed */
   char address[INET_ADDRSTRLEN];
+  char source[INET_ADDRSTRLEN]; /* empty for that which the system selects */
   int port;
   Connection *connection; /* NULL if not connected */
   uv_timer_t timer;
@@ -47,6 +48,7 @@
   LimpetMs sent_ms;    /* monotonic time when the request was sent */
   /* Monotonic time when the call began or the last byte of the response came. */
   LimpetMs progress_ms;
+  LimpetMs wait_ms; /* from the begin of the last call to the first byte; 0 before it */
 };
 
 bool
@@ -111,6 +113,12 @@
   return limpet_clock_mono_ms () - client->progress_ms;
 }
 
+LimpetMs
+limpet_async_client_wait_ms (const LimpetAsyncClient *client)
+{
+  return client->wait_ms;
+}
+
 void
 limpet_async_client_reset (LimpetAsyncClient *client, const char *reason)
 {
@@ -189,6 +197,16 @@
   *buffer = uv_buf_init (connection->buffer, sizeof connection->buffer);
 }
 
+static void
+record_progress (LimpetAsyncClient *client)
+{
+  LimpetMs now_ms = limpet_clock_mono_ms ();
+
+  if (client->wait_ms == 0)
+    client->wait_ms = now_ms - client->progress_ms;
+  client->progress_ms = now_ms;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -203,7 +221,7 @@
       limpet_async_client_reset (connection->client, uv_strerror ((int)count));
       return;
     }
-  connection->client->progress_ms = limpet_clock_mono_ms ();
+  record_progress (connection->client);
   progress
       = limpet_http_reader_feed (&connection->reader, buffer->base, (size_t)count, &used);
   if (progress == LIMPET_HTTP_ERROR || connection->client->on_response == NULL)
@@ -277,7 +295,7 @@
 {
   Connection *connection = g_new0 (Connection, 1);
   struct sockaddr_in address;
-  int code;
+  int code = 0;
 
   connection->client = client;
   client->connection = connection;
@@ -287,7 +305,12 @@
   connection->tcp.data = connection;
   connection->connect.data = connection;
   set_keepalive (connection);
-  code = uv_ip4_addr (client->address, client->port, &address);
+  if (client->source[0] != '\0')
+    code = uv_ip4_addr (client->source, 0, &address);
+  if (code == 0 && client->source[0] != '\0')
+    code = uv_tcp_bind (&connection->tcp, (const struct sockaddr *)&address, 0);
+  if (code == 0)
+    code = uv_ip4_addr (client->address, client->port, &address);
   if (code == 0)
     code = uv_tcp_connect (&connection->connect, &connection->tcp,
                            (struct sockaddr *)&address, on_connected);
@@ -311,6 +334,12 @@
   return client;
 }
 
+void
+limpet_async_client_set_source (LimpetAsyncClient *client, const char *source)
+{
+  g_strlcpy (client->source, source, sizeof client->source);
+}
+
 void
 limpet_async_client_call (LimpetAsyncClient *client,
                           const char *method,
@@ -336,6 +365,7 @@
     g_string_append_len (client->request, body, (gssize)body_length);
   client->timeout_ms = timeout_ms;
   client->progress_ms = limpet_clock_mono_ms ();
+  client->wait_ms = 0;
   uv_timer_start (&client->timer, on_timeout,
                   (uint64_t)MIN (timeout_ms, CONNECT_TIMEOUT_MS), 0);
   if (client->connection != NULL && client->connection->is_connected)
--- a/src/liblimpetroad/private/async_client.h
+++ b/src/liblimpetroad/private/async_client.h
@@ -22,6 +22,7 @@
 {
   uint64_t calls;
   uint64_t failed_calls;   /* without a complete response; cancelled ones do not count */
+  uint64_t hedged_calls;   /* that repeat another one, see hedged_client.h */
   uint64_t received_bytes; /* of bodies, those of failed calls included */
 } LimpetAsyncClientStats;
 
@@ -38,6 +39,9 @@
                                             int port,
                                             LimpetAsyncClientStats *stats);
 
+/* Makes connections from the IPv4 address source, which is copied. */
+void limpet_async_client_set_source (LimpetAsyncClient *client, const char *source);
+
 /* Sends a request; no other call may be under way. method, path and body are copied; body
  * may be NULL. timeout_ms limits the time to connect, the time until the response begins
  * and each pause in it; a response that arrives too slowly fails as well. on_response may
@@ -58,6 +62,9 @@
 /* Returns the time since the call under way began or the last byte of its response came.
  */
 LimpetMs limpet_async_client_silent_ms (const LimpetAsyncClient *client);
+/* Returns the time from the begin of the last call until its response began; 0 if it has
+ * not. */
+LimpetMs limpet_async_client_wait_ms (const LimpetAsyncClient *client);
 void limpet_async_client_close (LimpetAsyncClient *client);
 
 #endif
--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -1,5 +1,6 @@
 #include "tests.h"
 
+#include "limpetroad/read_hedge.h"
 #include "platform/codecs.h"
 #include "platform/configuration.h"
 #include "platform/server_entry.h"
@@ -569,6 +570,41 @@
   close_watch (&server);
 }
 
+static const struct
+{
+  LimpetMs usual_wait_ms;
+  LimpetReadProgress progress;
+  bool needs_attempt;
+  bool is_late;
+} reads[] = {
+  { 4, { .attempts = 1, .elapsed_ms = 200, .silent_ms = 200 }, false, false },
+  { 4, { .attempts = 1, .elapsed_ms = 250, .silent_ms = 250 }, true, true },
+  { 4, { .attempts = 2, .elapsed_ms = 300, .silent_ms = 50 }, false, true },
+  { 4, { .attempts = 2, .elapsed_ms = 500, .silent_ms = 250 }, true, true },
+  { 4, { .attempts = 3, .elapsed_ms = 750, .silent_ms = 250 }, false, true },
+  /* A response that is arriving is not repeated, which would slow it down. */
+  { 4, { .attempts = 1, .elapsed_ms = 600, .silent_ms = 20 }, false, true },
+  /* A log that is slow for everybody does not get more reads. */
+  { 300, { .attempts = 1, .elapsed_ms = 450, .silent_ms = 450 }, false, false },
+  { 300, { .attempts = 1, .elapsed_ms = 600, .silent_ms = 600 }, true, true },
+  { 5000, { .attempts = 1, .elapsed_ms = 900, .silent_ms = 900 }, true, true },
+};
+
+static void
+test_a_read_without_response_is_repeated (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (reads); i++)
+    {
+      LimpetReadHedge hedge = { 0 };
+
+      limpet_read_hedge_record_wait (&hedge, reads[i].usual_wait_ms);
+      CU_ASSERT_EQUAL (limpet_read_hedge_needs_attempt (&hedge, &reads[i].progress),
+                       reads[i].needs_attempt);
+      CU_ASSERT_EQUAL (limpet_read_hedge_is_late (&hedge, &reads[i].progress),
+                       reads[i].is_late);
+    }
+}
+
 void
 add_platform_tests (void)
 {
@@ -583,5 +619,6 @@
   CU_ADD_TEST (suite, test_a_load_with_numbers_out_of_range_is_no_load);
   CU_ADD_TEST (suite, test_router_headers_replace_those_of_the_client);
   CU_ADD_TEST (suite, test_records_received_during_a_read_are_applied_once);
+  CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
 }
