Hedged reads: also after a failed read

A lone router, or a fleet that lost the store as a whole, was up to 3.3 s late after the store's return if two responses in a row were lost (3 s allowed).

Cause: after a failed read, reads were hedged only by routers that knew of missing records from others, to spare a store in an outage; each lost response then cost 900 ms and a delay again. Price: an outage in which the store is silent gets up to three calls for each retry, which are 0.1 s and more apart in the fleet and topic; one that refuses gets no more than before.

--- a/src/liblimpetroad/exchange/hedged_client.c
+++ b/src/liblimpetroad/exchange/hedged_client.c
@@ -25,7 +25,6 @@
   void *user;
   LimpetMs started_ms; /* monotonic */
   uint32_t attempts;
-  bool hedges;
 };
 
 static LimpetReadProgress
@@ -89,7 +88,7 @@
   LimpetHedgedClient *client = timer->data;
   LimpetReadProgress progress = progress_of (client);
 
-  if (client->hedges && limpet_read_hedge_needs_attempt (&client->hedge, &progress))
+  if (limpet_read_hedge_needs_attempt (&client->hedge, &progress))
     {
       client->stats->hedged_calls++;
       start_attempt (client);
@@ -112,7 +111,6 @@
   uv_timer_init (loop, &client->timer);
   client->timer.data = client;
   client->stats = stats;
-  client->hedges = true;
   return client;
 }
 
@@ -134,12 +132,6 @@
   start_attempt (client);
 }
 
-void
-limpet_hedged_client_set_hedges (LimpetHedgedClient *client, bool hedges)
-{
-  client->hedges = hedges;
-}
-
 bool
 limpet_hedged_client_is_busy (const LimpetHedgedClient *client)
 {
--- a/src/liblimpetroad/private/hedged_client.h
+++ b/src/liblimpetroad/private/hedged_client.h
@@ -24,8 +24,6 @@
                                LimpetMs timeout_ms,
                                LimpetAsyncCallback on_response,
                                void *user);
-/* Sets whether reads are repeated; true by default. */
-void limpet_hedged_client_set_hedges (LimpetHedgedClient *client, bool hedges);
 bool limpet_hedged_client_is_busy (const LimpetHedgedClient *client);
 /* Returns whether a read is under way whose response is late. */
 bool limpet_hedged_client_is_late (const LimpetHedgedClient *client);
--- a/test/test_late_configurations.py
+++ b/test/test_late_configurations.py
@@ -100,10 +100,11 @@
 
 
 @table([("%d_routers_%s" % (routers, name), routers, faults, bytes_per_s)
-        for routers in (3, 9, 24)
+        for routers in (1, 3, 9, 24)
         for name, faults, bytes_per_s in (("answers", [], 0), ("one_lost", ["lost"], 0),
                                           ("two_lost", ["lost"] * 2, 0), ("half", ["half"], 0),
-                                          ("slow", [], SLOW_BYTES_PER_S))])
+                                          ("slow", [], SLOW_BYTES_PER_S))
+        if routers > 1 or not bytes_per_s])
 def test_routers_have_the_newest_configuration_in_time_after_a_cut(routers, faults, bytes_per_s):
     """Versions are written while a third of the routers is cut off from the store."""
     with LateFleet(routers) as fleet:
