--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -129,9 +129,10 @@
         self.bytes_per_s = 0   # limits the rate of each response; 0: no limit
         self.sent_bytes = {}   # bytes of all bodies sent, by topic
         self.lose = 0     # number of coming requests that get no response
-        # What happens to coming reads of the configuration, one after the other: "lost" (no
-        # response) or "half" (half of the body and nothing more).
+        # What happens to coming requests for the topic faulty_topic, one after the other: "lost"
+        # (no response) or "half" (half of the body and nothing more).
         self.faults = []
+        self.faulty_topic = "keyed.op"
         self.first = {}   # offset of the oldest readable record of each topic
         self.listener = Listener(self.serve)
         self.port = self.listener.port
@@ -168,7 +169,8 @@
                 self.lose -= self.mode != "silent"
                 time.sleep(30)
                 return
-            fault = self.faults.pop(0) if self.faults and "topic=keyed.op" in path else None
+            is_faulty = self.faults and "topic=" + self.faulty_topic in path
+            fault = self.faults.pop(0) if is_faulty else None
             if fault == "lost":
                 time.sleep(30)
                 return
--- a/test/test_late_configurations.py
+++ b/test/test_late_configurations.py
@@ -13,6 +13,7 @@
 CONFIG_APPLY_S = (2.0, 3.0)
 STABLE_WINDOW_S = (3.0, 4.0)
 LARGE_FLEET = 24
+CATCH_UP_S = 4
 OUTAGE_S = 9
 SLOW_BYTES_PER_S = 60000
 
@@ -145,6 +146,23 @@
         fleet.check_newest_is_in_force()
 
 
+@table([("one_lost", 1), ("two_lost", 2), ("three_lost", 3)])
+def test_a_router_that_loses_responses_to_the_list_of_routers_finds_the_others(count):
+    """Within catch_up_s of the users' small sites."""
+    with Platform(routers=3, start=False) as platform:
+        platform.add_server()
+        platform.start()
+        platform.wait_for_routers(3)
+        store = platform.add_store()
+        store.faulty_topic = "keyed.routers"
+        store.faults = ["lost"] * count
+        started = time.monotonic()
+        platform.add_router(store=store)
+        f.wait_for(lambda: platform.metric("limpetroad_routers ", 3) == 4, "the other routers")
+        late_s = time.monotonic() - started
+        check(late_s < CATCH_UP_S, late_s)
+
+
 @table([("%d_routers" % routers, routers) for routers in (3, 9, 24)])
 def test_routers_cut_off_from_the_store_follow_the_others(routers):
     with LateFleet(routers) as fleet:
