--- a/include/limpetroad/status_port.h
+++ b/include/limpetroad/status_port.h
@@ -9,8 +9,8 @@
 #include <uv.h>
 
 /** \defgroup status_port Status port
- *  A small HTTP server that reports the readiness, the metrics and the state of the
- *  process. Methods other than GET get the status 405; a malformed request closes the
+ *  A small HTTP server that reports the readiness, the metrics or what the process
+ *  knows. Methods other than GET get the status 405; a malformed request closes the
  *  connection.
  *
  *  limpet_status_port_new() → limpet_status_port_init() → (requests are served in the
@@ -24,6 +24,9 @@
 
 LimpetStatusPort *
 limpet_status_port_new (uv_loop_t *loop, LimpetStatusHandler handler, void *user);
+/** Sets the type of all response bodies, which is text/plain by default; borrowed. */
+void limpet_status_port_set_content_type (LimpetStatusPort *port,
+                                          const char *content_type);
 /** Sets a filter: connections from an IPv4 address (network byte order) for which
  *  \p accepts returns false are closed. */
 void limpet_status_port_set_filter (LimpetStatusPort *port,
--- a/src/liblimpetroad/exchange/status_port.c
+++ b/src/liblimpetroad/exchange/status_port.c
@@ -19,6 +19,7 @@
   uv_loop_t *loop;
   LimpetStatusHandler handler;
   void *user;
+  const char *content_type;
   bool (*accepts) (void *user, uint32_t address); /* NULL for all addresses */
   uv_tcp_t listener;
   GQueue connections; /* of Connection */
@@ -84,10 +85,9 @@
                    ? port->handler (port->user, connection->reader.head.target, body)
                    : 405;
 
-  g_string_printf (out,
-                   "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
-                   "Content-Length: %zu\r\n\r\n",
-                   status, http_status_str ((enum http_status)status), body->len);
+  g_string_printf (
+      out, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n", status,
+      http_status_str ((enum http_status)status), port->content_type, body->len);
   g_string_append_len (out, body->str, (gssize)body->len);
   if (!limpet_stream_write ((uv_stream_t *)&connection->tcp, out->str, out->len, NULL))
     close_connection (connection);
@@ -182,10 +182,17 @@
   port->loop = loop;
   port->handler = handler;
   port->user = user;
+  port->content_type = "text/plain";
   g_queue_init (&port->connections);
   return port;
 }
 
+void
+limpet_status_port_set_content_type (LimpetStatusPort *port, const char *content_type)
+{
+  port->content_type = content_type;
+}
+
 void
 limpet_status_port_set_filter (LimpetStatusPort *port,
                                bool (*accepts) (void *user, uint32_t address))
--- a/test/test_late_configurations.py
+++ b/test/test_late_configurations.py
@@ -14,6 +14,7 @@
 STABLE_WINDOW_S = (3.0, 4.0)
 LARGE_FLEET = 24
 CATCH_UP_S = 4
+DRAIN_S = 2
 OUTAGE_S = 9
 SLOW_BYTES_PER_S = 60000
 
@@ -163,6 +164,27 @@
         check(late_s < CATCH_UP_S, late_s)
 
 
+@table([("one_lost", 1), ("two_lost", 2)])
+def test_a_draining_server_gets_no_requests_from_a_router_that_loses_responses(count):
+    """Within drain_ms of the users' small sites."""
+    with Platform(start=False) as platform:
+        draining, _ = platform.add_server(), platform.add_server()
+        platform.start()
+        platform.store.faulty_topic = "keyed.servers"
+        for _ in range(5):
+            draining.write("ready")
+            f.wait_for(lambda: not platform.store.faults, "a good response")
+            platform.store.faults = ["lost"] * count
+            draining.write("draining")
+            time.sleep(DRAIN_S)
+            seen = len(draining.seen)
+            for _ in range(20):
+                check(platform.call("/safe/").status == 200)
+            check(len(draining.seen) == seen, len(draining.seen), seen)
+            draining.born += 1000
+            draining.sequence = 0
+
+
 @table([("%d_routers" % routers, routers) for routers in (3, 9, 24)])
 def test_routers_cut_off_from_the_store_follow_the_others(routers):
     with LateFleet(routers) as fleet:
