--- a/include/limpetroad/topic_state.h
+++ b/include/limpetroad/topic_state.h
@@ -43,10 +43,12 @@
 void limpet_topic_state_write (const LimpetTopicState *state, int64_t end, GString *out);
 /** Checks a written state and sets \p end. Returns false if it is malformed. */
 bool limpet_topic_state_check (const char *data, size_t length, int64_t *end);
-/** Calls \p handler for each record of a written state, which has been checked. */
-void limpet_topic_state_read (const char *data,
-                              size_t length,
-                              LimpetTopicStateHandler handler,
-                              void *user);
+/** Takes over a written state, which has been checked: its records, where no later ones
+ * are known, and that keys which it lacks were removed. */
+void limpet_topic_state_merge (LimpetTopicState *state, const char *data, size_t length);
+/** Calls \p handler for each key that has a value. */
+void limpet_topic_state_for_each (const LimpetTopicState *state,
+                                  LimpetTopicStateHandler handler,
+                                  void *user);
 
 #endif
--- a/src/liblimpetroad/cluster_state/topic_state.c
+++ b/src/liblimpetroad/cluster_state/topic_state.c
@@ -202,19 +202,36 @@
 }
 
 void
-limpet_topic_state_read (const char *data,
-                         size_t length,
-                         LimpetTopicStateHandler handler,
-                         void *user)
+limpet_topic_state_merge (LimpetTopicState *state, const char *data, size_t length)
 {
   size_t position = HEADER_BYTES;
   Record record;
   char key[MAX_KEY_BYTES + 1];
 
-  while (position < length && next_record (data, length, &position, &record))
+  limpet_topic_state_begin_list (state);
+  while (next_record (data, length, &position, &record))
     {
       memcpy (key, record.key, record.key_length);
       key[record.key_length] = '\0';
-      handler (user, key, record.value, record.length, record.offset);
+      limpet_topic_state_put (state, key, record.value, record.length, record.offset);
+    }
+  limpet_topic_state_end_list (state, (int64_t)read_number (data, 8));
+}
+
+void
+limpet_topic_state_for_each (const LimpetTopicState *state,
+                             LimpetTopicStateHandler handler,
+                             void *user)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->entries);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Entry *entry = value;
+
+      handler (user, key, entry->value, entry->length, entry->offset);
     }
 }
--- a/src/liblimpetroad/exchange/hedged_client.c
+++ b/src/liblimpetroad/exchange/hedged_client.c
@@ -53,6 +53,13 @@
   g_clear_pointer (&client->path, g_free);
 }
 
+/* Returns whether another attempt would get the same response. */
+static bool
+is_final (int status)
+{
+  return status >= 200 && status < 500 && status != 429;
+}
+
 static void
 on_attempt_response (
     void *user, int status, const char *body, size_t length, const char *error)
@@ -60,10 +67,10 @@
   Connection *connection = user;
   LimpetHedgedClient *client = connection->owner;
 
-  for (int i = 0; status != 200 && i < CONNECTIONS; i++)
+  for (int i = 0; !is_final (status) && i < CONNECTIONS; i++)
     if (limpet_async_client_is_busy (client->connections[i].client))
       return;
-  if (status == 200)
+  if (is_final (status))
     limpet_read_hedge_record_wait (&client->hedge,
                                    limpet_async_client_wait_ms (connection->client));
   end_read (client);
--- a/src/liblimpetroad/private/hedged_client.h
+++ b/src/liblimpetroad/private/hedged_client.h
@@ -5,7 +5,8 @@
 
 /* Reads from one address with hedged requests (see limpetroad/read_hedge.h): a GET that
  * gets no response is repeated on a second connection, and the first complete response
- * counts. One read at a time.
+ * counts, unless it is a refusal (429, 5xx) and another attempt is under way. One read at
+ * a time.
  *
  * limpet_hedged_client_new() → limpet_hedged_client_get() → … →
  * limpet_hedged_client_close(), which also frees it. */
--- a/src/test_liblimpetroad/fuzz_tests.c
+++ b/src/test_liblimpetroad/fuzz_tests.c
@@ -1,6 +1,7 @@
 #include "tests.h"
 
 #include "limpetroad/bundle_history.h"
+#include "limpetroad/topic_state.h"
 #include "cluster_state/peer.pb-c.h"
 #include "private/claim_record.h"
 #include "private/router_state.h"
@@ -56,6 +57,41 @@
   return copy;
 }
 
+/* States that pass the check are merged without a crash. */
+static void
+test_corrupted_topic_states_are_handled_safely (void)
+{
+  LimpetTopicState *state = limpet_topic_state_new ();
+  GRand *random = g_rand_new_with_seed (SEED);
+  GString *valid = g_string_new (NULL);
+  uint32_t merged = 0;
+
+  limpet_topic_state_put (state, "config", "0123456789", 10, 3);
+  limpet_topic_state_put (state, "i-1", "abc", 3, 4);
+  limpet_topic_state_write (state, 5, valid);
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      size_t length = (size_t)g_rand_int_range (random, 0, (gint32)valid->len + 1);
+      char *copy = g_memdup2 (valid->str, valid->len);
+      int64_t end;
+
+      copy[g_rand_int_range (random, 0, (gint32)valid->len)]
+          = (char)g_rand_int_range (random, 0, 256);
+      if (i % 2 == 0)
+        length = valid->len;
+      if (limpet_topic_state_check (copy, length, &end))
+        {
+          limpet_topic_state_merge (state, copy, length);
+          merged++;
+        }
+      g_free (copy);
+    }
+  CU_ASSERT_TRUE (merged > 0);
+  g_string_free (valid, TRUE);
+  g_rand_free (random);
+  limpet_topic_state_delete (state);
+}
+
 static bool
 ignore_event (void *user, const LimpetSseEvent *event)
 {
@@ -152,4 +188,6 @@
                test_corrupted_texts_are_handled_safely);
   CU_add_test (suite, "corrupted rows are handled safely",
                test_corrupted_router_states_are_handled_safely);
+  CU_add_test (suite, "corrupted topic states are handled safely",
+               test_corrupted_topic_states_are_handled_safely);
 }
