--- a/src/liblimpetroad/cluster_state/topic_state.c
+++ b/src/liblimpetroad/cluster_state/topic_state.c
@@ -1,5 +1,7 @@
 #include "limpetroad/topic_state.h"
 
+#include "private/big_endian.h"
+
 #include <string.h>
 
 /* A written state: the end of the topic and the number of records, then for each record
@@ -129,16 +131,6 @@
     g_string_append_c (out, (char)(number >> 8 * (i - 1)));
 }
 
-static uint64_t
-read_number (const char *data, size_t bytes)
-{
-  uint64_t number = 0;
-
-  for (size_t i = 0; i < bytes; i++)
-    number = number << 8 | (uint8_t)data[i];
-  return number;
-}
-
 void
 limpet_topic_state_write (const LimpetTopicState *state, int64_t end, GString *out)
 {
@@ -171,9 +163,9 @@
 
   if (length - *position < RECORD_HEADER_BYTES)
     return false;
-  record->offset = (int64_t)read_number (head, 8);
-  record->key_length = read_number (head + 8, 1);
-  record->length = read_number (head + 9, 4);
+  record->offset = (int64_t)limpet_read_big_endian (head, 8);
+  record->key_length = limpet_read_big_endian (head + 8, 1);
+  record->length = limpet_read_big_endian (head + 9, 4);
   *position += RECORD_HEADER_BYTES;
   if (length - *position < record->key_length + record->length)
     return false;
@@ -192,8 +184,8 @@
 
   if (length < HEADER_BYTES)
     return false;
-  *end = (int64_t)read_number (data, 8);
-  count = read_number (data + 8, 4);
+  *end = (int64_t)limpet_read_big_endian (data, 8);
+  count = limpet_read_big_endian (data + 8, 4);
   for (uint64_t i = 0; i < count; i++)
     if (!next_record (data, length, &position, &record) || record.offset < 0
         || memchr (record.key, '\0', record.key_length) != NULL)
@@ -215,7 +207,7 @@
       key[record.key_length] = '\0';
       limpet_topic_state_put (state, key, record.value, record.length, record.offset);
     }
-  limpet_topic_state_end_list (state, (int64_t)read_number (data, 8));
+  limpet_topic_state_end_list (state, (int64_t)limpet_read_big_endian (data, 8));
 }
 
 void
--- /dev/null
+++ b/src/liblimpetroad/private/big_endian.h
@@ -0,0 +1,18 @@
+#ifndef LIMPETROAD_PRIVATE_BIG_ENDIAN_H
+#define LIMPETROAD_PRIVATE_BIG_ENDIAN_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* Returns the big-endian number in the first count bytes, at most 8. */
+static inline uint64_t
+limpet_read_big_endian (const char *bytes, size_t count)
+{
+  uint64_t number = 0;
+
+  for (size_t i = 0; i < count; i++)
+    number = number << 8 | (uint8_t)bytes[i];
+  return number;
+}
+
+#endif
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -21,6 +21,7 @@
   add_isolation_tests ();
   add_brittle_tests ();
   add_platform_tests ();
+  add_watch_tests ();
 }
 
 /* Without an argument, runs all tests but the stress tests of rate limits, which the
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -21,5 +21,6 @@
 /* Run alone, by test/test_rate_limits.py. */
 void add_limit_stress_tests (void);
 void add_platform_tests (void);
+void add_watch_tests (void);
 
 #endif
--- /dev/null
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -0,0 +1,448 @@
+#include "tests.h"
+
+#include "limpetroad/read_hedge.h"
+#include "limpetroad/status_port.h"
+#include "limpetroad/topic_state.h"
+#include "platform/watch.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+
+/* A minimal store server. It serves one connection and closes others, and delays its
+ * response to the first read of records. It responds to one request for a snapshot. */
+typedef struct
+{
+  uv_loop_t loop;
+  uv_tcp_t listener;
+  uv_tcp_t client;
+  uv_timer_t response_timer;
+  uv_timer_t stop_timer;
+  PlatformWatch *watch;
+  uint32_t connections;
+  bool is_snapshot_under_way; /* one that gets no response */
+  uint32_t requests;
+  uint32_t read_requests;
+  bool fails_first_read;        /* with status 503 */
+  LimpetStatusPort *state_port; /* of another router; NULL if there is none */
+  GString *state;               /* what it serves */
+  GString *values;              /* values that the watch passed to on_record */
+  char buffer[4096];
+} StoreServer;
+
+static void
+alloc_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  StoreServer *server = handle->data;
+
+  (void)suggested;
+  *buffer = uv_buf_init (server->buffer, sizeof server->buffer);
+}
+
+static void
+respond (StoreServer *server, const char *body, size_t length)
+{
+  GString *out = g_string_new (NULL);
+  uv_buf_t buffer;
+
+  g_string_printf (out, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", length);
+  g_string_append_len (out, body, (gssize)length);
+  buffer = uv_buf_init (out->str, (unsigned)out->len);
+  uv_try_write ((uv_stream_t *)&server->client, &buffer, 1);
+  g_string_free (out, TRUE);
+}
+
+/* Returns the body of the response to a read that starts at offset from: the end of the
+ * topic, the first retained offset, and the records, each after its length. The topic has
+ * the records k=a, k=b and k=c at offsets 0 to 2. */
+static GString *
+records_from (int from)
+{
+  static const char bytes[3][7] = { "\0\0\0\3\1ka", "\0\0\0\3\1kb", "\0\0\0\3\1kc" };
+  GString *body = g_string_new (NULL);
+
+  g_string_append_len (body, "\0\0\0\0\0\0\0\3\0\0\0\0\0\0\0\0", 16);
+  for (int i = from; i < 3; i++)
+    g_string_append_len (body, bytes[i], 7);
+  return body;
+}
+
+static void
+respond_to_read (uv_timer_t *timer)
+{
+  GString *body = records_from (0);
+
+  respond (timer->data, body->str, body->len);
+  g_string_free (body, TRUE);
+}
+
+/* Another router has read that the topic has a record. */
+static void
+announce_record (uv_timer_t *timer)
+{
+  StoreServer *server = timer->data;
+  LimpetGossipBatch batch = { .first_offset = 1, .end_offset = 1 };
+
+  if (server->state_port != NULL)
+    {
+      batch.end_offset = 9;
+      batch.sender = htonl (INADDR_LOOPBACK);
+    }
+  platform_watch_apply_batch (server->watch, &batch);
+}
+
+static void
+on_request (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+  StoreServer *server = stream->data;
+  LimpetGossipRecord records[] = { { .bytes = (const uint8_t *)"\1ka", .length = 3 },
+                                   { .bytes = (const uint8_t *)"\1kb", .length = 3 } };
+  LimpetGossipBatch batch
+      = { .first_offset = 0, .records = records, .count = 2, .end_offset = 2 };
+
+  if (count <= 0)
+    return;
+  server->requests++;
+  if (strstr (buffer->base, "log-newest") != NULL)
+    {
+      if (server->requests > 1)
+        {
+          server->is_snapshot_under_way = true;
+          return;
+        }
+      respond (server, "{\"items\":[],\"truncated\":false,\"end\":0}", 38);
+      return;
+    }
+  if (++server->read_requests > 1)
+    return;
+  if (server->state_port != NULL && !server->fails_first_read)
+    {
+      uv_timer_start (&server->response_timer, announce_record, 10, 0);
+      return;
+    }
+  if (server->fails_first_read)
+    {
+      static const char response[] = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+      uv_buf_t out = uv_buf_init ((char *)response, sizeof response - 1);
+
+      uv_try_write ((uv_stream_t *)&server->client, &out, 1);
+      uv_timer_start (&server->response_timer, announce_record, 100, 0);
+      return;
+    }
+  /* Two of the requested records arrive by gossip before the response. */
+  platform_watch_apply_batch (server->watch, &batch);
+  uv_timer_start (&server->response_timer, respond_to_read, 30, 0);
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  StoreServer *server = listener->data;
+
+  CU_ASSERT_EQUAL (status, 0);
+  server->connections++;
+  uv_accept (listener, (uv_stream_t *)&server->client);
+  uv_read_start ((uv_stream_t *)&server->client, alloc_buffer, on_request);
+}
+
+static void
+ignore_snapshot (void *user)
+{
+  (void)user;
+}
+
+static void
+append_value (void *user, const char *key, const char *value, size_t length)
+{
+  (void)key;
+  g_string_append_len (((StoreServer *)user)->values, value, (gssize)length);
+}
+
+static void
+ignore_read (void *user, const LimpetGossipBatch *batch)
+{
+  (void)user;
+  (void)batch;
+}
+
+/* Makes the watch read at once, and then not again before the test ends, unless another
+ * router gives it records after a failed read. */
+static LimpetMs
+delay_of_single_read (void *user)
+{
+  const StoreServer *server = user;
+
+  if (server->state_port != NULL && server->values->len > 0)
+    return 0;
+  return server->read_requests == 0 ? 0 : 100000;
+}
+
+static uint32_t
+pick_router (void *user)
+{
+  return ((StoreServer *)user)->state_port != NULL ? htonl (INADDR_LOOPBACK) : 0;
+}
+
+static void
+stop_loop (uv_timer_t *timer)
+{
+  StoreServer *server = timer->data;
+
+  uv_stop (&server->loop);
+}
+
+static const PlatformWatchOps watch_ops = {
+  .on_snapshot_begin = ignore_snapshot,
+  .on_snapshot_end = ignore_snapshot,
+  .on_record = append_value,
+  .on_store_read = ignore_read,
+  .next_read_delay_ms = delay_of_single_read,
+  .max_retry_delay_ms = delay_of_single_read,
+  .pick_router = pick_router,
+  .log_step = "test",
+};
+
+static int
+serve_state (void *user, const char *path, GString *body)
+{
+  StoreServer *server = user;
+
+  CU_ASSERT_TRUE (g_str_has_prefix (path, "/state?topic=0&from="));
+  if (server->fails_first_read && !server->is_snapshot_under_way)
+    return 404;
+  g_string_append_len (body, server->state->str, (gssize)server->state->len);
+  return 200;
+}
+
+static void
+start_state_port (StoreServer *server)
+{
+  int port = 0;
+
+  server->state_port = limpet_status_port_new (&server->loop, serve_state, server);
+  for (port = 20000;
+       limpet_status_port_init (server->state_port, "127.0.0.1", port, NULL) != 0; port++)
+    {
+      limpet_status_port_close (server->state_port);
+      server->state_port = limpet_status_port_new (&server->loop, serve_state, server);
+    }
+  platform_watch_ask_routers (server->watch, &server->loop, "127.0.0.1", port);
+}
+
+/* Runs a watch with the store server for 700 ms. */
+static void
+run_watch (StoreServer *server)
+{
+  PlatformAddress address = { .address = "127.0.0.1", .port = 0 };
+  struct sockaddr_in socket_address;
+  int length = sizeof socket_address;
+
+  uv_loop_init (&server->loop);
+  uv_tcp_init (&server->loop, &server->listener);
+  uv_tcp_init (&server->loop, &server->client);
+  uv_timer_init (&server->loop, &server->response_timer);
+  uv_timer_init (&server->loop, &server->stop_timer);
+  server->listener.data = server->client.data = server->response_timer.data
+      = server->stop_timer.data = server;
+  uv_ip4_addr ("127.0.0.1", 0, &socket_address);
+  uv_tcp_bind (&server->listener, (struct sockaddr *)&socket_address, 0);
+  uv_listen ((uv_stream_t *)&server->listener, 4, on_connection);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&socket_address, &length);
+  address.port = ntohs (socket_address.sin_port);
+  server->watch = platform_watch_new (&server->loop, &address, "t", &watch_ops, server);
+  if (server->state != NULL)
+    start_state_port (server);
+  uv_timer_start (&server->stop_timer, stop_loop, 700, 0);
+  uv_run (&server->loop, UV_RUN_DEFAULT);
+}
+
+static void
+close_watch (StoreServer *server)
+{
+  platform_watch_close (server->watch);
+  if (server->state_port != NULL)
+    limpet_status_port_close (server->state_port);
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  uv_close ((uv_handle_t *)&server->client, NULL);
+  uv_close ((uv_handle_t *)&server->response_timer, NULL);
+  uv_close ((uv_handle_t *)&server->stop_timer, NULL);
+  uv_run (&server->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&server->loop);
+  g_string_free (server->values, TRUE);
+}
+
+/* Guards against a fault: records that arrived by gossip during a read were applied again
+ * when the response arrived, and the offset advanced too far. */
+static void
+test_records_received_during_a_read_are_applied_once (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipBatch empty_batch = { .first_offset = 3, .end_offset = 3 };
+
+  run_watch (&server);
+  CU_ASSERT_STRING_EQUAL (server.values->str, "abc");
+  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &empty_batch), 3);
+  close_watch (&server);
+}
+
+/* Guards against a fault: after an outage, a router waited for its next retry although
+ * another router had read that there is a new record. */
+static void
+test_a_new_record_is_read_before_the_retry_is_due (void)
+{
+  StoreServer server = { .values = g_string_new (NULL), .fails_first_read = true };
+
+  run_watch (&server);
+  /* A snapshot, the failed read, and the read of the new record. */
+  CU_ASSERT_EQUAL (server.requests, 3);
+  close_watch (&server);
+}
+
+/* Returns a written state with the record k=value, and its end. */
+static GString *
+written_state (int64_t end, const char *value)
+{
+  LimpetTopicState *state = limpet_topic_state_new ();
+  GString *out = g_string_new (NULL);
+
+  limpet_topic_state_put (state, "k", value, strlen (value), end - 1);
+  limpet_topic_state_write (state, end, out);
+  limpet_topic_state_delete (state);
+  return out;
+}
+
+static const struct
+{
+  int64_t end;
+  size_t cut_bytes; /* missing at the end */
+  const char *values;
+} states[] = {
+  { .end = 9, .values = "new" }, /* all records that the router was told of */
+  { .end = 3, .values = "new" }, /* later records, but not all */
+  { .end = 0, .values = "" },    /* nothing later than what the router has */
+  { .end = 9, .cut_bytes = 1, .values = "" },
+  { .end = 9, .cut_bytes = 20, .values = "" },
+};
+
+/* The store does not respond to reads, and another router serves its state. */
+static void
+test_only_a_later_and_whole_state_of_another_router_is_applied (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    {
+      StoreServer server = { .values = g_string_new (NULL),
+                             .state = written_state (states[i].end, "new") };
+
+      g_string_truncate (server.state, server.state->len - states[i].cut_bytes);
+      run_watch (&server);
+      CU_ASSERT_STRING_EQUAL (server.values->str, states[i].values);
+      g_string_free (server.state, TRUE);
+      close_watch (&server);
+    }
+}
+
+static void
+test_reads_go_on_after_the_state_of_another_router_ended_a_snapshot (void)
+{
+  StoreServer server = { .values = g_string_new (NULL),
+                         .state = written_state (9, "new"),
+                         .fails_first_read = true };
+
+  run_watch (&server);
+  CU_ASSERT_STRING_EQUAL (server.values->str, "new");
+  /* The second one repeats the read of the snapshot. */
+  CU_ASSERT_TRUE (server.connections > 2);
+  g_string_free (server.state, TRUE);
+  close_watch (&server);
+}
+
+static void
+collect_record (
+    void *user, const char *key, const char *value, size_t length, int64_t offset)
+{
+  g_string_append_printf (user, "%s=%.*s@%ld ", key, (int)length, value, (long)offset);
+}
+
+static void
+test_a_topic_state_keeps_the_record_with_the_latest_offset (void)
+{
+  LimpetTopicState *state = limpet_topic_state_new ();
+  GString *out = g_string_new (NULL);
+  GString *records = g_string_new (NULL);
+  int64_t end;
+
+  CU_ASSERT_TRUE (limpet_topic_state_put (state, "k", "b", 1, 5));
+  CU_ASSERT_FALSE (limpet_topic_state_put (state, "k", "a", 1, 4));
+  CU_ASSERT_FALSE (limpet_topic_state_put (state, "k", NULL, 0, 4));
+  CU_ASSERT_TRUE (limpet_topic_state_put (state, "gone", "x", 1, 3));
+  CU_ASSERT_TRUE (limpet_topic_state_put (state, "later", "y", 1, 7));
+  limpet_topic_state_begin_list (state);
+  CU_ASSERT_TRUE (limpet_topic_state_put (state, "k", "b", 1, 5));
+  limpet_topic_state_end_list (state, 6);
+  CU_ASSERT_EQUAL (limpet_topic_state_count (state), 2);
+  CU_ASSERT_TRUE (limpet_topic_state_put (state, "later", NULL, 0, 8));
+  limpet_topic_state_write (state, 9, out);
+  CU_ASSERT_TRUE (limpet_topic_state_check (out->str, out->len, &end));
+  CU_ASSERT_EQUAL (end, 9);
+  limpet_topic_state_put (state, "k", "c", 1, 6);
+  limpet_topic_state_put (state, "gone", "x", 1, 8);
+  limpet_topic_state_merge (state, out->str, out->len);
+  limpet_topic_state_for_each (state, collect_record, records);
+  CU_ASSERT_STRING_EQUAL (records->str, "k=c@6 ");
+  for (size_t length = 0; length < out->len; length++)
+    CU_ASSERT_FALSE (limpet_topic_state_check (out->str, length, &end));
+  g_string_append_c (out, '\0');
+  CU_ASSERT_FALSE (limpet_topic_state_check (out->str, out->len, &end));
+  g_string_free (out, TRUE);
+  g_string_free (records, TRUE);
+  limpet_topic_state_delete (state);
+}
+
+static const struct
+{
+  LimpetMs usual_wait_ms;
+  LimpetReadProgress progress;
+  bool needs_attempt;
+  bool is_late;
+} reads[] = {
+  { 4, { .attempts = 1, .elapsed_ms = 200, .silent_ms = 200 }, false, false },
+  { 4, { .attempts = 1, .elapsed_ms = 250, .silent_ms = 250 }, true, true },
+  { 4, { .attempts = 2, .elapsed_ms = 300, .silent_ms = 50 }, false, true },
+  { 4, { .attempts = 2, .elapsed_ms = 500, .silent_ms = 250 }, true, true },
+  { 4, { .attempts = 3, .elapsed_ms = 750, .silent_ms = 250 }, false, true },
+  /* A response that is arriving is not repeated, which would slow it down. */
+  { 4, { .attempts = 1, .elapsed_ms = 600, .silent_ms = 20 }, false, true },
+  /* A log that is slow for everybody does not get more reads. */
+  { 300, { .attempts = 1, .elapsed_ms = 450, .silent_ms = 450 }, false, false },
+  { 300, { .attempts = 1, .elapsed_ms = 600, .silent_ms = 600 }, true, true },
+  { 5000, { .attempts = 1, .elapsed_ms = 900, .silent_ms = 900 }, true, true },
+};
+
+static void
+test_a_read_without_response_is_repeated (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (reads); i++)
+    {
+      LimpetReadHedge hedge = { 0 };
+
+      limpet_read_hedge_record_wait (&hedge, reads[i].usual_wait_ms);
+      CU_ASSERT_EQUAL (limpet_read_hedge_needs_attempt (&hedge, &reads[i].progress),
+                       reads[i].needs_attempt);
+      CU_ASSERT_EQUAL (limpet_read_hedge_is_late (&hedge, &reads[i].progress),
+                       reads[i].is_late);
+    }
+}
+
+void
+add_watch_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("watch", NULL, NULL);
+
+  CU_ADD_TEST (suite, test_records_received_during_a_read_are_applied_once);
+  CU_ADD_TEST (suite, test_only_a_later_and_whole_state_of_another_router_is_applied);
+  CU_ADD_TEST (suite,
+               test_reads_go_on_after_the_state_of_another_router_ended_a_snapshot);
+  CU_ADD_TEST (suite, test_a_topic_state_keeps_the_record_with_the_latest_offset);
+  CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
+  CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
+}
