--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -119,8 +119,9 @@
   return client->wait_ms;
 }
 
-void
-limpet_async_client_reset (LimpetAsyncClient *client, const char *reason)
+/* Closes the connection. A call under way ends with status 0 and reason as its error. */
+static void
+reset_client (LimpetAsyncClient *client, const char *reason)
 {
   close_connection (client);
   if (client->on_response == NULL)
@@ -132,7 +133,7 @@
 static void
 on_timeout (uv_timer_t *timer)
 {
-  limpet_async_client_reset (timer->data, "no response in time");
+  reset_client (timer->data, "no response in time");
 }
 
 static void
@@ -218,18 +219,18 @@
     return;
   if (count < 0)
     {
-      limpet_async_client_reset (connection->client, uv_strerror ((int)count));
+      reset_client (connection->client, uv_strerror ((int)count));
       return;
     }
   record_progress (connection->client);
   progress
       = limpet_http_reader_feed (&connection->reader, buffer->base, (size_t)count, &used);
   if (progress == LIMPET_HTTP_ERROR || connection->client->on_response == NULL)
-    limpet_async_client_reset (connection->client, "malformed or unexpected response");
+    reset_client (connection->client, "malformed or unexpected response");
   else if (progress == LIMPET_HTTP_COMPLETE)
     handle_response (connection);
   else if (is_too_slow (connection->client))
-    limpet_async_client_reset (connection->client, "the response is too slow");
+    reset_client (connection->client, "the response is too slow");
   else
     restart_timeout (connection->client);
 }
@@ -250,8 +251,7 @@
                                  request->len, NULL);
   g_string_free (request, TRUE);
   if (!written)
-    limpet_async_client_reset (client,
-                               "the connection failed while the request was sent");
+    reset_client (client, "the connection failed while the request was sent");
 }
 
 static void
@@ -263,7 +263,7 @@
     return;
   if (status != 0)
     {
-      limpet_async_client_reset (connection->client, uv_strerror (status));
+      reset_client (connection->client, uv_strerror (status));
       return;
     }
   connection->is_connected = true;
--- a/src/liblimpetroad/private/async_client.h
+++ b/src/liblimpetroad/private/async_client.h
@@ -54,8 +54,6 @@
                                LimpetMs timeout_ms,
                                LimpetAsyncCallback on_response,
                                void *user);
-/* Closes the connection. A call under way ends with status 0 and reason as its error. */
-void limpet_async_client_reset (LimpetAsyncClient *client, const char *reason);
 /* Ends a call under way without its callback, and closes its connection. */
 void limpet_async_client_cancel (LimpetAsyncClient *client);
 bool limpet_async_client_is_busy (const LimpetAsyncClient *client);
