Routers pass on whole states: starts and new versions hardly read the store

Cause: each router read each configuration, and at its start both topics, from the store by itself. A router that started while the store kept a topic back was not ready, although others held it.

Ruled out: only longer time-outs or backoffs (the reads of 295 routers still come at once); datagrams (50 and more a configuration); a group of the store (no addresses).

--- a/include/limpetroad/backoff.h
+++ b/include/limpetroad/backoff.h
@@ -4,6 +4,7 @@
 #include "limpetroad/clock.h"
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /** \defgroup backoff Backoff
  *  Exponential backoff with jitter for retries. Up to half of each pause is random, so
@@ -26,6 +27,11 @@
                               LimpetMs max_ms,
                               double jitter);
 
+/** The same for a client that is one of \p clients, of which it is enough if one
+ * succeeds: all together try about once in 100 ms, and from the first failure on. */
+LimpetMs
+limpet_backoff_next_of_many (LimpetBackoff *backoff, uint32_t clients, double jitter);
+
 void limpet_backoff_reset (LimpetBackoff *backoff);
 
 /** Returns true from the first failure until limpet_backoff_reset(). */
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -56,7 +56,7 @@
   uint32_t count;
   int64_t end_offset; /**< offset after the last record of the topic */
   LimpetMs read_ms;   /**< boot clock when the read began */
-  uint32_t sender;    /**< router from which the batch came; 0 for this one */
+  uint32_t sender;    /**< router that has all records of the topic; 0 if none is known */
 } LimpetGossipBatch;
 
 /** Load that a target reported to some router. */
@@ -124,6 +124,12 @@
  *  origins; a router that knows nothing does not answer. */
 void limpet_gossip_query_streams (LimpetGossip *gossip, uint64_t *ids, uint32_t count);
 
+/** Sets the availability zone of this router, as a hash of its name. Routers in the same
+ *  one are preferred by limpet_gossip_pick_router(). */
+void limpet_gossip_set_zone (LimpetGossip *gossip, uint32_t zone);
+/** Sends a message to the router at \p address, by which it knows this one. */
+void limpet_gossip_greet (LimpetGossip *gossip, uint32_t address);
+
 /** Adds a router found in a registry and sends it a request for a digest. */
 void limpet_gossip_add_member (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 /** Processes a datagram from the router at \p sender. A malformed one is dropped and
@@ -134,7 +140,8 @@
                             size_t length,
                             LimpetMs now_ms);
 
-/** Sends a batch that this router read from the log to a few other routers. */
+/** Sends a batch that this router read from the log, or has got from a router that did,
+ * to a few other routers. */
 void limpet_gossip_publish_read (LimpetGossip *gossip,
                                  const LimpetGossipBatch *batch,
                                  LimpetMs now_ms);
@@ -142,6 +149,9 @@
  *  read it now. */
 LimpetMs
 limpet_gossip_next_read_ms (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms);
+/** Returns a random delay before this router reads records itself that another router has
+ *  and passes on. Of many routers few draw a short one. */
+LimpetMs limpet_gossip_draw_behind_delay_ms (LimpetGossip *gossip);
 /** Returns the time in ms since the newest known read of a topic by any router, or since
  *  the machine booted if no read is known. */
 LimpetMs
@@ -183,8 +193,8 @@
 void limpet_gossip_record_relay_failure (LimpetGossip *gossip,
                                          uint32_t address,
                                          LimpetMs now_ms);
-/** Returns the address of a random router that has sent a message to this one; 0 if none
- * is known. */
+/** Returns the address of a random router that has sent a message to this one, usually of
+ * one in the same availability zone; 0 if none is known. */
 uint32_t limpet_gossip_pick_router (LimpetGossip *gossip);
 /** Returns whether a known router at \p address has sent a message to this one. */
 bool limpet_gossip_is_router (const LimpetGossip *gossip, uint32_t address);
--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -29,6 +29,8 @@
 #define LIMPET_MAX_TARGETS 4096
 #define LIMPET_MAX_ROUTERS 1024
 #define LIMPET_MAX_SLOTS 65535 /* of a target */
+/* State of a topic that routers pass on, before compression. */
+#define LIMPET_MAX_STATE_BYTES (16 * 1024 * 1024)
 #define LIMPET_MAX_PEER_MESSAGE_BYTES (2 * 1024 * 1024)
 
 #define LIMPET_CONNECT_TIMEOUT_MS 400
--- a/include/limpetroad/status_port.h
+++ b/include/limpetroad/status_port.h
@@ -37,6 +37,8 @@
                                       const char *address,
                                       int port_number,
                                       LimpetError *error);
+/** Returns the number of connections on which a response is still being sent. */
+uint32_t limpet_status_port_sending_count (const LimpetStatusPort *port);
 /** Closes all connections; the event loop frees the port later. */
 void limpet_status_port_close (LimpetStatusPort *port);
 
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -21,6 +21,14 @@
  * datagram. */
 #define READ_LIFE_RATIO 0.35
 #define READ_DELAY_RATIO 0.25
+/* A router that knows that it lacks records, which others pass on, reads them itself
+ * after a random delay of up to this part. */
+#define BEHIND_DELAY_RATIO 0.125
+/* Of many routers, about this number read a topic when it is due. If they fail, the
+ * others follow, about one in FLEET_READ_INTERVAL_MS: the number of reads in an outage
+ * does not grow with the fleet. */
+#define EARLY_READERS 12
+#define FLEET_READ_INTERVAL_MS 100
 #define DEFAULT_MAX_STALENESS_MS 2000
 /* A read without new records is forwarded only if it is more recent, by at least this
  * time, than the last read that this router knew of. */
@@ -65,6 +73,7 @@
   int64_t end;                /* offset up to which this router has the records */
   LimpetMs read_ms;           /* boot clock of the newest known read; 0 for none */
   LimpetMs delay_ms;          /* random delay before this router reads the topic itself */
+  LimpetMs extra_delay_ms;    /* the same beside that, if it hears from other routers */
   int64_t announced_end;      /* latest end that another router read */
   LimpetMs announced_read_ms; /* boot clock of the newest read that showed it */
 } Topic;
@@ -74,6 +83,7 @@
   const LimpetGossipOps *ops;
   void *user;
   uint32_t own_address;
+  uint32_t zone; /* 0 if it is not known */
   LimpetMs max_staleness_ms;
   GRand *random;
   LimpetGossipMembers *members;
@@ -91,18 +101,38 @@
   bool relays; /* this router relays connections */
 };
 
-/* Returns a random delay before a read. The number of routers grows exponentially with
- * the delay that they draw, so that only a few read first and their result reaches the
- * others before these read as well (RFC 5401, section 3.2.2). */
+/* Returns a random delay before a read of up to max_delay_ms. The number of routers, of
+ * readers in all, grows exponentially with the delay that they draw, so that only a few
+ * read first and their result reaches the others before these read as well (RFC 5401,
+ * section 3.2.2). */
 static LimpetMs
-draw_read_delay_ms (LimpetGossip *gossip)
+draw_delay_ms (LimpetGossip *gossip, double max_delay_ms, uint32_t readers)
 {
-  double steepness = log (limpet_gossip_router_count (gossip)) + 1;
+  double steepness = log (readers) + 1;
   double uniform = g_rand_double (gossip->random);
 
+  return (LimpetMs)(max_delay_ms * log (uniform * (exp (steepness) - 1) + 1) / steepness);
+}
+
+/* Draws when this router reads a topic itself if no other one has. */
+static void
+draw_read_delays (LimpetGossip *gossip, Topic *topic)
+{
+  uint32_t routers = limpet_gossip_router_count (gossip);
   double max_delay_ms = READ_DELAY_RATIO * (double)gossip->max_staleness_ms;
+  bool is_early = g_rand_double (gossip->random) * routers < EARLY_READERS;
 
-  return (LimpetMs)(max_delay_ms * log (uniform * (exp (steepness) - 1) + 1) / steepness);
+  topic->delay_ms = draw_delay_ms (gossip, max_delay_ms, MIN (routers, EARLY_READERS));
+  topic->extra_delay_ms = is_early ? 0
+                                   : (LimpetMs)(g_rand_double (gossip->random) * routers
+                                                * FLEET_READ_INTERVAL_MS);
+}
+
+LimpetMs
+limpet_gossip_draw_behind_delay_ms (LimpetGossip *gossip)
+{
+  return draw_delay_ms (gossip, BEHIND_DELAY_RATIO * (double)gossip->max_staleness_ms,
+                        limpet_gossip_router_count (gossip));
 }
 
 LimpetGossip *
@@ -143,6 +173,12 @@
   gossip->max_staleness_ms = max_staleness_ms;
 }
 
+void
+limpet_gossip_set_zone (LimpetGossip *gossip, uint32_t zone)
+{
+  gossip->zone = zone;
+}
+
 void
 limpet_gossip_set_quarantine (LimpetGossip *gossip, LimpetQuarantine *quarantine)
 {
@@ -179,6 +215,7 @@
   uint32_t remaining = limpet_gossip_members_count (gossip->members);
 
   message->sender = gossip->own_address;
+  message->zone = gossip->zone;
   for (uint32_t i = 0; remaining > 0 && count > 0; i++, remaining--)
     {
       uint32_t address = limpet_gossip_members_address (gossip->members, i);
@@ -267,7 +304,9 @@
   topic.from = batch->first_offset + first;
   topic.records = records;
   topic.n_records = count;
+  topic.holds_all = gossip->topics[batch->topic].end >= batch->end_offset;
   message.sender = gossip->own_address;
+  message.zone = gossip->zone;
   message.topics = topics;
   message.n_topics = 1;
   for (guint i = 0; i < receivers->len; i++)
@@ -301,11 +340,19 @@
   g_array_free (receivers, TRUE);
 }
 
+/* Records a read of a topic, if no later one is known. */
 static void
 record_read (LimpetGossip *gossip, uint32_t topic, LimpetMs read_ms)
 {
-  gossip->topics[topic].read_ms = read_ms;
-  gossip->topics[topic].delay_ms = draw_read_delay_ms (gossip);
+  Topic *known = &gossip->topics[topic];
+  LimpetMs gain_ms = read_ms - known->read_ms;
+
+  if (gain_ms <= 0)
+    return;
+  known->read_ms = read_ms;
+  /* The age of one read differs by some ms between messages. */
+  if (gain_ms >= MIN_FORWARD_AGE_GAIN_MS)
+    draw_read_delays (gossip, known);
 }
 
 void
@@ -319,6 +366,14 @@
   push_batch (gossip, batch, now_ms, 0);
 }
 
+/* Returns whether end, which a read at read_ms showed, is later than the known end and
+ * is not contradicted by the newest known read. */
+static bool
+is_later_end (const Topic *known, int64_t end, LimpetMs read_ms)
+{
+  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read_ms;
+}
+
 LimpetMs
 limpet_gossip_next_read_ms (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms)
 {
@@ -326,6 +381,11 @@
   LimpetMs recent_ms = (LimpetMs)(READ_LIFE_RATIO * (double)gossip->max_staleness_ms);
   LimpetMs due_ms = known->read_ms + recent_ms + known->delay_ms;
 
+  /* A router that is cut off from the others, or lacks what they pass on, cannot leave it
+   * to them. */
+  if (now_ms - gossip->heard_ms <= MAX_SILENCE_MS
+      && !is_later_end (known, known->announced_end, known->announced_read_ms))
+    due_ms += known->extra_delay_ms;
   return known->read_ms == 0 ? 0 : MAX (0, due_ms - now_ms);
 }
 
@@ -335,14 +395,6 @@
   return now_ms - gossip->topics[topic].read_ms;
 }
 
-/* Returns whether end, which a read at read_ms showed, is later than the known end and
- * is not contradicted by the newest known read. */
-static bool
-is_later_end (const Topic *known, int64_t end, LimpetMs read_ms)
-{
-  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read_ms;
-}
-
 /* Records an end that another router read. Returns whether it is new. */
 static bool
 record_announcement (Topic *known, int64_t end, LimpetMs read_ms)
@@ -384,7 +436,7 @@
                               .first_offset = received->from,
                               .records = records,
                               .end_offset = received->end,
-                              .sender = sender };
+                              .sender = received->holds_all ? sender : 0 };
   LimpetMs read_ms = now_ms - (LimpetMs)received->age_ms - LIMPET_GOSSIP_HOP_MS;
   Topic *known;
   int64_t old_end;
@@ -410,7 +462,7 @@
     known->end = gossip->ops->on_batch (gossip->user, &batch);
   is_newer = read_ms >= known->read_ms + MIN_FORWARD_AGE_GAIN_MS;
   /* The read counts for this router only if it now has all records of that read. */
-  if (known->end >= received->end && read_ms > known->read_ms)
+  if (known->end >= received->end)
     record_read (gossip, received->topic, read_ms);
   batch.read_ms = known->end >= received->end ? known->read_ms : read_ms;
   if (known->end > old_end || is_announcement
@@ -594,6 +646,8 @@
   limpet_counter_add (LIMPET_COUNTER_PEER_RECEIVED_BYTES, length);
   limpet_gossip_members_record_message (gossip->members, sender, message->leaving,
                                         now_ms);
+  if (message->zone != 0)
+    limpet_gossip_members_set_zone (gossip->members, sender, message->zone);
   if (message->relay_state != RELAY_STATE__UNKNOWN)
     limpet_gossip_members_set_relays (gossip->members, sender,
                                       message->relay_state == RELAY_STATE__RELAYS);
@@ -665,6 +719,7 @@
 
   gossip_message__init (&digest->message);
   digest->message.sender = gossip->own_address;
+  digest->message.zone = gossip->zone;
   digest->message.relay_state
       = gossip->relays ? RELAY_STATE__RELAYS : RELAY_STATE__DOES_NOT_RELAY;
   limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
@@ -700,6 +755,7 @@
       digest->topics[i].end = is_behind ? known->announced_end : known->end;
       digest->topics[i].from = digest->topics[i].end;
       digest->topics[i].age_ms = (uint32_t)MAX (0, now_ms - read_ms);
+      digest->topics[i].holds_all = !is_behind;
       digest->topic_pointers[digest->message.n_topics++] = &digest->topics[i];
     }
   digest->message.topics = digest->topic_pointers;
@@ -723,6 +779,16 @@
   send_message (gossip, &digest.message, address);
 }
 
+void
+limpet_gossip_greet (LimpetGossip *gossip, uint32_t address)
+{
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+
+  message.sender = gossip->own_address;
+  message.zone = gossip->zone;
+  send_message (gossip, &message, address);
+}
+
 void
 limpet_gossip_add_member (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms)
 {
@@ -731,6 +797,7 @@
   if (!limpet_gossip_members_add (gossip->members, address, now_ms))
     return;
   message.sender = gossip->own_address;
+  message.zone = gossip->zone;
   message.requests_digest = true;
   send_message (gossip, &message, address);
 }
@@ -784,7 +851,8 @@
 uint32_t
 limpet_gossip_pick_router (LimpetGossip *gossip)
 {
-  return limpet_gossip_members_pick_confirmed (gossip->members, gossip->random);
+  return limpet_gossip_members_pick_confirmed (gossip->members, gossip->zone,
+                                               gossip->random);
 }
 
 void
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &topic_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip_message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gossip_message__field_descriptors[15] =
 {
   {
     "sender",
@@ -447,6 +447,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(GossipMessage, zone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip_message__field_indices_by_name[] = {
   1,   /* field[1] = leaving */
@@ -463,12 +475,13 @@
   10,   /* field[10] = stream_queries */
   7,   /* field[7] = suspects */
   2,   /* field[2] = topics */
+  14,   /* field[14] = zone */
 };
 static const ProtobufCIntRange gossip_message__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor gossip_message__descriptor =
 {
@@ -478,7 +491,7 @@
   "GossipMessage",
   "",
   sizeof(GossipMessage),
-  14,
+  15,
   gossip_message__field_descriptors,
   gossip_message__field_indices_by_name,
   2,  gossip_message__number_ranges,
@@ -780,7 +793,7 @@
   (ProtobufCMessageInit) suspect_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor topic_update__field_descriptors[5] =
+static const ProtobufCFieldDescriptor topic_update__field_descriptors[6] =
 {
   {
     "topic",
@@ -842,18 +855,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holds_all",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(TopicUpdate, holds_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned topic_update__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = end */
   3,   /* field[3] = from */
+  5,   /* field[5] = holds_all */
   4,   /* field[4] = records */
   0,   /* field[0] = topic */
 };
 static const ProtobufCIntRange topic_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor topic_update__descriptor =
 {
@@ -863,7 +889,7 @@
   "TopicUpdate",
   "",
   sizeof(TopicUpdate),
-  5,
+  6,
   topic_update__field_descriptors,
   topic_update__field_indices_by_name,
   1,  topic_update__number_ranges,
--- a/src/liblimpetroad/cluster_state/gossip_members.c
+++ b/src/liblimpetroad/cluster_state/gossip_members.c
@@ -11,6 +11,9 @@
 #define MAX_SHARED_MEMBER_AGE_MS 4000
 /* A router that failed to relay a connection is not asked again for this time. */
 #define RELAY_BACKOFF_MS 1000
+/* Share of the picks that are made among all members instead of those in a zone, in which
+ * perhaps none has what is asked for. */
+#define ANY_ZONE_RATIO 0.25
 
 typedef struct
 {
@@ -20,6 +23,7 @@
   LimpetMs last_seen_ms;
   bool is_confirmed; /* has sent a message */
   bool relays;       /* relays connections to targets */
+  uint32_t zone;     /* hash of its availability zone; 0 if it is not known */
   LimpetMs relay_failed_until_ms;
 } Member;
 
@@ -147,20 +151,40 @@
   return address != 0 ? address : failed_address;
 }
 
+void
+limpet_gossip_members_set_zone (LimpetGossipMembers *members,
+                                uint32_t address,
+                                uint32_t zone)
+{
+  Member *member = find_member (members, address);
+
+  if (member != NULL)
+    member->zone = zone;
+}
+
 uint32_t
-limpet_gossip_members_pick_confirmed (const LimpetGossipMembers *members, GRand *random)
+limpet_gossip_members_pick_confirmed (const LimpetGossipMembers *members,
+                                      uint32_t zone,
+                                      GRand *random)
 {
+  bool is_any_zone_picked = g_rand_double (random) < ANY_ZONE_RATIO;
   uint32_t address = 0;
+  uint32_t near_address = 0;
   gint32 seen = 0;
+  gint32 near_seen = 0;
 
   for (guint i = 0; i < members->members->len; i++)
     {
       const Member *member = &g_array_index (members->members, Member, i);
 
-      if (member->is_confirmed && g_rand_int_range (random, 0, ++seen) == 0)
+      if (!member->is_confirmed)
+        continue;
+      if (g_rand_int_range (random, 0, ++seen) == 0)
         address = member->address;
+      if (member->zone == zone && g_rand_int_range (random, 0, ++near_seen) == 0)
+        near_address = member->address;
     }
-  return address;
+  return near_address != 0 && !is_any_zone_picked ? near_address : address;
 }
 
 bool
--- a/src/liblimpetroad/cluster_state/state_fetch.c
+++ b/src/liblimpetroad/cluster_state/state_fetch.c
@@ -3,12 +3,13 @@
 #include "limpetroad/backoff.h"
 #include "limpetroad/logger.h"
 #include "private/async_client.h"
+#include "private/state_message.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdio.h>
 
-#define PATH_FORMAT "/state?topic=%" PRIu32 "&from=%" PRId64
+#define PATH_FORMAT "/state?topic=%" PRIu32 "&from=%" PRId64 "&format=%d"
 /* A router that is running responds within some milliseconds. */
 #define CALL_TIMEOUT_MS 400
 #define RETRY_FIRST_MS 50
@@ -52,7 +53,10 @@
 void
 limpet_state_fetch_prefer (LimpetStateFetch *fetch, uint32_t address)
 {
+  if (address == 0)
+    return;
   fetch->preferred = address;
+  fetch->retry_ms = 0;
 }
 
 void
@@ -108,7 +112,8 @@
       return;
     }
   inet_ntop (AF_INET, &address, fetch->address, sizeof fetch->address);
-  g_snprintf (path, sizeof path, PATH_FORMAT, topic, from);
+  g_snprintf (path, sizeof path, PATH_FORMAT, topic, from, LIMPET_STATE_MESSAGE_VERSION);
+  fetch->ops->greet (fetch->user, address);
   fetch->client
       = limpet_async_client_new (fetch->loop, fetch->address, fetch->port, &fetch->stats);
   limpet_async_client_set_source (fetch->client, fetch->own_address);
@@ -138,11 +143,18 @@
 }
 
 bool
-limpet_state_fetch_parse_path (const char *path, uint32_t *topic, int64_t *from)
+limpet_state_fetch_parse_path (const char *path, LimpetStateRequest *request)
 {
   int end = 0;
 
-  return sscanf (path, "/state?topic=%" SCNu32 "&from=%" SCNd64 "%n", topic, from, &end)
-             == 2
-         && path[end] == '\0';
+  request->format = 0;
+  if (sscanf (path, "/state?topic=%" SCNu32 "&from=%" SCNd64 "%n", &request->topic,
+              &request->from, &end)
+      != 2)
+    return false;
+  path += end;
+  end = 0;
+  return path[0] == '\0'
+         || (sscanf (path, "&format=%d%n", &request->format, &end) == 1
+             && path[end] == '\0');
 }
--- a/src/liblimpetroad/cluster_state/topic_state.c
+++ b/src/liblimpetroad/cluster_state/topic_state.c
@@ -127,8 +127,10 @@
 static void
 append_number (GString *out, uint64_t number, size_t bytes)
 {
-  for (size_t i = bytes; i > 0; i--)
-    g_string_append_c (out, (char)(number >> 8 * (i - 1)));
+  char written[8];
+
+  limpet_write_big_endian (written, number, bytes);
+  g_string_append_len (out, written, (gssize)bytes);
 }
 
 void
--- a/src/liblimpetroad/exchange/status_port.c
+++ b/src/liblimpetroad/exchange/status_port.c
@@ -221,6 +221,18 @@
   return LIMPET_STATUS_OK;
 }
 
+uint32_t
+limpet_status_port_sending_count (const LimpetStatusPort *port)
+{
+  uint32_t count = 0;
+
+  for (const GList *link = port->connections.head; link != NULL; link = link->next)
+    count += uv_stream_get_write_queue_size (
+                 (const uv_stream_t *)&((const Connection *)link->data)->tcp)
+             > 0;
+  return count;
+}
+
 static void
 free_port (uv_handle_t *handle)
 {
--- a/src/liblimpetroad/private/big_endian.h
+++ b/src/liblimpetroad/private/big_endian.h
@@ -15,4 +15,12 @@
   return number;
 }
 
+/* Writes number as a big-endian number of count bytes, at most 8. */
+static inline void
+limpet_write_big_endian (char *bytes, uint64_t number, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    bytes[i] = (char)(number >> 8 * (count - 1 - i));
+}
+
 #endif
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -93,10 +93,14 @@
    */
   size_t n_rests;
   TargetRest **rests;
+  /*
+   * hash of the sender's availability zone; 0 if it is not known
+   */
+  uint32_t zone;
 };
 #define GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, RELAY_STATE__UNKNOWN, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, RELAY_STATE__UNKNOWN, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -211,10 +215,14 @@
    */
   size_t n_records;
   ProtobufCBinaryData *records;
+  /*
+   * the sender has all records before end
+   */
+  protobuf_c_boolean holds_all;
 };
 #define TOPIC_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&topic_update__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* GossipMessage methods */
--- a/src/liblimpetroad/private/gossip_members.h
+++ b/src/liblimpetroad/private/gossip_members.h
@@ -40,8 +40,14 @@
 uint32_t limpet_gossip_members_pick_relay (const LimpetGossipMembers *members,
                                            GRand *random,
                                            LimpetMs now_ms);
-/* Returns the address of a random member that has sent a message; 0 if there is none. */
+/* Records the availability zone of a router, as a hash of its name. */
+void limpet_gossip_members_set_zone (LimpetGossipMembers *members,
+                                     uint32_t address,
+                                     uint32_t zone);
+/* Returns the address of a random member that has sent a message, usually of one in the
+ * availability zone if there is any; 0 if there is none. */
 uint32_t limpet_gossip_members_pick_confirmed (const LimpetGossipMembers *members,
+                                               uint32_t zone,
                                                GRand *random);
 /* Returns whether a router at the address has sent a message. */
 bool limpet_gossip_members_is_confirmed (LimpetGossipMembers *members, uint32_t address);
--- a/src/liblimpetroad/private/state_fetch.h
+++ b/src/liblimpetroad/private/state_fetch.h
@@ -20,6 +20,9 @@
   /* Returns the address of some other router (IPv4, network byte order); 0 if none is
    * known. */
   uint32_t (*pick_router) (void *user);
+  /* Makes this router known to the one at address, which serves only routers that it
+   * knows. */
+  void (*greet) (void *user, uint32_t address);
   /* Delivers a response of the router at address, a dotted IPv4 address. Returns whether
    * it was of use; otherwise another router is asked. */
   bool (*on_state) (void *user, const char *address, const char *data, size_t length);
@@ -32,7 +35,8 @@
                                           int port,
                                           const LimpetStateFetchOps *ops,
                                           void *user);
-/* Asks the router at address first; it has told of records that this one lacks. */
+/* Asks the router at address first, and at once; it has told of records that this one
+ * lacks. */
 void limpet_state_fetch_prefer (LimpetStateFetch *fetch, uint32_t address);
 /* Records are missing anew: the delay after earlier failures no longer applies. */
 void limpet_state_fetch_reset (LimpetStateFetch *fetch);
@@ -45,7 +49,15 @@
                                         GString *out);
 void limpet_state_fetch_close (LimpetStateFetch *fetch);
 
+typedef struct
+{
+  uint32_t topic;
+  int64_t from; /* the router has the records before this offset; -1 for none */
+  int format;   /* version of the format of the response; 0 for the uncompressed one of
+                 * earlier builds */
+} LimpetStateRequest;
+
 /* Parses the path of a request for a state. Returns false if it is another path. */
-bool limpet_state_fetch_parse_path (const char *path, uint32_t *topic, int64_t *from);
+bool limpet_state_fetch_parse_path (const char *path, LimpetStateRequest *request);
 
 #endif
--- a/src/liblimpetroad/shared/backoff.c
+++ b/src/liblimpetroad/shared/backoff.c
@@ -2,6 +2,14 @@
 
 #include <glib.h>
 
+/* Interval at which many clients together try. */
+#define COMMON_INTERVAL_MS 100
+/* Few clients try more often in all: each has this as its longest pause, and begins with
+ * a part of it. */
+#define MIN_LONGEST_PAUSE_MS 800
+#define MAX_SHORT_PAUSE_MS 1000
+#define FEW_CLIENTS_DIVISOR 8
+
 LimpetMs
 limpet_backoff_next (LimpetBackoff *backoff,
                      LimpetMs first_ms,
@@ -13,6 +21,15 @@
   return (LimpetMs)((double)backoff->pause_ms * (1 + jitter) / 2);
 }
 
+LimpetMs
+limpet_backoff_next_of_many (LimpetBackoff *backoff, uint32_t clients, double jitter)
+{
+  LimpetMs max_ms = MAX (MIN_LONGEST_PAUSE_MS, (LimpetMs)clients * COMMON_INTERVAL_MS);
+  LimpetMs first_ms = max_ms > MAX_SHORT_PAUSE_MS ? max_ms : max_ms / FEW_CLIENTS_DIVISOR;
+
+  return limpet_backoff_next (backoff, first_ms, max_ms, jitter);
+}
+
 void
 limpet_backoff_reset (LimpetBackoff *backoff)
 {
