Repeated responses of the store, and streams that stall while bytes arrive

A second copy of a response, late, on a connection that is used again: responses of the store do not name their call. A copy of a read was taken for the next one, records were applied at wrong offsets and a configuration never came into force (test_a_repeated_response_of_the_store…, failed before). Each call has a connection of its own now. Ruled out: comparing offsets (a response does not say where its records begin).

Only tokens count now, with limits that know earlier gaps and grow with each stall (limpetroad/stall.h).

--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -12,8 +12,8 @@
 
 #define MAX_RESPONSE_HEAD_BYTES 16384
 #define MAX_RESPONSE_BODY_BYTES (16 * 1024 * 1024)
-/* An idle connection fails if its peer has sent nothing, not even replies to the
- * keepalive probes, for KEEPALIVE_INTERVAL_S * (1 + KEEPALIVE_PROBES). */
+/* A connection fails if its peer has sent nothing, not even replies to the keepalive
+ * probes, for KEEPALIVE_INTERVAL_S * (1 + KEEPALIVE_PROBES). */
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 /* The connection and its call fail if sent data is not acknowledged for this time. */
@@ -27,7 +27,6 @@
   uv_tcp_t tcp;
   uv_connect_t connect;
   LimpetHttpReader reader;
-  bool is_connected;
   char buffer[16384];
 } Connection;
 
@@ -181,11 +180,8 @@
 {
   LimpetAsyncClient *client = connection->client;
   int status = connection->reader.head.status;
-  bool keeps_alive = connection->reader.head.keep_alive;
 
-  limpet_http_reader_next (&connection->reader);
-  if (!keeps_alive)
-    close_connection (client);
+  close_connection (client);
   finish_call (client, status, NULL);
 }
 
@@ -266,7 +262,6 @@
       reset_client (connection->client, uv_strerror (status));
       return;
     }
-  connection->is_connected = true;
   uv_read_start ((uv_stream_t *)&connection->tcp, alloc_buffer, on_read);
   write_request (connection);
 }
@@ -368,9 +363,7 @@
   client->wait_ms = 0;
   uv_timer_start (&client->timer, on_timeout,
                   (uint64_t)MIN (timeout_ms, CONNECT_TIMEOUT_MS), 0);
-  if (client->connection != NULL && client->connection->is_connected)
-    write_request (client->connection);
-  else if (open_connection (client) != 0)
+  if (open_connection (client) != 0)
     uv_timer_start (&client->timer, on_timeout, 0, 0);
 }
 
--- a/src/liblimpetroad/private/async_client.h
+++ b/src/liblimpetroad/private/async_client.h
@@ -8,13 +8,13 @@
 #include <uv.h>
 
 /* An HTTP/1.1 client of one address, for control calls in an event loop. It makes one
- * call at a time and keeps its connection open between calls.
+ * call at a time, each on a connection of its own: responses do not name their call, so
+ * that a repeated one would be taken for that to the next call on its connection.
  *
  * limpet_async_client_new() → limpet_async_client_call() → … →
  * limpet_async_client_close(), which also frees it. The callback of a call runs exactly
  * once, unless the call is cancelled or the client is closed first. If a call times out,
- * its connection is closed, because no more data is expected to arrive on it; the server
- * may still have executed the call. */
+ * the server may still have executed it. */
 typedef struct LimpetAsyncClient LimpetAsyncClient;
 
 /* Counts the calls of several clients. */
@@ -32,8 +32,7 @@
 typedef void (*LimpetAsyncCallback) (
     void *user, int status, const char *body, size_t length, const char *error);
 
-/* address is an IPv4 address and is copied; stats is borrowed. A connection is opened by
- * the first call. */
+/* address is an IPv4 address and is copied; stats is borrowed. */
 LimpetAsyncClient *limpet_async_client_new (uv_loop_t *loop,
                                             const char *address,
                                             int port,
--- a/src/liblimpetroad/threaded_router/chat.c
+++ b/src/liblimpetroad/threaded_router/chat.c
@@ -2,6 +2,7 @@
 
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
+#include "limpetroad/stall.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -12,6 +13,7 @@
 #define MAX_STREAMS 2 /* an attempt and its hedge */
 #define MAX_RETRIES 3 /* before the caller has a token */
 #define MAX_RESUMES 6 /* after the caller has a token */
+#define MAX_STALLS 4  /* of a chat; then it fails */
 /* Delay of a hedge before the first token, as a multiple of the median time to the first
  * token. Unlike a high quantile, the median does not move when some targets slow down. */
 #define HEDGE_MEDIAN_FACTOR 2.0
@@ -42,6 +44,7 @@
   LimpetMs started_ms;
   LimpetMs last_activity_ms; /* time of the last socket event, or of the start */
   LimpetMs last_token_ms;    /* time of the last token, or of the start */
+  LimpetMs longest_gap_ms;   /* between tokens */
   int64_t next_offset;       /* expected offset of the next token */
   uint32_t tokens_in_read;   /* tokens in the data of the current read */
   bool has_unflushed;        /* the sink has events that are not flushed */
@@ -56,6 +59,7 @@
   LimpetAdmissionRequest admission;
   EngineStream streams[MAX_STREAMS];
   EngineStream *winner;     /* its tokens go to the caller; NULL if there is none */
+  uint32_t stalls;          /* of its streams */
   int64_t delivered_tokens; /* tokens passed to the sink; the offset of the next one */
   bool complete;            /* the end marker was passed to the sink */
   bool caller_disconnected;
@@ -108,9 +112,13 @@
         limpet_latency_add (chat->context->first_token, first_ms);
     }
   else
-    limpet_target_record_token_gap_ms (stream->target,
-                                       (double)(now_ms - stream->last_token_ms)
-                                           / MAX (1, stream->tokens_in_read));
+    {
+      LimpetMs gap_ms = now_ms - stream->last_token_ms;
+
+      limpet_target_record_token_gap_ms (
+          stream->target, (double)gap_ms / MAX (1, stream->tokens_in_read));
+      stream->longest_gap_ms = MAX (stream->longest_gap_ms, gap_ms);
+    }
   stream->got_token = true;
   stream->pending_gap_recorded = false;
   stream->last_token_ms = now_ms;
@@ -325,6 +333,8 @@
 static bool
 may_retry (Chat *chat, LimpetStatus status, bool is_stale)
 {
+  if (chat->stalls > MAX_STALLS)
+    return false;
   if (chat->delivered_tokens > 0)
     return chat->resumes++ < MAX_RESUMES;
   if (limpet_clock_mono_ms () >= chat->request->deadline_ms
@@ -407,12 +417,22 @@
     retry_or_resume (chat, stream, status, is_stale);
 }
 
+/* Returns the time until the attempt ends if its target sends nothing more. */
 static LimpetMs
-idle_timeout_ms (const EngineStream *stream)
-{
-  return limpet_attempt_state (stream->attempt) == LIMPET_ATTEMPT_SENT
-             ? LIMPET_HEADER_TIMEOUT_MS
-             : LIMPET_STALL_TIMEOUT_MS;
+stall_remaining_ms (const EngineStream *stream, LimpetMs now_ms)
+{
+  LimpetMs silent_ms = now_ms - stream->last_activity_ms;
+  LimpetStallProgress progress = {
+    .silent_ms = silent_ms,
+    .tokenless_ms = now_ms - stream->last_token_ms,
+    .longest_gap_ms = stream->longest_gap_ms,
+    .usual_gap_ms = limpet_target_token_gap_ms (stream->target),
+    .stalls = stream->chat->stalls,
+  };
+
+  if (limpet_attempt_state (stream->attempt) == LIMPET_ATTEMPT_SENT)
+    return MAX (0, LIMPET_HEADER_TIMEOUT_MS - silent_ms);
+  return limpet_stall_remaining_ms (&progress);
 }
 
 /* Records an overdue token's wait as a sample before it ends, to detect a slow target. */
@@ -432,7 +452,7 @@
 static LimpetMs
 timer_remaining_ms (const EngineStream *stream, LimpetMs now_ms)
 {
-  LimpetMs remaining_ms = stream->last_activity_ms + idle_timeout_ms (stream) - now_ms;
+  LimpetMs remaining_ms = stall_remaining_ms (stream, now_ms);
   double gap_ms = limpet_target_token_gap_ms (stream->target);
 
   if (stream->got_token && !stream->pending_gap_recorded && gap_ms > 0)
@@ -449,11 +469,13 @@
   if (stream->attempt == NULL)
     return;
   record_pending_gap (stream, now_ms);
-  if (now_ms - stream->last_activity_ms < idle_timeout_ms (stream))
+  if (stall_remaining_ms (stream, now_ms) > 0)
     return;
+  chat->stalls++;
   limpet_counter_add (LIMPET_COUNTER_STALLS, 1);
   limpet_error_set (&chat->result->error, LIMPET_STATUS_TIMEOUT, "stream",
-                    stream->target->vm.id, "no data received for %d ms",
+                    stream->target->vm.id, "no token for %d ms, no data for %d ms",
+                    (int)(now_ms - stream->last_token_ms),
                     (int)(now_ms - stream->last_activity_ms));
   on_stream_failed (chat, stream, LIMPET_STATUS_TIMEOUT);
 }
--- a/src/test_liblimpetroad/policy_tests.c
+++ b/src/test_liblimpetroad/policy_tests.c
@@ -1,6 +1,7 @@
 #include "tests.h"
 
 #include "limpetroad/policy.h"
+#include "limpetroad/stall.h"
 
 #include <glib.h>
 #include <string.h>
@@ -158,11 +159,40 @@
   limpet_targets_delete (targets);
 }
 
+static const struct
+{
+  LimpetStallProgress progress;
+  LimpetMs remaining_ms;
+} stall_cases[] = {
+  { { .silent_ms = 500, .tokenless_ms = 500 }, 1500 },
+  { { .silent_ms = 2000, .tokenless_ms = 2000 }, 0 },
+  /* Bytes that are no token do not put the end off for ever. */
+  { { .silent_ms = 100, .tokenless_ms = 4000 }, 1000 },
+  { { .silent_ms = 100, .tokenless_ms = 5000 }, 0 },
+  /* A slow stream has shown longer gaps, or its target has. */
+  { { .silent_ms = 2500, .tokenless_ms = 2500, .longest_gap_ms = 1500 }, 2000 },
+  { { .silent_ms = 2500, .tokenless_ms = 2500, .usual_gap_ms = 1000 }, 1500 },
+  { { .silent_ms = 8000, .tokenless_ms = 8000, .longest_gap_ms = 60000 }, 0 },
+  { { .silent_ms = 2500, .tokenless_ms = 2500, .stalls = 1 }, 1500 },
+  { { .silent_ms = 2500, .tokenless_ms = 2500, .stalls = 9 }, 5500 },
+};
+
+static void
+test_a_stream_stalls_if_no_token_comes (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (stall_cases); i++)
+    CU_ASSERT_EQUAL (limpet_stall_remaining_ms (&stall_cases[i].progress),
+                     stall_cases[i].remaining_ms);
+}
+
 void
 add_policy_tests (void)
 {
   CU_pSuite suite = CU_add_suite ("policy", NULL, NULL);
 
+  CU_add_test (suite, "a stream stalls if no token comes",
+               test_a_stream_stalls_if_no_token_comes);
+
   CU_add_test (suite, "the load bound holds as load grows",
                test_the_load_bound_holds_as_load_grows);
   CU_add_test (suite, "a leaving engine moves only its own chats",
--- a/test/test_late_configurations.py
+++ b/test/test_late_configurations.py
@@ -196,3 +196,22 @@
         late_s = fleet.lateness_s()
         check(late_s < CONFIG_APPLY_S[fleet.is_large], late_s)
         fleet.check_newest_is_in_force()
+
+
+def test_a_repeated_response_of_the_store_is_not_taken_for_the_next_one():
+    """The store sends each response again, late, when the next request has come."""
+    with Platform(start=False) as platform:
+        platform.add_server()
+        platform.store.repeats = True
+        platform.start()
+        for number in range(5):
+            platform.configure(platform.routes[:-1]
+                               + [route("new", "/new-%d/" % number, "safe", "plain")])
+            f.wait_for(lambda: platform.call("/new-%d/" % number).status == 200,
+                       "the new route", CONFIG_APPLY_S[0])
+            platform.add_server("sound" if number % 2 else "plain")
+        offset = len(platform.store.topics["keyed.servers"])
+        f.wait_for(lambda: platform.metric(
+            'limpetroad_topic_offset{topic="keyed.servers"}') == offset, "the servers", 3)
+        check(platform.metric('limpetroad_topic_end{topic="keyed.servers"}') == offset)
+        check(platform.call("/new-0/").status == 404)
