Own interface: responses without framing, and repeated responses of the log

A response of a service that only the close of its connection ends reached the caller as a complete success: a target that crashes closes in order, too (test_a_response_that_breaks_off_is_no_success: close and no_framing failed with 200 and half of the body). It is broken now, and the outcome unknown. A repeated response to an append was taken for that to the next one, whose claim then had a false offset (unit test, failed before). Calls to the log, the VM list and between operators' ports use a connection each.

--- a/include/limpetroad/attempt.h
+++ b/include/limpetroad/attempt.h
@@ -44,6 +44,7 @@
   bool not_started; /**< the target refused the request before starting it */
   bool leaving;     /**< the target is shutting down and takes no new requests */
   bool id_matches;  /**< the response carries the attempt id */
+  bool is_framed;   /**< the head tells where the body ends */
 } LimpetAttemptResponse;
 
 /** Returns an attempt to send a request to \p target, which must outlive it. */
--- a/src/liblimpetroad/threaded_router/attempt.c
+++ b/src/liblimpetroad/threaded_router/attempt.c
@@ -175,6 +175,9 @@
     g_strlcpy (response->content_type, value, sizeof response->content_type);
   else if (match_header (line, length, "X-Not-Started", value, sizeof value))
     response->not_started = strcmp (value, "1") == 0;
+  else if (match_header (line, length, "Content-Length", value, sizeof value)
+           || match_header (line, length, "Transfer-Encoding", value, sizeof value))
+    response->is_framed = true;
   else if (match_header (line, length, "X-Leaving", value, sizeof value))
     response->leaving = strcmp (value, "1") == 0;
   else if (length <= 2) /* the empty line after the last header */
@@ -393,6 +396,10 @@
   if (response->code != 200)
     return limpet_error_set (error, LIMPET_STATUS_BROKEN, "attempt", peer,
                              "HTTP status %ld", response->code);
+  /* A target that crashes closes its connection in order, too. */
+  if (!response->is_framed)
+    return limpet_error_set (error, LIMPET_STATUS_BROKEN, "attempt", peer,
+                             "the response does not tell where its body ends");
   return LIMPET_STATUS_OK;
 }
 
--- a/src/liblimpetroad/threaded_router/http_client.c
+++ b/src/liblimpetroad/threaded_router/http_client.c
@@ -144,6 +144,8 @@
   curl_easy_setopt (easy, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt (easy, CURLOPT_XFERINFOFUNCTION, record_progress);
   curl_easy_setopt (easy, CURLOPT_XFERINFODATA, http);
+  /* Responses do not name their request: a repeated one would be taken for the next. */
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)LIMPET_CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, limpet_http_set_socket_options);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
--- a/src/test_liblimpetroad/claim_tests.c
+++ b/src/test_liblimpetroad/claim_tests.c
@@ -1,10 +1,16 @@
 #include "tests.h"
 
+#include "limpetroad/log_client.h"
 #include "private/claim_index.h"
 #include "private/claim_record.h"
 #include "private/keyed_call.h"
 
+#include <glib.h>
+#include <netinet/in.h>
+#include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Returns a claim whose key and attempt id begin with the given bytes. Its offset is also
  * its time. */
@@ -135,6 +141,72 @@
                      keys[i].is_valid);
 }
 
+#define REPEATING_LOG_APPENDS 3
+
+/* A log that sends each response again when the next request comes on its connection. */
+static void *
+run_repeating_log (void *user)
+{
+  int listener = *(int *)user;
+  int offset = 0;
+
+  while (offset < REPEATING_LOG_APPENDS)
+    {
+      int connection = accept (listener, NULL, NULL);
+      char request[4096];
+      char response[256] = "";
+
+      while (offset < REPEATING_LOG_APPENDS
+             && recv (connection, request, sizeof request, 0) > 0)
+        {
+          char body[64];
+
+          send (connection, response, strlen (response), MSG_NOSIGNAL);
+          g_snprintf (body, sizeof body, "{\"offset\":%d}", offset++);
+          g_snprintf (response, sizeof response,
+                      "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen (body),
+                      body);
+          send (connection, response, strlen (response), MSG_NOSIGNAL);
+        }
+      close (connection);
+    }
+  return NULL;
+}
+
+/* Guards against a fault: the repeated response to an append was taken for that to the
+ * next one, whose claim then seemed to have another place in the log. */
+static void
+test_a_repeated_response_of_the_log_is_not_taken_for_the_next_one (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  socklen_t length = sizeof address;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  pthread_t thread;
+  LimpetLogClient *client;
+  char *url;
+
+  CU_ASSERT_EQUAL_FATAL (bind (listener, (struct sockaddr *)&address, length), 0);
+  listen (listener, 8);
+  getsockname (listener, (struct sockaddr *)&address, &length);
+  url = g_strdup_printf ("http://127.0.0.1:%d", ntohs (address.sin_port));
+  client = limpet_log_client_http_new (url);
+  pthread_create (&thread, NULL, run_repeating_log, &listener);
+  for (int64_t i = 0; i < REPEATING_LOG_APPENDS; i++)
+    {
+      int64_t offset = -1;
+      LimpetError error;
+
+      CU_ASSERT_EQUAL (client->ops->append (client, "s", "x", 1, &offset, &error),
+                       LIMPET_STATUS_OK);
+      CU_ASSERT_EQUAL (offset, i);
+    }
+  client->ops->free (client);
+  pthread_join (thread, NULL);
+  close (listener);
+  g_free (url);
+}
+
 void
 add_claim_tests (void)
 {
@@ -148,5 +220,7 @@
   CU_add_test (suite, "the first outcome is final", test_the_first_outcome_is_final);
   CU_add_test (suite, "a formatted record is parsed unchanged",
                test_a_formatted_record_is_parsed_unchanged);
+  CU_add_test (suite, "a repeated response of the log is not taken for the next one",
+               test_a_repeated_response_of_the_log_is_not_taken_for_the_next_one);
   CU_add_test (suite, "keys", test_idempotency_keys_are_validated);
 }
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -8,6 +8,7 @@
 import time
 
 import fleet as f
+from platform_fake import Listener, Message
 from run_all import table
 
 
@@ -224,3 +225,28 @@
                                for r in fleet.routers), "the bundle")
         response = f.order(fleet.routers[0]["port"], fleet.key("team-0"), f.order_key())
         assert response.outcome == "done" and json.loads(response.body)["run"] == 1
+
+
+# Each row: the head of a response of a service, after its status and attempt id, and what comes of
+# its body before the connection is closed.
+@table([("length", "Content-Length: 20\r\n\r\n", "half"),
+        ("chunks", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n"),
+        ("close", "Connection: close\r\n\r\n", "half"),
+        ("no_framing", "\r\n", "half")])
+def test_a_response_that_breaks_off_is_no_success(head, body):
+    """Whoever crashes closes its connection in order, too: the close proves nothing."""
+    def respond(connection):
+        message = Message(connection.makefile("rb"))
+        connection.sendall(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n%s%s"
+                            % (message.fields.get("x-attempt-id"), head, body)).encode())
+
+    with f.Fleet(routers=1, engines=0, services=0) as fleet:
+        fleet.services.append({"id": "s00", "port": Listener(respond).port, "slots": 32,
+                               "leaving": False, "incarnation": 1})
+        fleet.publish_vms()
+        fleet.start()
+        router = fleet.routers[0]
+        f.wait_for(lambda: "peer=s00 joined" in router["process"].log_text(), "the target", 5)
+        response = f.order(router["port"], fleet.key("team-0"), f.order_key())
+        assert response is None or response.status >= 500, (response.status, response.body)
+        assert response is None or response.outcome != "not-run", response.outcome
