Starts of a whole fleet: announcements reach routers that have no state yet

Ruled out: the time to apply (90 ms on the smallest VM), the store (2 to 4 reads).

Change: a router without a state asks whoever announces that it has one, at once, and others each 100 ms at most; the filter of the state port is asked when a request has come.

--- a/include/limpetroad/status_port.h
+++ b/include/limpetroad/status_port.h
@@ -27,8 +27,8 @@
 /** Sets the type of all response bodies, which is text/plain by default; borrowed. */
 void limpet_status_port_set_content_type (LimpetStatusPort *port,
                                           const char *content_type);
-/** Sets a filter: connections from an IPv4 address (network byte order) for which
- *  \p accepts returns false are closed. */
+/** Sets a filter: a connection from an IPv4 address (network byte order) for which
+ *  \p accepts returns false is closed when its first request comes. */
 void limpet_status_port_set_filter (LimpetStatusPort *port,
                                     bool (*accepts) (void *user, uint32_t address));
 /** Listens on an IPv4 address and a TCP port. On failure sets \p error and returns
--- a/src/liblimpetroad/cluster_state/state_fetch.c
+++ b/src/liblimpetroad/cluster_state/state_fetch.c
@@ -14,6 +14,8 @@
 #define CALL_TIMEOUT_MS 400
 #define RETRY_FIRST_MS 50
 #define RETRY_MAX_MS 800
+/* The same for a router that has no state at all and does not serve callers yet. */
+#define START_RETRY_MAX_MS 100
 /* In a series of changes, a state then brings the newest one instead of each in turn. */
 #define MIN_FETCH_INTERVAL_MS 400
 
@@ -29,6 +31,7 @@
   char address[INET_ADDRSTRLEN]; /* of the router asked last */
   uint32_t preferred;            /* router to be asked next; 0 for a random one */
   LimpetBackoff backoff;
+  bool has_state;      /* when it asked last */
   LimpetMs retry_ms;   /* monotonic time from which a router may be asked */
   LimpetMs fetched_ms; /* monotonic time of the last state that was of use; 0 for none */
 };
@@ -69,9 +72,11 @@
 static void
 back_off (LimpetStateFetch *fetch)
 {
-  fetch->retry_ms = limpet_clock_mono_ms ()
-                    + limpet_backoff_next (&fetch->backoff, RETRY_FIRST_MS, RETRY_MAX_MS,
-                                           g_random_double ());
+  fetch->retry_ms
+      = limpet_clock_mono_ms ()
+        + limpet_backoff_next (&fetch->backoff, RETRY_FIRST_MS,
+                               fetch->has_state ? RETRY_MAX_MS : START_RETRY_MAX_MS,
+                               g_random_double ());
 }
 
 static void
@@ -104,6 +109,7 @@
       || (fetch->fetched_ms > 0 && now_ms - fetch->fetched_ms < MIN_FETCH_INTERVAL_MS))
     return;
   fetch->preferred = 0;
+  fetch->has_state = from >= 0;
   if (address == 0)
     address = fetch->ops->pick_router (fetch->user);
   if (address == 0)
--- a/src/liblimpetroad/exchange/status_port.c
+++ b/src/liblimpetroad/exchange/status_port.c
@@ -104,6 +104,18 @@
   *buffer = uv_buf_init (connection->buffer, sizeof connection->buffer);
 }
 
+/* Returns whether the filter accepts the peer. It is asked when a request has come, not
+ * when the connection is made: the datagram by which a router becomes known may be read
+ * just after that. */
+static bool
+is_accepted (Connection *connection)
+{
+  const LimpetStatusPort *port = connection->port;
+
+  return port->accepts == NULL
+         || port->accepts (port->user, limpet_stream_peer_address (&connection->tcp));
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -120,7 +132,7 @@
           &connection->reader, buffer->base + offset, (size_t)count - offset, &used);
 
       offset += used;
-      if (progress == LIMPET_HTTP_ERROR)
+      if (progress == LIMPET_HTTP_ERROR || !is_accepted (connection))
         close_connection (connection);
       else if (progress == LIMPET_HTTP_COMPLETE)
         {
@@ -168,8 +180,6 @@
   connection->tcp.data = connection;
   g_queue_push_tail_link (&port->connections, &connection->link);
   if (uv_accept (listener, (uv_stream_t *)&connection->tcp) != 0
-      || (port->accepts != NULL
-          && !port->accepts (port->user, limpet_stream_peer_address (&connection->tcp)))
       || uv_read_start ((uv_stream_t *)&connection->tcp, alloc_buffer, on_read) != 0)
     close_connection (connection);
 }
--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -33,6 +33,7 @@
   uint32_t requests;
   uint32_t read_requests;
   bool fails_first_read;        /* with status 503 */
+  bool is_silent;               /* it never responds */
   LimpetStatusPort *state_port; /* of another router; NULL if there is none */
   GString *state;               /* what it serves */
   GString *values;              /* values that the watch passed to on_record */
@@ -116,7 +117,7 @@
   server->requests++;
   if (strstr (buffer->base, "log-newest") != NULL)
     {
-      if (server->requests > 1)
+      if (server->requests > 1 || server->is_silent)
         {
           server->is_snapshot_under_way = true;
           return;
@@ -202,7 +203,9 @@
 static uint32_t
 pick_router (void *user)
 {
-  return ((StoreServer *)user)->state_port != NULL ? htonl (INADDR_LOOPBACK) : 0;
+  const StoreServer *server = user;
+
+  return server->state_port != NULL && !server->is_silent ? htonl (INADDR_LOOPBACK) : 0;
 }
 
 static void
@@ -227,12 +230,12 @@
   return 0;
 }
 
-/* No state of another router is recent, so that the watch reads a snapshot first. */
+/* No state of another router is recent if the store responds, so that the watch reads a
+ * snapshot first. */
 static LimpetMs
-negative_age (void *user)
+max_state_age_ms (void *user)
 {
-  (void)user;
-  return -1;
+  return ((StoreServer *)user)->is_silent ? 2000 : -1;
 }
 
 /* So many that a failed read is not repeated before the test ends. */
@@ -251,7 +254,7 @@
   .next_read_delay_ms = delay_of_single_read,
   .router_count = many_routers,
   .first_read_delay_ms = no_delay,
-  .max_state_age_ms = negative_age,
+  .max_state_age_ms = max_state_age_ms,
   .state_age_ms = no_delay,
   .pick_router = pick_router,
   .greet = ignore_router,
@@ -306,7 +309,9 @@
   server->watch = platform_watch_new (&server->loop, &address, "t", &watch_ops, server);
   if (server->state != NULL)
     start_state_port (server);
-  uv_timer_start (&server->stop_timer, stop_loop, 700, 0);
+  if (server->is_silent)
+    uv_timer_start (&server->response_timer, announce_record, 50, 0);
+  uv_timer_start (&server->stop_timer, stop_loop, server->is_silent ? 200 : 700, 0);
   uv_run (&server->loop, UV_RUN_DEFAULT);
 }
 
@@ -421,6 +426,21 @@
   close_watch (&server);
 }
 
+/* Guards against a fault: a router that started did not ask a router that told it of the
+ * newest records, and in a fleet that starts at once it was ready late. */
+static void
+test_a_router_without_a_state_asks_the_one_that_announces_it (void)
+{
+  StoreServer server = { .values = g_string_new (NULL),
+                         .state = state_message (0, 9, "new"),
+                         .is_silent = true };
+
+  run_watch (&server);
+  CU_ASSERT_STRING_EQUAL (server.values->str, "new");
+  g_string_free (server.state, TRUE);
+  close_watch (&server);
+}
+
 static void
 collect_record (
     void *user, const char *key, const char *value, size_t length, int64_t offset)
@@ -626,6 +646,7 @@
   CU_ADD_TEST (suite, test_only_a_later_and_whole_state_of_another_router_is_applied);
   CU_ADD_TEST (suite,
                test_reads_go_on_after_the_state_of_another_router_ended_a_snapshot);
+  CU_ADD_TEST (suite, test_a_router_without_a_state_asks_the_one_that_announces_it);
   CU_ADD_TEST (suite, test_a_topic_state_keeps_the_record_with_the_latest_offset);
   CU_ADD_TEST (suite, test_a_state_message_is_read_only_if_it_is_whole);
   CU_ADD_TEST (suite, test_requests_for_states_are_parsed);
