--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -20,15 +20,15 @@
 
 
 class Listener:
-    """Accepts connections on 127.0.0.1 and calls handle(connection) in a thread for each.
+    """Accepts connections on a loopback address and calls handle(connection) in a thread for each.
 
     The connection is closed when handle() returns or raises OSError."""
 
-    def __init__(self, handle, port=0):
+    def __init__(self, handle, port=0, ip="127.0.0.1"):
         self.handle = handle
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(("127.0.0.1", port))
+        self.socket.bind((ip, port))
         self.socket.listen(128)
         self.port = self.socket.getsockname()[1]
         self.connections = []
--- a/test/test_fleet_starts.py
+++ b/test/test_fleet_starts.py
@@ -1,13 +1,15 @@
 """Routers that start while others hold the state, and how many calls to the store a fleet makes."""
 
 import random
+import socket
 import time
 
 import fleet as f
-from platform_fake import Platform, ROUTES, Store, route
+from platform_fake import Listener, Message, Platform, ROUTES, Store, route
 from run_all import table
 
 READY_S = 1.0
+CATCH_UP_S = 4
 IDLE_ROUTES = 1000      # about 220 KB a configuration
 STATE_TOPICS = ("keyed.op", "keyed.servers")
 
@@ -137,3 +139,63 @@
                    "routers to register")
         platform.add_router(seeds=["127.99.0.1"])
         f.wait_for(lambda: platform.metric("limpetroad_routers ", 9) >= 10, "the others")
+
+
+def test_a_large_site_with_odd_entries_is_served_at_once():
+    """2,000 servers, 1,400 routes, and entries of 1 MB that name no server."""
+    with SeededFleet(3, 1400) as platform:
+        server = platform.servers[0]
+        entry = {"service": "sound", "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+                 "seq": 1, "cold_left_ms": 0, "born": 1}
+        for number in range(2000):
+            platform.store.put("keyed.servers", "s-%d" % number,
+                               dict(entry, address="127.9.%d.%d:9" % (number // 250, number % 250)))
+        for number, odd in enumerate((b"x" * 1000000, b"{" * 1000000,
+                                      b'{"service":"' + b"y" * 1000000 + b'"}')):
+            platform.store.put("keyed.servers", "odd-%d" % number, odd)
+        server.write("ready")
+        started = time.monotonic()
+        platform.start_all()
+        check(time.monotonic() - started < CATCH_UP_S, time.monotonic() - started)
+        for router in range(3):
+            check(platform.call("/safe/", router=router).status == 200)
+            check("entry ignored" in platform.log(router))
+
+
+@table([("not_compressed", b"LRST\x01\x00" + b"\0" * 40), ("another_version", b"LRST\x09" + b"\0" * 40),
+        ("no_state", b"hello"), ("64_mb", b"LRST\x01\x00\0\0\0\0\x04\0\0\0" + b"\0" * 40),
+        ("empty", b"")])
+def test_a_malformed_state_is_refused(body):
+    """It comes from an address that the settings name, at which no router of ours runs."""
+    with SeededFleet(2) as platform:
+        platform.start_all()
+        platform.wait_for_routers(2)
+        giver = platform.routers.pop()
+        giver["process"].kill()
+        store = Store(platform.store.topics)
+        store.mode = "silent"
+        served = []
+
+        def serve(connection):
+            Message(connection.makefile("rb"))
+            connection.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            served.append(1)
+
+        listener = Listener(serve, platform.peer_port + 1, platform.ips[1])
+        try:
+            platform.routers[0]["process"].kill()
+            router = platform.add_router(wait=False, ip=platform.ips[0], seeds=platform.ips[1:2],
+                                         store=store)
+            greeter = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            greeter.bind((platform.ips[1], platform.peer_port))
+            # A message with the sender's address, field 1 of the protocol.
+            greeting = b"\x0d" + socket.inet_aton(platform.ips[1])
+            f.wait_for(lambda: greeter.sendto(greeting, (platform.ips[0], platform.peer_port))
+                       and served, "a request for a state", 5)
+            f.wait_for(lambda: "state_refused" in router["process"].log_text(), "the refusal", 5)
+            check(not platform.is_ready(router))
+            store.mode = "ok"
+            f.wait_for(lambda: platform.is_ready(router), "the router to be ready", CATCH_UP_S)
+        finally:
+            listener.close()
+            store.listener.close()
