--- a/test/test_fleet_starts.py
+++ b/test/test_fleet_starts.py
@@ -199,3 +199,35 @@
         finally:
             listener.close()
             store.listener.close()
+
+
+@table([("before", "", False), ("now", "&format=1", True)])
+def test_a_state_is_sent_in_the_form_that_is_asked_for(more, is_compressed):
+    """Routers of the build before ask without a format and get the records as they are."""
+    with SeededFleet(1) as platform:
+        platform.start_all()
+        ip = platform.ips[0][:-1] + "9"
+        greeter = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        greeter.bind((ip, platform.peer_port))
+        greeter.sendto(b"\x0d" + socket.inet_aton(ip), (platform.ips[0], platform.peer_port))
+        f.wait_for(lambda: platform.metric("limpetroad_routers ") == 2, "the greeting")
+        with socket.create_connection((platform.ips[0], platform.peer_port + 1), 2,
+                                      (ip, 0)) as connection:
+            connection.sendall(("GET /state?topic=0&from=-1%s HTTP/1.1\r\nHost: x\r\n\r\n"
+                                % more).encode())
+            body = Message(connection.makefile("rb")).body
+        check(body.startswith(b"LRST") == is_compressed, body[:20])
+        check((b"/safe/" in body) != is_compressed)
+
+
+def test_a_state_is_not_sent_to_an_unknown_address():
+    with SeededFleet(1) as platform:
+        platform.start_all()
+        ip = platform.ips[0][:-1] + "9"
+        with socket.create_connection((platform.ips[0], platform.peer_port + 1), 2,
+                                      (ip, 0)) as connection:
+            connection.sendall(b"GET /state?topic=0&from=-1&format=1 HTTP/1.1\r\nHost: x\r\n\r\n")
+            try:
+                check(connection.recv(100) == b"")
+            except ConnectionResetError:
+                pass
