--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -423,7 +423,7 @@
                                      random.randrange(1, 250))
         name = "r%d" % len(self.routers)
         path = os.path.join(self.directory, name + ".json")
-        port, ready = f.free_ports(2)
+        port, ready = self.free_ports()
         settings = {"node": name, "zone": "z", "ip": ip,
                     "port_range": [self.peer_port, self.peer_port + PEER_PORTS - 1],
                     "beat_interval_ms": 1200,
@@ -442,6 +442,14 @@
             f.wait_for(lambda: self.is_ready(router), name + " to be ready")
         return router
 
+    # Returns ports for callers and for readiness. The peer ports look free: they are in use at the
+    # addresses of other routers only.
+    def free_ports(self):
+        while True:
+            ports = f.free_ports(2)
+            if not set(ports) & set(range(self.peer_port, self.peer_port + PEER_PORTS)):
+                return ports
+
     def wait_for_routers(self, count):
         """Waits until each of the first routers knows all of them."""
         for index in range(count):
