Stalls: comments before the first token are no stall

Before the first token only silence counts while the deadline bounds the wait, and 10 s for a stream that goes on elsewhere. Own interface only; the platform's exchange does not use it.

--- a/include/limpetroad/stall.h
+++ b/include/limpetroad/stall.h
@@ -20,6 +20,10 @@
   LimpetMs longest_gap_ms; /**< between tokens of this stream so far */
   double usual_gap_ms;     /**< between tokens of the target; 0 if it is not known */
   uint32_t stalls;         /**< of the chat so far */
+  /** No token has come yet. The target sends comments while the request waits. */
+  bool is_waiting;
+  /** The caller has no token either, so that the deadline ends the wait. */
+  bool has_deadline;
 } LimpetStallProgress;
 
 /** Returns the time until the stream counts as stalled if nothing more arrives; 0 if it
--- a/src/liblimpetroad/threaded_router/chat.c
+++ b/src/liblimpetroad/threaded_router/chat.c
@@ -13,7 +13,7 @@
 #define MAX_STREAMS 2 /* an attempt and its hedge */
 #define MAX_RETRIES 3 /* before the caller has a token */
 #define MAX_RESUMES 6 /* after the caller has a token */
-#define MAX_STALLS 4  /* of a chat; then it fails */
+#define MAX_STALLS 3  /* of a chat; then it fails */
 /* Delay of a hedge before the first token, as a multiple of the median time to the first
  * token. Unlike a high quantile, the median does not move when some targets slow down. */
 #define HEDGE_MEDIAN_FACTOR 2.0
@@ -428,6 +428,8 @@
     .longest_gap_ms = stream->longest_gap_ms,
     .usual_gap_ms = limpet_target_token_gap_ms (stream->target),
     .stalls = stream->chat->stalls,
+    .is_waiting = !stream->got_token,
+    .has_deadline = stream->chat->delivered_tokens == 0,
   };
 
   if (limpet_attempt_state (stream->attempt) == LIMPET_ATTEMPT_SENT)
--- a/src/test_liblimpetroad/policy_tests.c
+++ b/src/test_liblimpetroad/policy_tests.c
@@ -175,6 +175,12 @@
   { { .silent_ms = 8000, .tokenless_ms = 8000, .longest_gap_ms = 60000 }, 0 },
   { { .silent_ms = 2500, .tokenless_ms = 2500, .stalls = 1 }, 1500 },
   { { .silent_ms = 2500, .tokenless_ms = 2500, .stalls = 9 }, 5500 },
+  /* Comments while the request waits for its first token. */
+  { { .silent_ms = 500, .tokenless_ms = 9000, .is_waiting = true }, 1000 },
+  { { .silent_ms = 500, .tokenless_ms = 90000, .is_waiting = true, .has_deadline = true },
+    1500 },
+  { { .silent_ms = 2000, .tokenless_ms = 9000, .is_waiting = true, .has_deadline = true },
+    0 },
 };
 
 static void
