--- a/include/limpetroad/backoff.h
+++ b/include/limpetroad/backoff.h
@@ -32,6 +32,12 @@
 LimpetMs
 limpet_backoff_next_of_many (LimpetBackoff *backoff, uint32_t clients, double jitter);
 
+/** Returns a random delay of up to \p max_ms before one of \p clients begins what is
+ * enough to be done by one of them: few draw a short delay, so that their result reaches
+ * the others before these begin as well (RFC 5401, section 3.2.2). \p uniform is a random
+ * number from 0 to 1. */
+LimpetMs limpet_backoff_first_of_many (double max_ms, uint32_t clients, double uniform);
+
 void limpet_backoff_reset (LimpetBackoff *backoff);
 
 /** Returns true from the first failure until limpet_backoff_reset(). */
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -1,5 +1,6 @@
 #include "limpetroad/gossip.h"
 
+#include "limpetroad/backoff.h"
 #include "limpetroad/counters.h"
 #include "limpetroad/limits.h"
 #include "limpetroad/logger.h"
@@ -101,19 +102,6 @@
   bool relays; /* this router relays connections */
 };
 
-/* Returns a random delay before a read of up to max_delay_ms. The number of routers, of
- * readers in all, grows exponentially with the delay that they draw, so that only a few
- * read first and their result reaches the others before these read as well (RFC 5401,
- * section 3.2.2). */
-static LimpetMs
-draw_delay_ms (LimpetGossip *gossip, double max_delay_ms, uint32_t readers)
-{
-  double steepness = log (readers) + 1;
-  double uniform = g_rand_double (gossip->random);
-
-  return (LimpetMs)(max_delay_ms * log (uniform * (exp (steepness) - 1) + 1) / steepness);
-}
-
 /* Draws when this router reads a topic itself if no other one has. */
 static void
 draw_read_delays (LimpetGossip *gossip, Topic *topic)
@@ -122,7 +110,8 @@
   double max_delay_ms = READ_DELAY_RATIO * (double)gossip->max_staleness_ms;
   bool is_early = g_rand_double (gossip->random) * routers < EARLY_READERS;
 
-  topic->delay_ms = draw_delay_ms (gossip, max_delay_ms, MIN (routers, EARLY_READERS));
+  topic->delay_ms = limpet_backoff_first_of_many (
+      max_delay_ms, MIN (routers, EARLY_READERS), g_rand_double (gossip->random));
   topic->extra_delay_ms = is_early ? 0
                                    : (LimpetMs)(g_rand_double (gossip->random) * routers
                                                 * FLEET_READ_INTERVAL_MS);
@@ -131,8 +120,9 @@
 LimpetMs
 limpet_gossip_draw_behind_delay_ms (LimpetGossip *gossip)
 {
-  return draw_delay_ms (gossip, BEHIND_DELAY_RATIO * (double)gossip->max_staleness_ms,
-                        limpet_gossip_router_count (gossip));
+  return limpet_backoff_first_of_many (
+      BEHIND_DELAY_RATIO * (double)gossip->max_staleness_ms,
+      limpet_gossip_router_count (gossip), g_rand_double (gossip->random));
 }
 
 LimpetGossip *
@@ -194,9 +184,13 @@
 static void
 send_message (LimpetGossip *gossip, GossipMessage *message, uint32_t address)
 {
-  size_t length = gossip_message__get_packed_size (message);
-  uint8_t *data = g_malloc (length);
+  size_t length;
+  uint8_t *data;
 
+  message->sender = gossip->own_address;
+  message->zone = gossip->zone;
+  length = gossip_message__get_packed_size (message);
+  data = g_malloc (length);
   gossip_message__pack (message, data);
   limpet_counter_add (LIMPET_COUNTER_DIGESTS_SENT, 1);
   limpet_counter_add (LIMPET_COUNTER_PEER_SENT_BYTES, length);
@@ -214,8 +208,6 @@
 {
   uint32_t remaining = limpet_gossip_members_count (gossip->members);
 
-  message->sender = gossip->own_address;
-  message->zone = gossip->zone;
   for (uint32_t i = 0; remaining > 0 && count > 0; i++, remaining--)
     {
       uint32_t address = limpet_gossip_members_address (gossip->members, i);
@@ -305,8 +297,6 @@
   topic.records = records;
   topic.n_records = count;
   topic.holds_all = gossip->topics[batch->topic].end >= batch->end_offset;
-  message.sender = gossip->own_address;
-  message.zone = gossip->zone;
   message.topics = topics;
   message.n_topics = 1;
   for (guint i = 0; i < receivers->len; i++)
@@ -570,7 +560,6 @@
 
   rest.target = target_hash;
   rest.rest_ms = (uint32_t)rest_ms;
-  message.sender = gossip->own_address;
   message.rests = rests;
   message.n_rests = 1;
   send_message (gossip, &message, address);
@@ -618,7 +607,6 @@
   if (limpet_gossip_streams_receive (gossip->origins, message, now_ms)
       && gossip->ops->on_stream_origins != NULL)
     gossip->ops->on_stream_origins (gossip->user);
-  answer.sender = gossip->own_address;
   if (limpet_gossip_streams_answer (gossip->origins, message, &streams, &answer))
     send_message (gossip, &answer, message->sender);
 }
@@ -718,8 +706,6 @@
   uint32_t streams = 0;
 
   gossip_message__init (&digest->message);
-  digest->message.sender = gossip->own_address;
-  digest->message.zone = gossip->zone;
   digest->message.relay_state
       = gossip->relays ? RELAY_STATE__RELAYS : RELAY_STATE__DOES_NOT_RELAY;
   limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
@@ -784,8 +770,6 @@
 {
   GossipMessage message = GOSSIP_MESSAGE__INIT;
 
-  message.sender = gossip->own_address;
-  message.zone = gossip->zone;
   send_message (gossip, &message, address);
 }
 
@@ -796,8 +780,6 @@
 
   if (!limpet_gossip_members_add (gossip->members, address, now_ms))
     return;
-  message.sender = gossip->own_address;
-  message.zone = gossip->zone;
   message.requests_digest = true;
   send_message (gossip, &message, address);
 }
--- a/src/liblimpetroad/cluster_state/gossip_members.c
+++ b/src/liblimpetroad/cluster_state/gossip_members.c
@@ -126,29 +126,37 @@
     member->relay_failed_until_ms = now_ms + RELAY_BACKOFF_MS;
 }
 
+/* A random draw of one of the members that are offered one after the other. */
+typedef struct
+{
+  uint32_t address; /* of the drawn one; 0 if none was offered */
+  gint32 offered;
+} Draw;
+
+static void
+offer (Draw *draw, const Member *member, GRand *random)
+{
+  if (g_rand_int_range (random, 0, ++draw->offered) == 0)
+    draw->address = member->address;
+}
+
 uint32_t
 limpet_gossip_members_pick_relay (const LimpetGossipMembers *members,
                                   GRand *random,
                                   LimpetMs now_ms)
 {
-  uint32_t address = 0;
-  uint32_t failed_address = 0;
-  gint32 seen = 0;
-  gint32 failed_seen = 0;
+  Draw sound = { 0 };
+  Draw failed = { 0 };
 
   for (guint i = 0; i < members->members->len; i++)
     {
       const Member *member = &g_array_index (members->members, Member, i);
       bool has_failed = now_ms < member->relay_failed_until_ms;
 
-      if (!member->relays)
-        continue;
-      if (!has_failed && g_rand_int_range (random, 0, ++seen) == 0)
-        address = member->address;
-      else if (has_failed && g_rand_int_range (random, 0, ++failed_seen) == 0)
-        failed_address = member->address;
+      if (member->relays)
+        offer (has_failed ? &failed : &sound, member, random);
     }
-  return address != 0 ? address : failed_address;
+  return sound.address != 0 ? sound.address : failed.address;
 }
 
 void
@@ -168,10 +176,8 @@
                                       GRand *random)
 {
   bool is_any_zone_picked = g_rand_double (random) < ANY_ZONE_RATIO;
-  uint32_t address = 0;
-  uint32_t near_address = 0;
-  gint32 seen = 0;
-  gint32 near_seen = 0;
+  Draw any = { 0 };
+  Draw near = { 0 };
 
   for (guint i = 0; i < members->members->len; i++)
     {
@@ -179,12 +185,11 @@
 
       if (!member->is_confirmed)
         continue;
-      if (g_rand_int_range (random, 0, ++seen) == 0)
-        address = member->address;
-      if (member->zone == zone && g_rand_int_range (random, 0, ++near_seen) == 0)
-        near_address = member->address;
+      offer (&any, member, random);
+      if (member->zone == zone)
+        offer (&near, member, random);
     }
-  return near_address != 0 && !is_any_zone_picked ? near_address : address;
+  return near.address != 0 && !is_any_zone_picked ? near.address : any.address;
 }
 
 bool
--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -6,18 +6,11 @@
 #include "private/stream_write.h"
 
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <arpa/inet.h>
 #include <string.h>
 
 #define MAX_RESPONSE_HEAD_BYTES 16384
 #define MAX_RESPONSE_BODY_BYTES (16 * 1024 * 1024)
-/* A connection fails if its peer has sent nothing, not even replies to the keepalive
- * probes, for KEEPALIVE_INTERVAL_S * (1 + KEEPALIVE_PROBES). */
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
-/* The connection and its call fail if sent data is not acknowledged for this time. */
-#define UNACKNOWLEDGED_TIMEOUT_MS 1500
 /* Below 1 s, the time after which TCP retransmits a lost SYN. */
 #define CONNECT_TIMEOUT_MS 700
 
@@ -221,8 +214,8 @@
   record_progress (connection->client);
   progress
       = limpet_http_reader_feed (&connection->reader, buffer->base, (size_t)count, &used);
-  if (progress == LIMPET_HTTP_ERROR || connection->client->on_response == NULL)
-    reset_client (connection->client, "malformed or unexpected response");
+  if (progress == LIMPET_HTTP_ERROR)
+    reset_client (connection->client, "malformed response");
   else if (progress == LIMPET_HTTP_COMPLETE)
     handle_response (connection);
   else if (is_too_slow (connection->client))
@@ -239,8 +232,6 @@
   bool written;
 
   client->request = NULL;
-  if (request == NULL)
-    return;
   client->sent_ms = limpet_clock_mono_ms ();
   restart_timeout (client);
   written = limpet_stream_write ((uv_stream_t *)&connection->tcp, request->str,
@@ -266,24 +257,6 @@
   write_request (connection);
 }
 
-static void
-set_keepalive (Connection *connection)
-{
-  int interval_s = KEEPALIVE_INTERVAL_S;
-  int probes = KEEPALIVE_PROBES;
-  unsigned int user_timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS;
-  uv_os_fd_t fd;
-
-  uv_tcp_nodelay (&connection->tcp, 1);
-  uv_tcp_keepalive (&connection->tcp, 1, KEEPALIVE_INTERVAL_S);
-  if (uv_fileno ((uv_handle_t *)&connection->tcp, &fd) != 0)
-    return;
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
-              sizeof user_timeout_ms);
-}
-
 /* Returns 0 or a libuv error code. */
 static int
 open_connection (LimpetAsyncClient *client)
@@ -299,7 +272,7 @@
   uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
   connection->tcp.data = connection;
   connection->connect.data = connection;
-  set_keepalive (connection);
+  uv_tcp_nodelay (&connection->tcp, 1);
   if (client->source[0] != '\0')
     code = uv_ip4_addr (client->source, 0, &address);
   if (code == 0 && client->source[0] != '\0')
--- a/src/liblimpetroad/shared/backoff.c
+++ b/src/liblimpetroad/shared/backoff.c
@@ -1,6 +1,7 @@
 #include "limpetroad/backoff.h"
 
 #include <glib.h>
+#include <math.h>
 
 /* Interval at which many clients together try. */
 #define COMMON_INTERVAL_MS 100
@@ -30,6 +31,15 @@
   return limpet_backoff_next (backoff, first_ms, max_ms, jitter);
 }
 
+/* The number of clients grows exponentially with the delay that they draw. */
+LimpetMs
+limpet_backoff_first_of_many (double max_ms, uint32_t clients, double uniform)
+{
+  double steepness = log (clients) + 1;
+
+  return (LimpetMs)(max_ms * log (uniform * (exp (steepness) - 1) + 1) / steepness);
+}
+
 void
 limpet_backoff_reset (LimpetBackoff *backoff)
 {
--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -191,10 +191,11 @@
 /* Makes the watch read at once, and then not again before the test ends, unless another
  * router gives it records after a failed read. */
 static LimpetMs
-delay_of_single_read (void *user)
+delay_of_single_read (void *user, uint32_t topic)
 {
   const StoreServer *server = user;
 
+  (void)topic;
   if (server->state_port != NULL && server->values->len > 0)
     return 0;
   return server->read_requests == 0 ? 0 : 100000;
@@ -230,6 +231,14 @@
   return 0;
 }
 
+static LimpetMs
+no_age (void *user, uint32_t topic)
+{
+  (void)user;
+  (void)topic;
+  return 0;
+}
+
 /* No state of another router is recent if the store responds, so that the watch reads a
  * snapshot first. */
 static LimpetMs
@@ -255,7 +264,7 @@
   .router_count = many_routers,
   .first_read_delay_ms = no_delay,
   .max_state_age_ms = max_state_age_ms,
-  .state_age_ms = no_delay,
+  .state_age_ms = no_age,
   .pick_router = pick_router,
   .greet = ignore_router,
   .log_step = "test",
