Tests: the second store, check() and an entry of the VM list are not written again

Cause: three tests made a store beside that of the fleet by hand although Platform.add_store() does; check() stood three times, an entry of the VM list six times, the greeting of a router twice.

--- a/test/fleet.py
+++ b/test/fleet.py
@@ -238,16 +238,18 @@
         assert process.popen.poll() is None, "%s: %s" % (role, process.log_text())
         return process
 
+    def add_target(self, targets, vm_id, port, **more):
+        """Adds an entry to the VM list; targets is self.engines or self.services."""
+        targets.append(dict({"id": vm_id, "port": port, "leaving": False, "incarnation": 1}, **more))
+
     def add_engine(self, vm_id, port, options):
         process = self.start_stand_in("engine", port, "--name", vm_id, *options)
         slots = options[options.index("--slots") + 1] if "--slots" in options else 16
-        self.engines.append({"id": vm_id, "port": port, "process": process, "slots": slots,
-                             "leaving": False, "incarnation": 1})
+        self.add_target(self.engines, vm_id, port, process=process, slots=slots)
 
     def add_service(self, vm_id, port, options):
         process = self.start_stand_in("service", port, "--name", vm_id, *options)
-        self.services.append({"id": vm_id, "port": port, "process": process, "leaving": False,
-                              "incarnation": 1})
+        self.add_target(self.services, vm_id, port, process=process)
 
     # Creates the signing key of an approver with limpetctl.
     def make_key(self, name):
--- a/test/test_chats.py
+++ b/test/test_chats.py
@@ -159,8 +159,7 @@
     with f.Fleet(routers=1, engines=0, services=0,
                  fleet={"default_deadline_ms": 2000}) as fleet:
         for index in range(3):
-            fleet.engines.append({"id": "e%02d" % index, "port": Listener(respond).port,
-                                  "slots": 32, "leaving": False, "incarnation": 1})
+            fleet.add_target(fleet.engines, "e%02d" % index, Listener(respond).port, slots=32)
         fleet.publish_vms()
         fleet.start()
         router = fleet.routers[0]
@@ -348,8 +347,7 @@
     with f.Fleet(routers=1, engines=0, services=0,
                  fleet={"default_deadline_ms": 2000}) as fleet:
         for entries, vm_id in ((fleet.engines, "e00"), (fleet.services, "s00")):
-            entries.append({"id": vm_id, "port": Listener(respond).port, "slots": 32,
-                            "leaving": False, "incarnation": 1})
+            fleet.add_target(entries, vm_id, Listener(respond).port, slots=32)
         fleet.publish_vms()
         fleet.start()
         router = fleet.routers[0]
--- a/test/test_fleet_starts.py
+++ b/test/test_fleet_starts.py
@@ -5,8 +5,9 @@
 import time
 
 import fleet as f
-from platform_fake import Listener, Message, Platform, ROUTES, Store, route
+from platform_fake import Listener, Message, Platform, ROUTES, route
 from run_all import table
+from test_platform import check
 
 READY_S = 1.0
 CATCH_UP_S = 4
@@ -14,11 +15,6 @@
 STATE_TOPICS = ("keyed.op", "keyed.servers")
 
 
-def check(condition, *details):
-    if not condition:
-        raise AssertionError(details)
-
-
 class SeededFleet(Platform):
     """Routers that know the addresses of three of them from their settings."""
 
@@ -46,6 +42,13 @@
         f.wait_for(lambda: self.is_ready(router), "the router to be ready", 15)
         return time.monotonic() - started
 
+    def greeter(self, ip):
+        """Returns a function that sends the first router a message of a router at the address."""
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.bind((ip, self.peer_port))
+        greeting = b"\x0d" + socket.inet_aton(ip)  # the sender's address, field 1 of the protocol
+        return lambda: sender.sendto(greeting, (self.ips[0], self.peer_port))
+
     def state_calls(self):
         return sum(self.store.count("topic=" + topic) for topic in STATE_TOPICS)
 
@@ -60,17 +63,14 @@
     with SeededFleet(routers) as platform:
         platform.start_all()
         platform.wait_for_routers(routers)
-        store = Store(platform.store.topics)
+        store = platform.add_store()
         store.only_topic = "keyed.op" if topics == "one" else None
         store.mode = mode
         store.delay_s = delay_s
-        try:
-            for index in (routers - 1, 1):
-                took_s = platform.restart(index, store)
-                check(took_s <= READY_S, took_s)
-                check(platform.call("/safe/", router=index).status == 200)
-        finally:
-            store.listener.close()
+        for index in (routers - 1, 1):
+            took_s = platform.restart(index, store)
+            check(took_s <= READY_S, took_s)
+            check(platform.call("/safe/", router=index).status == 200)
 
 
 def test_keys_that_were_taken_away_stay_so_at_a_router_that_starts():
@@ -78,22 +78,17 @@
         platform.configure(keys=("key-1", "key-2"))
         platform.start_all()
         platform.wait_for_routers(3)
-        store = Store(platform.store.topics)
+        store = platform.add_store()
         store.mode = "silent"
-        try:
-            for number in range(5):
-                platform.configure(keys=("key-1", "key-%d" % (number + 3)))
-                for router in (0, 1):
-                    f.wait_for(lambda: platform.call("/safe/", key="key-%d" % (number + 3),
-                                                     router=router).status == 200,
-                               "the new key")
-                check(platform.restart(2, store) <= READY_S)
-                check(platform.call("/safe/", key="key-%d" % (number + 2),
-                                    router=2).status == 401)
-                check(platform.call("/safe/", key="key-%d" % (number + 3),
-                                    router=2).status == 200)
-        finally:
-            store.listener.close()
+        for number in range(5):
+            platform.configure(keys=("key-1", "key-%d" % (number + 3)))
+            for router in (0, 1):
+                f.wait_for(lambda: platform.call("/safe/", key="key-%d" % (number + 3),
+                                                 router=router).status == 200,
+                           "the new key")
+            check(platform.restart(2, store) <= READY_S)
+            check(platform.call("/safe/", key="key-%d" % (number + 2), router=2).status == 401)
+            check(platform.call("/safe/", key="key-%d" % (number + 3), router=2).status == 200)
 
 
 @table([("%d_routers" % routers, routers) for routers in (9, 24)])
@@ -172,7 +167,7 @@
         platform.wait_for_routers(2)
         giver = platform.routers.pop()
         giver["process"].kill()
-        store = Store(platform.store.topics)
+        store = platform.add_store()
         store.mode = "silent"
         served = []
 
@@ -186,19 +181,14 @@
             platform.routers[0]["process"].kill()
             router = platform.add_router(wait=False, ip=platform.ips[0], seeds=platform.ips[1:2],
                                          store=store)
-            greeter = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            greeter.bind((platform.ips[1], platform.peer_port))
-            # A message with the sender's address, field 1 of the protocol.
-            greeting = b"\x0d" + socket.inet_aton(platform.ips[1])
-            f.wait_for(lambda: greeter.sendto(greeting, (platform.ips[0], platform.peer_port))
-                       and served, "a request for a state", 5)
+            greet = platform.greeter(platform.ips[1])
+            f.wait_for(lambda: greet() and served, "a request for a state", 5)
             f.wait_for(lambda: "state_refused" in router["process"].log_text(), "the refusal", 5)
             check(not platform.is_ready(router))
             store.mode = "ok"
             f.wait_for(lambda: platform.is_ready(router), "the router to be ready", CATCH_UP_S)
         finally:
             listener.close()
-            store.listener.close()
 
 
 @table([("before", "", False), ("now", "&format=1", True)])
@@ -207,9 +197,7 @@
     with SeededFleet(1) as platform:
         platform.start_all()
         ip = platform.ips[0][:-1] + "9"
-        greeter = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        greeter.bind((ip, platform.peer_port))
-        greeter.sendto(b"\x0d" + socket.inet_aton(ip), (platform.ips[0], platform.peer_port))
+        platform.greeter(ip)()
         f.wait_for(lambda: platform.metric("limpetroad_routers ") == 2, "the greeting")
         with socket.create_connection((platform.ips[0], platform.peer_port + 1), 2,
                                       (ip, 0)) as connection:
--- a/test/test_late_configurations.py
+++ b/test/test_late_configurations.py
@@ -7,6 +7,7 @@
 import fleet as f
 from platform_fake import Platform, ROUTES, Store, route
 from run_all import table
+from test_platform import check
 
 IDLE_ROUTES = 250       # about 55 KB a configuration
 # Limits of the users' small sites and, from LARGE_FLEET routers on, of their grown ones.
@@ -19,11 +20,6 @@
 SLOW_BYTES_PER_S = 60000
 
 
-def check(condition, *details):
-    if not condition:
-        raise AssertionError(details)
-
-
 class LateFleet:
     """Routers of which the first third, at least one, has a store of its own with own faults."""
 
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -241,8 +241,7 @@
                             % (message.fields.get("x-attempt-id"), head, body)).encode())
 
     with f.Fleet(routers=1, engines=0, services=0) as fleet:
-        fleet.services.append({"id": "s00", "port": Listener(respond).port, "slots": 32,
-                               "leaving": False, "incarnation": 1})
+        fleet.add_target(fleet.services, "s00", Listener(respond).port, slots=32)
         fleet.publish_vms()
         fleet.start()
         router = fleet.routers[0]
--- a/test/test_stalled_streams.py
+++ b/test/test_stalled_streams.py
@@ -25,8 +25,7 @@
                              fleet={"default_deadline_ms": deadline_ms})
         for index, function in enumerate(respond):
             port = Listener(lambda c, function=function: self.serve(c, function)).port
-            self.fleet.engines.append({"id": "e%02d" % index, "port": port, "slots": 32,
-                                       "leaving": False, "incarnation": 1})
+            self.fleet.add_target(self.fleet.engines, "e%02d" % index, port, slots=32)
 
     def __enter__(self):
         self.fleet.__enter__()
