--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -448,6 +448,17 @@
     return answer
 
 
+def connect_over_link(address):
+    """Connects with the segments and the small window of a link between machines; on loopback the
+    segments have 64 KB and the window grows to megabytes."""
+    connection = socket.socket()
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+    connection.settimeout(1)
+    connection.connect(address)
+    return connection
+
+
 def new_id():
     return "%016x" % random.getrandbits(64)
 
