--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -335,7 +335,7 @@
         self.ports = {"first": first, "front": first + 20, "ready": first + 21,
                       "control": first + 22}
 
-    def configure(self, routes, limits=None):
+    def configure(self, routes, limits=None, keys=("key-1",)):
         self.version += 3
         services = [{"name": "model", "health_path": "/health", "max_conns": 250,
                      "protocol": "h1", "tls": False,
@@ -349,7 +349,7 @@
             "version": self.version, "routes": routes, "services": services,
             "limits": limits or {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                                  "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "hule930", "api_keys": ["key-1"], "priority": 1}]})
+            "tenants": [{"name": "hule930", "api_keys": list(keys), "priority": 1}]})
         self.record.line("configuration %d is acknowledged" % self.version)
 
     def add_server(self, *arguments, **more):
@@ -463,9 +463,9 @@
     return "%016x" % random.getrandbits(64)
 
 
-def request_head(method, path, request_id, deadline_ms, body=b"", fields=()):
+def request_head(method, path, request_id, deadline_ms, body=b"", fields=(), key="key-1"):
     lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST, "Request-Id: " + request_id,
-             "Deadline-Ms: %d" % deadline_ms, "Authorization: Token key-1"]
+             "Deadline-Ms: %d" % deadline_ms, "Authorization: Token " + key]
     if method == "POST":
         lines.append("Content-Length: %d" % len(body))
     lines += ["%s: %s" % field for field in fields]
