--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -82,6 +82,7 @@
         self.socket.bind((ip, port))
         self.socket.listen(256)
         self.ip, self.port = self.socket.getsockname()
+        self.connections = set()
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -94,11 +95,13 @@
             threading.Thread(target=self.run, args=(connection,), daemon=True).start()
 
     def run(self, connection):
+        self.connections.add(connection)
         try:
             self.handle(connection)
         except (OSError, ValueError):
             pass
         finally:
+            self.connections.discard(connection)
             connection.close()
 
     def close(self):
@@ -236,8 +239,14 @@
                 % (message.id, self.id, message.id, load, more)).encode()
 
     def close(self):
+        """Ends as the process of a server does: its connections are closed."""
         self.is_closed = True
         self.listener.close()
+        for connection in list(self.listener.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
 
 class Router:
