--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 
 ROUTERS = 6
 STALLING = 3         # of the routers; the others are never disturbed
-STALL_S = 0.52
+STALL_S = 0.4
 KEYS = 16
 REVOKE_EACH_S = 1.0
 APPLY_S = 2.0        # config_apply_ms
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -16,7 +17,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -289,8 +289,8 @@
         self.start()
 
     def start(self):
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["router"]["run"].split()
+        with open(os.path.join(ROOT, "deploy/system.toml")) as file:
+            command = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE)[1].split()
         log = open(os.path.join(self.deployment.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(
             command, cwd=ROOT, stdout=log, stderr=log,
@@ -485,10 +485,17 @@
     """Calls case(deployment, trouble), which returns the list of breaches; exits as run.sh has to."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    threading.Thread(target=lambda: (time.sleep(110), record.line("not done in 110 s"),
-                                     os._exit(2)), daemon=True).start()
     deployment = None
     code = 2
+
+    def give_up():
+        time.sleep(100)
+        record.line("not done in 100 s")
+        if deployment is not None:
+            deployment.close()
+        os._exit(2)
+
+    threading.Thread(target=give_up, daemon=True).start()
     try:
         deployment = Deployment(record, routers=case.routers)
         breaches = case(deployment, trouble)
