--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -34,6 +34,7 @@
   LIMPET_REFUSAL_TOO_SLOW,        /**< the head did not arrive within the time-out */
   LIMPET_REFUSAL_BODY_SIZE,       /**< the body exceeds the size limit */
   LIMPET_REFUSAL_HEAD_SIZE,       /**< the head exceeds the size limit */
+  LIMPET_REFUSAL_NO_MEMORY,       /**< no memory for the request at present; not run */
   LIMPET_REFUSAL_NOT_READY,       /**< no configuration yet, or stopping; not run */
   LIMPET_REFUSAL_NO_TARGET,       /**< no target is reachable, or the route has no
                                      service with a weight; not run */
--- a/include/limpetroad/datagram_port.h
+++ b/include/limpetroad/datagram_port.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_DATAGRAM_PORT_H
 #define LIMPETROAD_DATAGRAM_PORT_H
 
+#include "limpetroad/clock.h"
 #include "limpetroad/status.h"
 
 #include <stddef.h>
@@ -18,11 +19,13 @@
 
 /** Called for each datagram received; one that is too long is dropped and counted
  *  instead. \p sender is an IPv4 address in network byte order; \p data is valid only
- *  during the call. */
+ *  during the call. The datagram came after \p earliest_ms (boot clock), when none
+ *  waited: a process that stood still meanwhile does not know when. */
 typedef void (*LimpetDatagramHandler) (void *user,
                                        uint32_t sender,
                                        const uint8_t *data,
-                                       size_t length);
+                                       size_t length,
+                                       LimpetMs earliest_ms);
 
 LimpetDatagramPort *
 limpet_datagram_port_new (uv_loop_t *loop, LimpetDatagramHandler handler, void *user);
--- a/include/limpetroad/directory.h
+++ b/include/limpetroad/directory.h
@@ -40,6 +40,9 @@
 void limpet_directory_mark_leaving (LimpetDirectory *directory,
                                     const char *id,
                                     int64_t incarnation);
+/** Records that the registry has something under \p id that cannot be used: what is known
+ *  of the target stays. */
+void limpet_directory_keep (LimpetDirectory *directory, const char *id);
 /** Records that the registry no longer has the entry of \p id. The next
  *  limpet_directory_is_changed() removes the entry; shortly after an outage, it may be
  *  kept for a while, see above. */
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_EXCHANGE_H
 #define LIMPETROAD_EXCHANGE_H
 
+#include "limpetroad/byte_account.h"
 #include "limpetroad/target_response.h"
 #include "limpetroad/call.h"
 #include "limpetroad/http_head.h"
@@ -103,6 +104,12 @@
 /** Sets the load limit of the policy "homes": the highest load of an engine, as a
  *  multiple of the mean load. */
 void limpet_exchange_set_load_limit (LimpetExchange *exchange, double mean_factor);
+/** Sets how many bytes the router may hold for others: requests, responses, and what
+ *  waits to be written. */
+void limpet_exchange_set_held_bytes (LimpetExchange *exchange, size_t bytes);
+/** Returns the account of these bytes, in which the router's own calls are to be counted,
+ *  too. It lives as long as the exchange. */
+LimpetByteAccount *limpet_exchange_byte_account (LimpetExchange *exchange);
 /** Sets the addresses of the routers that share the load, this one first. */
 void limpet_exchange_set_routers (LimpetExchange *exchange,
                                   const uint32_t *addresses,
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -132,12 +132,15 @@
 
 /** Adds a router found in a registry and sends it a request for a digest. */
 void limpet_gossip_add_member (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
-/** Processes a datagram from the router at \p sender. A malformed one is dropped and
+/** Processes a datagram from the router at \p sender, which came after \p earliest_ms.
+ *  The ages of reads are taken as those at that time, so that none is believed to be
+ *  newer than it is if this router stood still. A malformed datagram is dropped and
  *  counted. */
 void limpet_gossip_receive (LimpetGossip *gossip,
                             uint32_t sender,
                             const uint8_t *data,
                             size_t length,
+                            LimpetMs earliest_ms,
                             LimpetMs now_ms);
 
 /** Sends a batch that this router read from the log, or has got from a router that did,
--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -23,6 +23,8 @@
 #define LIMPET_MAX_JSON_DEPTH 24
 /* One server-sent event. */
 #define LIMPET_MAX_EVENT_BYTES (64 * 1024)
+/* Comments between two events of a stream. */
+#define LIMPET_MAX_COMMENT_BYTES (64 * 1024)
 /* Response to a control request: to the log, the VM list or an operators' port. */
 #define LIMPET_MAX_CONTROL_BODY_BYTES (8 * 1024 * 1024)
 /* Entries of the VM list, or targets in a router state. */
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -23,6 +23,7 @@
 {
   LimpetVm vm;
   int64_t sequence;
+  int64_t late_sequence; /* of the last write taken for a late one; 0 if none */
   LimpetMs remove_at_ms; /* when a missing entry is removed; 0 if it is not missing */
   bool is_listed;        /* was put since limpet_directory_begin_list() */
   bool is_tombstone;     /* removed; kept only to recognise stale entries */
@@ -57,11 +58,16 @@
 }
 
 /* Returns whether sequence is that of a write that arrived late. One that is much lower
- * is not: the higher one was written by somebody else than the target. */
+ * is not, nor is the next one after another late one while the entry is not missing: the
+ * higher one was written by somebody else than the target, which goes on with its own. */
 static bool
 is_late_write (const Entry *entry, int64_t sequence)
 {
-  return sequence < entry->sequence && entry->sequence - sequence <= MAX_LATE_WRITES;
+  bool goes_on = entry->late_sequence > 0 && sequence > entry->late_sequence
+                 && entry->remove_at_ms == 0;
+
+  return sequence < entry->sequence && entry->sequence - sequence <= MAX_LATE_WRITES
+         && !goes_on;
 }
 
 /* Returns whether vm is older than the known entry. Within an incarnation, a missing
@@ -76,6 +82,21 @@
          || (sequence == entry->sequence && entry->remove_at_ms > 0);
 }
 
+/* A target that leaves does not come back in its incarnation, however late that is told.
+ */
+static void
+put_stale (LimpetDirectory *directory, Entry *entry, const LimpetVm *vm, int64_t sequence)
+{
+  if (vm->incarnation != entry->vm.incarnation)
+    return;
+  entry->late_sequence = sequence;
+  if (!vm->leaving || entry->vm.leaving || entry->is_tombstone
+      || !limpet_vm_has_same_address (&entry->vm, vm))
+    return;
+  entry->vm.leaving = true;
+  directory->is_changed = true;
+}
+
 void
 limpet_directory_put (LimpetDirectory *directory, const LimpetVm *vm, int64_t sequence)
 {
@@ -85,6 +106,7 @@
   if (entry != NULL && is_stale (entry, vm, sequence))
     {
       entry->is_listed = entry->remove_at_ms == 0;
+      put_stale (directory, entry, vm, sequence);
       return;
     }
   if (entry == NULL)
@@ -118,6 +140,15 @@
   directory->is_changed = true;
 }
 
+void
+limpet_directory_keep (LimpetDirectory *directory, const char *id)
+{
+  Entry *entry = g_hash_table_lookup (directory->entries, id);
+
+  if (entry != NULL && entry->remove_at_ms == 0)
+    entry->is_listed = true;
+}
+
 static void
 remove_entry (LimpetDirectory *directory, Entry *entry, LimpetMs now_ms)
 {
@@ -216,7 +247,10 @@
       Entry *entry = value;
 
       if (entry->is_tombstone && now_ms - entry->remove_at_ms > TOMBSTONE_LIFE_MS)
-        g_hash_table_iter_remove (&iter);
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
       if (entry->is_tombstone || entry->remove_at_ms == 0
           || (mass_expiry && now_ms < entry->remove_at_ms))
         continue;
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -418,6 +418,7 @@
 static void
 receive_topic (LimpetGossip *gossip,
                const TopicUpdate *received,
+               LimpetMs earliest_ms,
                LimpetMs now_ms,
                uint32_t sender)
 {
@@ -427,7 +428,7 @@
                               .records = records,
                               .end_offset = received->end,
                               .sender = received->holds_all ? sender : 0 };
-  LimpetMs read_ms = now_ms - (LimpetMs)received->age_ms - LIMPET_GOSSIP_HOP_MS;
+  LimpetMs read_ms = earliest_ms - (LimpetMs)received->age_ms - LIMPET_GOSSIP_HOP_MS;
   Topic *known;
   int64_t old_end;
   bool is_newer;
@@ -618,6 +619,7 @@
                        uint32_t sender,
                        const uint8_t *data,
                        size_t length,
+                       LimpetMs earliest_ms,
                        LimpetMs now_ms)
 {
   GossipMessage *message = gossip_message__unpack (NULL, length, data);
@@ -642,7 +644,7 @@
   for (size_t i = 0; i < message->n_members; i++)
     limpet_gossip_members_add (gossip->members, message->members[i], now_ms);
   for (size_t i = 0; i < message->n_topics; i++)
-    receive_topic (gossip, message->topics[i], now_ms, sender);
+    receive_topic (gossip, message->topics[i], earliest_ms, now_ms, sender);
   receive_loads (gossip, message, now_ms);
   receive_suspects (gossip, message, now_ms);
   receive_limits (gossip, message, now_ms);
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -41,6 +41,8 @@
  * routers tell each other only of successes that are later by this time. Smaller
  * differences come from the latency of messages. */
 #define MIN_TIME_GAIN_MS 1000
+/* Times that routers tell each other are wrong by up to about this much. */
+#define MAX_TIME_ERROR_MS 100
 #define MAX_SUSPECTS 512
 /* Number of fingerprints whose last success is remembered. One may displace another. */
 #define SUCCESS_SLOTS 8192
@@ -490,6 +492,16 @@
   return KEPT_REQUEST_CRASHES - MIN (KEPT_REQUEST_CRASHES, unexplained);
 }
 
+/* Returns whether this router observed the last crash, as far as the times that routers
+ * tell each other allow to say; several may have. */
+static bool
+observed_last_crash (const Suspect *suspect)
+{
+  return suspect->own_crash_ms > 0
+         && suspect->own_crash_ms + MAX_TIME_ERROR_MS
+                >= limpet_suspect_last_crash_ms (&suspect->record);
+}
+
 /* Quarantines a suspect. The crashes that it accounts for no longer count for others that
  * broke at the same targets. */
 static void
@@ -519,8 +531,7 @@
         }
     }
   record_change (suspect, now_ms);
-  if (suspect->own_crash_ms == limpet_suspect_last_crash_ms (&suspect->record)
-      && quarantine->ops->on_quarantined != NULL)
+  if (observed_last_crash (suspect) && quarantine->ops->on_quarantined != NULL)
     quarantine->ops->on_quarantined (quarantine->user, &suspect->record);
 }
 
--- a/src/liblimpetroad/cluster_state/state_fetch.c
+++ b/src/liblimpetroad/cluster_state/state_fetch.c
@@ -32,6 +32,7 @@
   uint32_t preferred;            /* router to be asked next; 0 for a random one */
   LimpetBackoff backoff;
   bool has_state;      /* when it asked last */
+  LimpetMs asked_ms;   /* boot clock when it asked last */
   LimpetMs retry_ms;   /* monotonic time from which a router may be asked */
   LimpetMs fetched_ms; /* monotonic time of the last state that was of use; 0 for none */
 };
@@ -53,6 +54,12 @@
   return fetch;
 }
 
+void
+limpet_state_fetch_set_account (LimpetStateFetch *fetch, LimpetByteAccount *account)
+{
+  fetch->stats.account = account;
+}
+
 void
 limpet_state_fetch_prefer (LimpetStateFetch *fetch, uint32_t address)
 {
@@ -86,7 +93,9 @@
 
   limpet_async_client_close (fetch->client);
   fetch->client = NULL;
-  if (status == 200 && fetch->ops->on_state (fetch->user, fetch->address, body, length))
+  if (status == 200
+      && fetch->ops->on_state (fetch->user, fetch->address, body, length,
+                               fetch->asked_ms))
     {
       limpet_state_fetch_reset (fetch);
       fetch->fetched_ms = limpet_clock_mono_ms ();
@@ -123,6 +132,7 @@
   fetch->client
       = limpet_async_client_new (fetch->loop, fetch->address, fetch->port, &fetch->stats);
   limpet_async_client_set_source (fetch->client, fetch->own_address);
+  fetch->asked_ms = limpet_clock_boot_ms ();
   limpet_async_client_call (fetch->client, "GET", path, NULL, 0, CALL_TIMEOUT_MS,
                             on_response, fetch);
 }
--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -34,6 +34,7 @@
   uv_timer_t timer;
   GString *request; /* to be sent once connected; NULL otherwise */
   GByteArray *body;
+  LimpetByteHolder holder;         /* of the body */
   LimpetAsyncCallback on_response; /* NULL if no call is under way */
   void *user;
   LimpetMs timeout_ms; /* longest time without any byte of the response */
@@ -87,6 +88,8 @@
                  body != NULL ? body->len : 0, error);
   if (body != NULL)
     g_byte_array_free (body, TRUE);
+  if (client->body == NULL) /* the callback may have begun another call */
+    limpet_byte_holder_set_bytes (&client->holder, 0);
 }
 
 void
@@ -149,8 +152,10 @@
   LimpetAsyncClient *client = connection->client;
 
   if (client == NULL || client->body == NULL
-      || client->body->len + length > MAX_RESPONSE_BODY_BYTES)
+      || client->body->len + length > MAX_RESPONSE_BODY_BYTES
+      || !limpet_byte_holder_may_grow (&client->holder, length))
     return false;
+  limpet_byte_holder_set_bytes (&client->holder, client->body->len + length);
   g_byte_array_append (client->body, (const guint8 *)data, (guint)length);
   client->stats->received_bytes += length;
   return true;
@@ -215,7 +220,7 @@
   progress
       = limpet_http_reader_feed (&connection->reader, buffer->base, (size_t)count, &used);
   if (progress == LIMPET_HTTP_ERROR)
-    reset_client (connection->client, "malformed response");
+    reset_client (connection->client, "malformed or too large a response");
   else if (progress == LIMPET_HTTP_COMPLETE)
     handle_response (connection);
   else if (is_too_slow (connection->client))
@@ -292,11 +297,16 @@
                          LimpetAsyncClientStats *stats)
 {
   LimpetAsyncClient *client = g_new0 (LimpetAsyncClient, 1);
+  struct in_addr server = { .s_addr = 0 };
 
   client->loop = loop;
   client->stats = stats;
   g_strlcpy (client->address, address, sizeof client->address);
   client->port = port;
+  inet_pton (AF_INET, address, &server);
+  client->holder = (LimpetByteHolder){ .account = stats->account, .is_control = true };
+  limpet_byte_holder_set_owner (&client->holder, LIMPET_BYTE_OWNER_TARGET,
+                                server.s_addr ^ (uint64_t)port << 32);
   uv_timer_init (loop, &client->timer);
   client->timer.data = client;
   return client;
@@ -351,5 +361,6 @@
 {
   limpet_async_client_cancel (client);
   close_connection (client);
+  limpet_byte_holder_clear (&client->holder);
   uv_close ((uv_handle_t *)&client->timer, free_client);
 }
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -7,6 +7,7 @@
   [LIMPET_REFUSAL_TOO_SLOW] = "too_slow",
   [LIMPET_REFUSAL_BODY_SIZE] = "body_size",
   [LIMPET_REFUSAL_HEAD_SIZE] = "head_size",
+  [LIMPET_REFUSAL_NO_MEMORY] = "no_memory",
   [LIMPET_REFUSAL_NOT_READY] = "not_ready",
   [LIMPET_REFUSAL_NO_TARGET] = "no_target",
   [LIMPET_REFUSAL_FULL] = "full",
--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -1,4 +1,5 @@
 #include "limpetroad/counters.h"
+#include "limpetroad/logger.h"
 #include "private/exchange.h"
 
 #include <string.h>
@@ -6,9 +7,15 @@
 /* Reading from a caller stops when more bytes than this have arrived after the current
  * request. It resumes after the response. */
 #define MAX_PIPELINED_BYTES (64 * 1024)
-/* The router closes the connection if the caller has not closed it this long after the
- * last response. */
+/* Reading from a target pauses while more bytes than this are queued for the caller. */
+#define MAX_BACKLOG_BYTES (256 * 1024)
+/* Retry delay for a request for which there is no memory. */
+#define NO_MEMORY_RETRY_MS 1000
+/* The router closes the connection if the caller has not closed it this long after it has
+ * acknowledged the last response. */
 #define LINGERING_CLOSE_MS 1000
+/* It waits for up to this time while the caller reads the response or still sends. */
+#define MAX_LINGERING_MS 5000
 /* Time-outs used until the first configuration arrives. */
 #define DEFAULT_HEAD_TIMEOUT_MS 5000
 #define DEFAULT_IDLE_TIMEOUT_MS 15000
@@ -21,6 +28,7 @@
   LimpetCaller *caller = handle->data;
 
   limpet_http_reader_clear (&caller->reader);
+  limpet_byte_holder_clear (&caller->holder);
   if (caller->pipelined != NULL)
     g_byte_array_free (caller->pipelined, TRUE);
   g_free (caller);
@@ -37,9 +45,9 @@
   caller->is_closed = true;
   caller->task = NULL;
   g_queue_unlink (&caller->exchange->callers, &caller->link);
-  /* A reset is not possible after a shutdown. */
-  if (!by_reset || uv_tcp_close_reset (&caller->tcp, on_closed) != 0)
-    uv_close ((uv_handle_t *)&caller->tcp, on_closed);
+  if (by_reset)
+    limpet_stream_set_reset_on_close (&caller->tcp, true);
+  uv_close ((uv_handle_t *)&caller->tcp, on_closed);
   if (task != NULL)
     limpet_task_caller_disconnected (task);
 }
@@ -59,7 +67,10 @@
 static void
 on_shutdown (uv_shutdown_t *request, int status)
 {
-  (void)status;
+  LimpetCaller *caller = request->handle->data;
+
+  if (status == 0)
+    caller->wait_start_ms = limpet_clock_mono_ms ();
   g_free (request);
 }
 
@@ -80,25 +91,66 @@
     }
 }
 
+static size_t
+backlog (const LimpetCaller *caller)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
+}
+
+static void
+count_held_bytes (LimpetCaller *caller)
+{
+  size_t pipelined = caller->pipelined != NULL ? caller->pipelined->len : 0;
+
+  limpet_byte_holder_set_bytes (&caller->holder, pipelined + backlog (caller));
+}
+
+static void continue_reading (LimpetCaller *caller);
+
 static void
 on_write_error (uv_stream_t *stream)
 {
   limpet_caller_close (stream->data);
 }
 
+static void
+on_written (uv_stream_t *stream)
+{
+  LimpetCaller *caller = stream->data;
+
+  count_held_bytes (caller);
+  if (backlog (caller) > 0 || caller->is_lingering)
+    return;
+  if (caller->task != NULL && caller->task->upstream != NULL)
+    limpet_upstream_pause (caller->task->upstream, false);
+  else if (caller->awaits_written)
+    continue_reading (caller);
+}
+
+static const LimpetStreamWriteOps write_ops
+    = { .on_error = on_write_error, .on_written = on_written };
+
 void
 limpet_caller_write (LimpetCaller *caller, const char *data, size_t length)
 {
   if (caller->is_closed)
     return;
-  if (!limpet_stream_write ((uv_stream_t *)&caller->tcp, data, length, on_write_error))
+  if (limpet_stream_write ((uv_stream_t *)&caller->tcp, data, length, &write_ops))
+    count_held_bytes (caller);
+  else
     limpet_caller_close (caller);
 }
 
-size_t
-limpet_caller_backlog (const LimpetCaller *caller)
+bool
+limpet_caller_is_behind (const LimpetCaller *caller)
 {
-  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
+  size_t queued = backlog (caller);
+
+  return queued > MAX_BACKLOG_BYTES
+         || (queued > 0
+             && !limpet_byte_holder_may_grow (
+                 &caller->holder,
+                 limpet_byte_account_read_size (caller->exchange->account)));
 }
 
 static const LimpetCallerLimits *
@@ -114,19 +166,45 @@
   return caller->exchange->table != NULL ? &caller->exchange->table->limits : &defaults;
 }
 
+static bool
+refuse_size (LimpetCaller *caller)
+{
+  caller->reader.error = "message body exceeds the size limit";
+  caller->reader.error_status = 413;
+  return false;
+}
+
+static bool
+refuse_for_memory (LimpetCaller *caller)
+{
+  const LimpetByteAccount *account = caller->exchange->account;
+
+  caller->reader.error = "no memory for the request";
+  caller->reader.error_status = 503;
+  limpet_counter_add (LIMPET_COUNTER_MEMORY_REFUSALS, 1);
+  limpet_log (LIMPET_LOG_WARNING, "memory", NULL,
+              "request refused held_bytes=%zu budget_bytes=%zu request_bytes=%zu",
+              limpet_byte_account_held (account), limpet_byte_account_budget (account),
+              caller->task->holder.bytes);
+  return false;
+}
+
+/* Memory for the whole request is reserved when its head has come: requests that each got
+ * a part of it could all wait for the rest. */
 static bool
 on_head (void *user, const LimpetHttpHead *head)
 {
   LimpetCaller *caller = user;
   const char *expect = limpet_http_head_field (head, "Expect");
 
-  if (head->content_length > caller_limits (caller)->body_bytes)
-    {
-      caller->reader.error = "message body exceeds the size limit";
-      caller->reader.error_status = 413;
-      return false;
-    }
+  if (head->content_length > caller_limits (caller)->body_bytes
+      || (head->content_length > 0
+          && (size_t)head->content_length
+                 > limpet_byte_account_largest_holding (caller->exchange->account)))
+    return refuse_size (caller);
   caller->task = limpet_task_new (caller, head);
+  if (!limpet_task_reserve (caller->task, (size_t)MAX (0, head->content_length)))
+    return refuse_for_memory (caller);
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
     limpet_caller_write (caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
   return !caller->is_closed;
@@ -140,11 +218,9 @@
 
   if (task == NULL
       || (int64_t)(task->body->len + length) > caller_limits (caller)->body_bytes)
-    {
-      caller->reader.error = "message body exceeds the size limit";
-      caller->reader.error_status = 413;
-      return false;
-    }
+    return refuse_size (caller);
+  if (!limpet_task_reserve (task, task->body->len + length))
+    return refuse_for_memory (caller);
   g_byte_array_append (task->body, (const guint8 *)data, (guint)length);
   return true;
 }
@@ -156,6 +232,8 @@
 {
   if (status == 413)
     return LIMPET_REFUSAL_BODY_SIZE;
+  if (status == 503)
+    return LIMPET_REFUSAL_NO_MEMORY;
   return status == 431 ? LIMPET_REFUSAL_HEAD_SIZE : LIMPET_REFUSAL_BAD_REQUEST;
 }
 
@@ -170,7 +248,15 @@
     caller->task = limpet_task_new (caller, &empty_head);
   caller->task->closes_connection = true;
   limpet_task_write_failure (caller->task, reason_of_status (caller->reader.error_status),
-                             0);
+                             caller->reader.error_status == 503 ? NO_MEMORY_RETRY_MS : 0);
+}
+
+static void
+stop_reading (LimpetCaller *caller)
+{
+  if (caller->is_reading)
+    uv_read_stop ((uv_stream_t *)&caller->tcp);
+  caller->is_reading = false;
 }
 
 static void
@@ -179,11 +265,10 @@
   if (caller->pipelined == NULL)
     caller->pipelined = g_byte_array_new ();
   g_byte_array_append (caller->pipelined, (const guint8 *)data, (guint)length);
-  if (caller->pipelined->len > MAX_PIPELINED_BYTES && caller->is_reading)
-    {
-      uv_read_stop ((uv_stream_t *)&caller->tcp);
-      caller->is_reading = false;
-    }
+  count_held_bytes (caller);
+  if (caller->pipelined->len > MAX_PIPELINED_BYTES
+      || !limpet_byte_holder_may_grow (&caller->holder, length))
+    stop_reading (caller);
 }
 
 /* Starts the task of a complete request and prepares the reader for the next request,
@@ -210,7 +295,8 @@
       size_t used = 0;
       LimpetHttpProgress progress;
 
-      if (caller->task != NULL && caller->task->is_body_complete)
+      if (caller->awaits_written
+          || (caller->task != NULL && caller->task->is_body_complete))
         {
           queue_pipelined (caller, data + offset, length - offset);
           return;
@@ -239,8 +325,7 @@
   LimpetCaller *caller = handle->data;
 
   (void)suggested;
-  *buffer
-      = uv_buf_init (caller->exchange->read_buffer, sizeof caller->exchange->read_buffer);
+  *buffer = limpet_exchange_read_buffer (caller->exchange);
 }
 
 static void
@@ -248,7 +333,10 @@
 {
   LimpetCaller *caller = stream->data;
 
-  if (count > 0)
+  if (count > 0 && caller->is_lingering)
+    caller->wait_start_ms
+        = MIN (limpet_clock_mono_ms (), caller->write_due_ms - LINGERING_CLOSE_MS);
+  else if (count > 0)
     process_input (caller, buffer->base, (size_t)count);
   else if (count < 0)
     limpet_caller_close (caller);
@@ -263,26 +351,42 @@
   uv_read_start ((uv_stream_t *)&caller->tcp, alloc_buffer, on_read);
 }
 
-void
-limpet_caller_response_done (LimpetCaller *caller, bool close)
+/* Processes the requests that have come meanwhile, and reads further ones. */
+static void
+continue_reading (LimpetCaller *caller)
 {
   GByteArray *pipelined = caller->pipelined;
 
-  caller->task = NULL;
-  caller->wait_start_ms = limpet_clock_mono_ms ();
+  caller->awaits_written = false;
   start_reading (caller);
-  if (close)
-    {
-      start_lingering_close (caller);
-      return;
-    }
   if (pipelined == NULL)
     return;
   caller->pipelined = NULL;
+  count_held_bytes (caller);
   process_input (caller, (const char *)pipelined->data, pipelined->len);
   g_byte_array_free (pipelined, TRUE);
 }
 
+void
+limpet_caller_response_done (LimpetCaller *caller, bool close, LimpetMs due_ms)
+{
+  caller->task = NULL;
+  caller->wait_start_ms = limpet_clock_mono_ms ();
+  caller->write_due_ms = MAX (due_ms, caller->wait_start_ms + MAX_LINGERING_MS);
+  if (close)
+    {
+      start_reading (caller);
+      start_lingering_close (caller);
+    }
+  else if (limpet_caller_is_behind (caller))
+    {
+      caller->awaits_written = true;
+      stop_reading (caller);
+    }
+  else
+    continue_reading (caller);
+}
+
 void
 limpet_caller_accept (LimpetExchange *exchange)
 {
@@ -302,9 +406,40 @@
       return;
     }
   uv_tcp_nodelay (&caller->tcp, 1);
+  caller->holder.account = exchange->account;
+  limpet_byte_holder_set_owner (&caller->holder, LIMPET_BYTE_OWNER_CALLER,
+                                limpet_stream_peer_address (&caller->tcp));
   start_reading (caller);
 }
 
+/* Closes the connection once the caller has acknowledged the last response and had time
+ * to close it, or cuts the response when its time is over. */
+static void
+check_lingering (LimpetCaller *caller, LimpetMs now_ms)
+{
+  if (limpet_stream_has_unsent (&caller->tcp))
+    {
+      caller->wait_start_ms = now_ms;
+      if (now_ms > caller->write_due_ms)
+        limpet_caller_reset (caller);
+      return;
+    }
+  limpet_stream_set_reset_on_close (&caller->tcp, false);
+  if (now_ms - caller->wait_start_ms > LINGERING_CLOSE_MS)
+    limpet_caller_close (caller);
+}
+
+void
+limpet_caller_end (LimpetCaller *caller)
+{
+  if (caller->task != NULL || caller->reader.started || caller->is_lingering)
+    return;
+  if (backlog (caller) > 0)
+    start_lingering_close (caller);
+  else
+    limpet_caller_close (caller);
+}
+
 void
 limpet_caller_check_timeouts (LimpetCaller *caller, LimpetMs now_ms)
 {
@@ -313,19 +448,20 @@
 
   if (caller->is_lingering)
     {
-      if (waited_ms > LINGERING_CLOSE_MS)
-        limpet_caller_close (caller);
+      check_lingering (caller, now_ms);
       return;
     }
   if (caller->task != NULL && caller->task->is_body_complete)
     {
-      if (caller->task->upstream != NULL && limpet_caller_backlog (caller) == 0)
+      if (caller->task->upstream != NULL && backlog (caller) == 0)
         limpet_upstream_pause (caller->task->upstream, false);
       return;
     }
   if (!caller->reader.started)
     {
-      if (waited_ms > limits->idle_timeout_ms)
+      if (backlog (caller) > 0 && now_ms > caller->write_due_ms)
+        limpet_caller_reset (caller);
+      else if (backlog (caller) == 0 && waited_ms > limits->idle_timeout_ms)
         limpet_caller_close (caller);
       return;
     }
--- a/src/liblimpetroad/exchange/datagram_port.c
+++ b/src/liblimpetroad/exchange/datagram_port.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 
 /* Longer datagrams are dropped and counted as malformed. */
 #define MAX_DATAGRAM_BYTES 8192
@@ -15,6 +16,12 @@
   LimpetDatagramHandler handler;
   void *user;
   uint16_t port_number; /* network byte order */
+  uv_prepare_t before_poll;
+  uv_check_t after_poll;
+  LimpetMs asked_ms;   /* boot clock before the socket was last asked for datagrams */
+  LimpetMs drained_ms; /* the same when it last had none */
+  bool has_received;   /* since before_poll */
+  int open_handles;
   char buffer[MAX_DATAGRAM_BYTES];
 };
 
@@ -37,13 +44,35 @@
   LimpetDatagramPort *port = udp->data;
   const struct sockaddr_in *sender = (const struct sockaddr_in *)address;
 
+  port->has_received = true;
+  if (count == 0 && address == NULL)
+    port->drained_ms = port->asked_ms;
   if (count <= 0 || address == NULL)
     return;
   if ((flags & UV_UDP_PARTIAL) != 0) /* truncated: longer than the buffer */
     limpet_counter_add (LIMPET_COUNTER_PEER_MALFORMED, 1);
   else
     port->handler (port->user, sender->sin_addr.s_addr, (const uint8_t *)buffer->base,
-                   (size_t)count);
+                   (size_t)count, port->drained_ms);
+  port->asked_ms = limpet_clock_boot_ms ();
+}
+
+static void
+on_before_poll (uv_prepare_t *handle)
+{
+  LimpetDatagramPort *port = handle->data;
+
+  port->asked_ms = limpet_clock_boot_ms ();
+  port->has_received = false;
+}
+
+static void
+on_after_poll (uv_check_t *handle)
+{
+  LimpetDatagramPort *port = handle->data;
+
+  if (!port->has_received)
+    port->drained_ms = port->asked_ms;
 }
 
 LimpetDatagramPort *
@@ -53,8 +82,13 @@
 
   port->handler = handler;
   port->user = user;
+  port->open_handles = 3;
   uv_udp_init_ex (loop, &port->udp, AF_INET);
+  uv_prepare_init (loop, &port->before_poll);
+  uv_check_init (loop, &port->after_poll);
   port->udp.data = port;
+  port->before_poll.data = port;
+  port->after_poll.data = port;
   return port;
 }
 
@@ -68,6 +102,10 @@
   int code = uv_ip4_addr (address, port_number, &bind_address);
 
   port->port_number = htons ((uint16_t)port_number);
+  port->drained_ms = limpet_clock_boot_ms ();
+  port->asked_ms = port->drained_ms;
+  uv_prepare_start (&port->before_poll, on_before_poll);
+  uv_check_start (&port->after_poll, on_after_poll);
   if (code == 0)
     code = uv_udp_bind (&port->udp, (const struct sockaddr *)&bind_address, 0);
   if (code == 0)
@@ -96,11 +134,16 @@
 static void
 free_port (uv_handle_t *handle)
 {
-  g_free (handle->data);
+  LimpetDatagramPort *port = handle->data;
+
+  if (--port->open_handles == 0)
+    g_free (port);
 }
 
 void
 limpet_datagram_port_close (LimpetDatagramPort *port)
 {
   uv_close ((uv_handle_t *)&port->udp, free_port);
+  uv_close ((uv_handle_t *)&port->before_poll, free_port);
+  uv_close ((uv_handle_t *)&port->after_poll, free_port);
 }
--- a/src/liblimpetroad/exchange/event_splitter.c
+++ b/src/liblimpetroad/exchange/event_splitter.c
@@ -36,7 +36,10 @@
       has_field = has_field || (line_length > 1 && event[0] != ':');
       if (line_length >= 3 && memcmp (event, "id:", 3) == 0)
         {
-          g_strlcpy (id, event + 3, MIN (line_length - 3 + 1, LIMPET_NAME_SIZE));
+          size_t id_length = MIN (line_length - 3, LIMPET_NAME_SIZE - 1);
+
+          memcpy (id, event + 3, id_length);
+          id[id_length] = '\0';
           g_strstrip (id);
         }
       if (line_end == NULL)
@@ -70,7 +73,11 @@
   char id[LIMPET_NAME_SIZE];
 
   if (!read_event (event, length, id))
-    return;
+    {
+      splitter->comment_bytes += length;
+      return;
+    }
+  splitter->comment_bytes = 0;
   if (!splitter->has_event)
     g_strlcpy (splitter->first_id, id, sizeof splitter->first_id);
   else
@@ -99,7 +106,8 @@
 bool
 limpet_event_splitter_exceeds_limit (const LimpetEventSplitter *splitter)
 {
-  return splitter->text != NULL && splitter->text->len > LIMPET_MAX_EVENT_BYTES;
+  return (splitter->text != NULL && splitter->text->len > LIMPET_MAX_EVENT_BYTES)
+         || splitter->comment_bytes > LIMPET_MAX_COMMENT_BYTES;
 }
 
 uint32_t
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -9,6 +9,8 @@
 #define LISTEN_BACKLOG 1024
 /* Period of limpet_dispatch_tick() and of the checks of callers' time-outs. */
 #define PERIODIC_TIMER_MS 100
+/* Budget for what is held for others until limpet_exchange_set_held_bytes(). */
+#define DEFAULT_HELD_BYTES (32 * 1024 * 1024)
 
 static void
 on_connection (uv_stream_t *listener, int status)
@@ -37,6 +39,7 @@
     }
   limpet_paths_check (exchange, now_ms);
   limpet_tunnels_check (exchange);
+  limpet_held_bytes_check (exchange);
   limpet_pending_crashes_check (exchange, now_ms);
   limpet_resumption_tick (exchange);
   limpet_dispatch_tick (exchange->dispatch, now_ms);
@@ -51,6 +54,7 @@
   exchange->targets = targets;
   exchange->dispatch = limpet_dispatch_new (targets);
   exchange->durations = limpet_call_durations_new ();
+  exchange->account = limpet_byte_account_new (DEFAULT_HELD_BYTES);
   g_queue_init (&exchange->callers);
   g_queue_init (&exchange->tasks);
   g_queue_init (&exchange->pending_crashes);
@@ -69,6 +73,27 @@
   exchange->target_codec = target_codec;
 }
 
+void
+limpet_exchange_set_held_bytes (LimpetExchange *exchange, size_t bytes)
+{
+  limpet_byte_account_set_budget (exchange->account, bytes);
+}
+
+LimpetByteAccount *
+limpet_exchange_byte_account (LimpetExchange *exchange)
+{
+  return exchange->account;
+}
+
+uv_buf_t
+limpet_exchange_read_buffer (LimpetExchange *exchange)
+{
+  size_t size = limpet_byte_account_read_size (exchange->account);
+
+  return uv_buf_init (exchange->read_buffer,
+                      (unsigned int)MIN (size, sizeof exchange->read_buffer));
+}
+
 bool
 limpet_exchange_set_policy (LimpetExchange *exchange, const char *name)
 {
@@ -336,11 +361,8 @@
   limpet_tunnels_stop (exchange);
   for (GList *link = exchange->callers.head; link != NULL; link = next)
     {
-      LimpetCaller *caller = link->data;
-
       next = link->next;
-      if (caller->task == NULL && !caller->reader.started && !caller->is_lingering)
-        limpet_caller_close (caller);
+      limpet_caller_end (link->data);
     }
 }
 
@@ -364,6 +386,10 @@
   LimpetTargetView *view = limpet_targets_snapshot (exchange->targets);
 
   g_string_append_printf (out, "limpetroad_tasks %u\n", exchange->tasks.length);
+  g_string_append_printf (out, "limpetroad_held_bytes %zu\n",
+                          limpet_byte_account_held (exchange->account));
+  g_string_append_printf (out, "limpetroad_held_bytes_budget %zu\n",
+                          limpet_byte_account_budget (exchange->account));
   limpet_paths_render_metrics (exchange, out);
   g_string_append_printf (out, "limpetroad_tunnels %u\n", exchange->tunnels.length);
   for (int i = 0; i < LIMPET_ROUTE_KIND_COUNT; i++)
--- a/src/liblimpetroad/exchange/http_reader.c
+++ b/src/liblimpetroad/exchange/http_reader.c
@@ -190,6 +190,7 @@
 {
   LimpetHttpReader *reader = parser->data;
 
+  reader->body_seen = true;
   return reader->ops->on_body (reader->user, at, length)
              ? 0
              : fail (reader, 413, "message body rejected");
@@ -214,6 +215,7 @@
   g_string_truncate (reader->text, 0);
   reader->offsets_count = 0;
   reader->head_bytes = 0;
+  reader->framing_bytes = 0;
   reader->in_value = false;
   reader->started = false;
   reader->head_done = false;
@@ -329,8 +331,12 @@
           if (reader->error != NULL)
             return LIMPET_HTTP_ERROR;
         }
+      reader->body_seen = !reader->head_done;
       parsed = http_parser_execute (&reader->parser, &reader->callbacks, at, part_length);
       *used += parsed;
+      reader->framing_bytes = reader->body_seen ? 0 : reader->framing_bytes + parsed;
+      if (reader->framing_bytes > reader->head_limit)
+        fail (reader, 400, "chunk extensions or trailers exceed the size limit");
       if (reader->parser.upgrade)
         fail (reader, 400, "protocol upgrades are not supported");
       if (HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -2,19 +2,15 @@
 #include "limpetroad/logger.h"
 #include "private/upstream.h"
 
+#include <inttypes.h>
 #include <string.h>
 
-/* Responses other than streams are buffered completely before they are forwarded, so that
- * the call can be retried if the connection fails during the response. A response with a
- * larger body fails the attempt. */
-#define MAX_RESPONSE_BODY_BYTES (16 * 1024 * 1024)
-/* While more bytes than MAX_BUFFERED_BYTES are buffered for all calls, a response that
- * exceeds SMALL_RESPONSE_BYTES fails, so that responses without end cannot use up the
- * memory of the router. */
-#define MAX_BUFFERED_BYTES (32 * 1024 * 1024)
-#define SMALL_RESPONSE_BYTES (256 * 1024)
-/* Reading from the target pauses while more bytes than this are queued for the caller. */
-#define MAX_CALLER_BACKLOG_BYTES (256 * 1024)
+/* Responses other than streams are buffered before they are forwarded, so that the call
+ * can be retried if the connection fails during the response. A larger one is forwarded
+ * as it arrives. */
+#define MAX_BUFFERED_BYTES (256 * 1024)
+/* Body of a response that is not for the call of the connection, and is skipped. */
+#define MAX_SKIPPED_BYTES (256 * 1024)
 /* Subtracted from the idle time-out of a target, so that the target does not close the
  * connection while a request is in transit. */
 #define KEEP_ALIVE_MARGIN_MS 400
@@ -82,7 +78,20 @@
                                     rest_ms);
 }
 
-bool
+/* Returns why the response, which tells of success, cannot be that of the target; NULL if
+ * it can. */
+static const char *
+check_success (const LimpetTask *task)
+{
+  const LimpetTargetResponse *response = &task->response;
+
+  if (response->status / 100 != 2 || response->is_misdirected || response->not_executed
+      || (response->is_from_target && !response->is_encoded))
+    return NULL;
+  return "the answer is not the target's own";
+}
+
+const char *
 limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head)
 {
   LimpetExchange *exchange = task->exchange;
@@ -90,7 +99,7 @@
 
   task->response = (LimpetTargetResponse){ .status = head->status };
   if (head->status / 100 == 1)
-    return true;
+    return NULL;
   exchange->target_codec->ops->read_response (exchange->target_codec, head, &task->call,
                                               task->target, &task->response);
   if (task->response.is_brittle || task->response.is_from_target)
@@ -100,7 +109,7 @@
   if (task->response.is_leaving)
     limpet_exchange_mark_leaving (exchange, task->target, "its response");
   if (task->response.is_for_other_call)
-    return true;
+    return NULL;
   task->response_head_ms = now_ms;
   exchange->responded_ms = now_ms;
   if (task->response.is_from_target)
@@ -119,40 +128,52 @@
   task->is_streaming = is_event_stream (task) && task->response.is_from_target
                        && !task->response.is_encoded;
   task->ends_with_close = !head->is_chunked && head->content_length < 0;
+  task->response_length = head->content_length;
+  if (check_success (task) != NULL)
+    return check_success (task);
   if (!limpet_continuation_accepts_head (task, head))
-    return false;
+    return "the response does not continue the stream";
   if (!task->head_sent)
     copy_head (task, head);
-  return true;
+  return NULL;
 }
 
-/* Appends the fields that frame the body of a stream. The body is chunked unless the
- * caller uses HTTP/1.0 or the target marks the end of the response only by closing its
- * connection. In these cases the router ends the response by closing the caller's
- * connection. */
+/* Appends the fields that frame a body that is forwarded as it arrives. It is chunked
+ * unless its length is known or the caller uses HTTP/1.0. In the last case the close of
+ * the caller's connection ends the response; until it is complete, a reset does, also if
+ * this process is killed. */
 static void
 append_framing (LimpetTask *task, GString *out)
 {
+  bool has_length = !task->is_streaming && task->response_length >= 0;
+
   limpet_task_close_if_draining (task);
-  task->is_chunked_to_caller = !task->is_http10 && !task->ends_with_close;
-  if (task->is_chunked_to_caller)
+  task->is_chunked_to_caller = !task->is_http10 && !has_length;
+  if (has_length)
+    g_string_append_printf (out, "Content-Length: %" PRId64 "\r\n",
+                            task->response_length);
+  else if (task->is_chunked_to_caller)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
   else
-    task->closes_connection = true;
+    {
+      task->closes_connection = true;
+      limpet_stream_set_reset_on_close (&task->caller->tcp, true);
+    }
   g_string_append (out, task->closes_connection ? "Connection: close\r\n\r\n" : "\r\n");
 }
 
-/* Writes event bytes to the caller, preceded by the response head if it has not been sent
- * yet. Pauses reading from the target if too many bytes are queued for the caller. */
+/* Writes a part of the body to the caller, preceded by the response head if it has not
+ * been sent yet. Pauses reading from the target if too many bytes are queued for the
+ * caller. */
 static void
-write_events (LimpetTask *task, const GString *events)
+write_part (LimpetTask *task, const char *data, size_t length)
 {
   LimpetCaller *caller = task->caller;
   GString *out;
 
-  if (caller == NULL || (events->len == 0 && task->head_sent))
+  if (caller == NULL || (length == 0 && task->head_sent))
     return;
-  out = g_string_sized_new (events->len + 512);
+  out = g_string_sized_new (length + 512);
   if (!task->head_sent)
     {
       g_string_append_len (out, task->response_head->str,
@@ -160,15 +181,14 @@
       append_framing (task, out);
       task->head_sent = true;
     }
-  if (events->len > 0 && task->is_chunked_to_caller)
-    g_string_append_printf (out, "%zx\r\n", events->len);
-  g_string_append_len (out, events->str, (gssize)events->len);
-  if (events->len > 0 && task->is_chunked_to_caller)
+  if (length > 0 && task->is_chunked_to_caller)
+    g_string_append_printf (out, "%zx\r\n", length);
+  g_string_append_len (out, data, (gssize)length);
+  if (length > 0 && task->is_chunked_to_caller)
     g_string_append (out, "\r\n");
   limpet_caller_write (caller, out->str, out->len);
   g_string_free (out, TRUE);
-  if (!caller->is_closed && task->upstream != NULL
-      && limpet_caller_backlog (caller) > MAX_CALLER_BACKLOG_BYTES)
+  if (!caller->is_closed && task->upstream != NULL && limpet_caller_is_behind (caller))
     limpet_upstream_pause (task->upstream, true);
 }
 
@@ -198,22 +218,48 @@
   task->last_event_ms = now_ms;
 }
 
-/* Adds bytes to the buffered response. Returns false if it exceeds the limits. */
+/* Returns whether the response may be forwarded before it is complete: it is a success of
+ * the target for this call. */
 static bool
+can_pass_on (const LimpetTask *task)
+{
+  const LimpetTargetResponse *response = &task->response;
+
+  return response->status / 100 == 2 && !response->is_misdirected
+         && !response->not_executed && !task->head_sent
+         && (response->names_call || task->upstream->call_count <= 1);
+}
+
+/* Adds bytes to the buffered response. Once it is too large, or there is no memory for
+ * it, what has come is forwarded, and the rest as it arrives. Returns why the attempt
+ * fails, or NULL. */
+static const char *
 buffer_body (LimpetTask *task, const char *data, size_t length)
 {
-  size_t *buffered_bytes = &task->exchange->buffered_bytes;
-  size_t size = length;
+  bool fits;
 
+  if (task->is_passing_on || task->caller == NULL)
+    {
+      write_part (task, data, length);
+      return NULL;
+    }
   if (task->response_body == NULL)
     task->response_body = g_byte_array_new ();
-  size += task->response_body->len;
-  if (size > MAX_RESPONSE_BODY_BYTES
-      || (size > SMALL_RESPONSE_BYTES && *buffered_bytes + length > MAX_BUFFERED_BYTES))
-    return false;
+  fits = task->response_body->len + length <= MAX_BUFFERED_BYTES
+         && limpet_byte_holder_may_grow (&task->holder, length);
+  if (!fits && !can_pass_on (task))
+    return "a body too large to be buffered";
   g_byte_array_append (task->response_body, (const guint8 *)data, (guint)length);
-  *buffered_bytes += length;
-  return true;
+  if (!fits)
+    {
+      GByteArray *body = g_steal_pointer (&task->response_body);
+
+      task->is_passing_on = true;
+      write_part (task, (const char *)body->data, body->len);
+      g_byte_array_free (body, TRUE);
+    }
+  limpet_task_count_held_bytes (task);
+  return NULL;
 }
 
 void
@@ -221,14 +267,14 @@
 {
   if (task->response_body == NULL)
     return;
-  task->exchange->buffered_bytes -= task->response_body->len;
   g_byte_array_free (task->response_body, TRUE);
   task->response_body = NULL;
+  limpet_task_count_held_bytes (task);
 }
 
-/* Forwards the events that are complete with the data. Returns false if the first one
- * does not continue the stream, or if an event exceeds the limit. */
-static bool
+/* Forwards the events that are complete with the data. Returns why the attempt fails, or
+ * NULL. */
+static const char *
 relay_events (LimpetTask *task, const char *data, size_t length)
 {
   GString *events = g_string_new (NULL);
@@ -243,45 +289,48 @@
       record_event_gap (task, count);
       record_first_event (task);
       limpet_counter_add (LIMPET_COUNTER_TOKENS, count);
-      write_events (task, events);
+      write_part (task, events->str, events->len);
     }
   g_string_free (events, TRUE);
-  return is_accepted && !limpet_event_splitter_exceeds_limit (&task->events);
+  limpet_task_count_held_bytes (task);
+  if (!is_accepted)
+    return "the first event does not continue the stream";
+  return limpet_event_splitter_exceeds_limit (&task->events)
+             ? "an event too large, or comments without an event"
+             : NULL;
 }
 
-bool
+const char *
 limpet_relay_body (LimpetTask *task, const char *data, size_t length)
 {
-  if (task->response.is_for_other_call)
-    return true;
+  task->received_bytes += length;
+  if (task->response.is_for_other_call || task->response.status / 100 == 1)
+    return task->received_bytes > MAX_SKIPPED_BYTES
+               ? "a response to another call is too large"
+               : NULL;
   return task->is_streaming ? relay_events (task, data, length)
                             : buffer_body (task, data, length);
 }
 
-/* Writes the rest of a stream: bytes after the last complete event, the response head if
- * it has not been sent yet, and the last chunk. */
+/* Writes the rest of a response that is forwarded as it arrives: bytes after the last
+ * complete event, the response head if it has not been sent yet, and the last chunk. */
 static void
-end_stream (LimpetTask *task)
+end_parts (LimpetTask *task)
 {
   if (task->events.text != NULL && task->events.text->len > 0)
     {
-      write_events (task, task->events.text);
+      write_part (task, task->events.text->str, task->events.text->len);
       g_string_truncate (task->events.text, 0);
     }
   if (!task->head_sent)
-    {
-      GString *no_events = g_string_new (NULL);
-
-      write_events (task, no_events);
-      g_string_free (no_events, TRUE);
-    }
+    write_part (task, "", 0);
   if (task->caller != NULL && task->is_chunked_to_caller)
     limpet_caller_write (task->caller, "0\r\n\r\n", 5);
 }
 
-/* Writes a buffered response. If only the close of the target's connection ended it, the
- * close does not prove that the response is complete. A Content-Length would claim that
- * it is, so the router sends none and closes the caller's connection after the body. */
+/* Writes a buffered response. If only the close of the target's connection ended it, that
+ * close was orderly, and the response gets a length all the same: otherwise it would look
+ * complete to the caller wherever its connection ends. */
 static void
 write_complete_response (LimpetTask *task)
 {
@@ -294,9 +343,7 @@
   limpet_task_close_if_draining (task);
   out = g_string_sized_new (task->response_head->len + length + 64);
   g_string_append_len (out, task->response_head->str, (gssize)task->response_head->len);
-  if (has_body && task->ends_with_close)
-    task->closes_connection = true;
-  else if (has_body)
+  if (has_body)
     g_string_append_printf (out, "Content-Length: %zu\r\n", length);
   g_string_append (out, task->closes_connection ? "Connection: close\r\n\r\n" : "\r\n");
   if (has_body && length > 0)
@@ -376,7 +423,7 @@
       limpet_task_attempt_not_run (task);
       return;
     }
-  if ((is_success && !response->is_from_target) || response->is_encoded)
+  if (response->is_encoded)
     {
       fail_attempt (task, "the answer is not the target's own");
       return;
@@ -410,8 +457,10 @@
   if (task->is_streaming)
     {
       limpet_resumption_record (task); /* the end may not reach the caller */
-      end_stream (task);
+      end_parts (task);
     }
+  else if (task->is_passing_on)
+    end_parts (task);
   else if (task->head_sent)
     {
       /* The caller has received the start of a stream, and this response is no stream. */
--- a/src/liblimpetroad/exchange/status_port.c
+++ b/src/liblimpetroad/exchange/status_port.c
@@ -116,6 +116,14 @@
          || port->accepts (port->user, limpet_stream_peer_address (&connection->tcp));
 }
 
+/* Returns whether the peer asks on although it has not read the last response: responses
+ * would pile up. */
+static bool
+has_unread_response (const Connection *connection)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&connection->tcp) > 0;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -132,7 +140,8 @@
           &connection->reader, buffer->base + offset, (size_t)count - offset, &used);
 
       offset += used;
-      if (progress == LIMPET_HTTP_ERROR || !is_accepted (connection))
+      if (progress == LIMPET_HTTP_ERROR || !is_accepted (connection)
+          || has_unread_response (connection))
         close_connection (connection);
       else if (progress == LIMPET_HTTP_COMPLETE)
         {
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -30,14 +30,15 @@
   LimpetRefusalReason reason;
   int status;
 } refusal_status[] = {
-  { LIMPET_REFUSAL_BAD_REQUEST, 400 },  { LIMPET_REFUSAL_UNKNOWN_KEY, 401 },
-  { LIMPET_REFUSAL_NO_ROUTE, 404 },     { LIMPET_REFUSAL_TOO_SLOW, 408 },
-  { LIMPET_REFUSAL_BODY_SIZE, 413 },    { LIMPET_REFUSAL_HEAD_SIZE, 431 },
-  { LIMPET_REFUSAL_NOT_READY, 503 },    { LIMPET_REFUSAL_NO_TARGET, 503 },
-  { LIMPET_REFUSAL_FULL, 503 },         { LIMPET_REFUSAL_TARGET_FULL, 503 },
-  { LIMPET_REFUSAL_VERSION_GONE, 503 }, { LIMPET_REFUSAL_UNKNOWN_VERSION, 503 },
-  { LIMPET_REFUSAL_QUARANTINED, 503 },  { LIMPET_REFUSAL_BROKEN, 502 },
-  { LIMPET_REFUSAL_TIMEOUT, 504 },      { LIMPET_REFUSAL_STOPPING, 502 },
+  { LIMPET_REFUSAL_BAD_REQUEST, 400 },     { LIMPET_REFUSAL_UNKNOWN_KEY, 401 },
+  { LIMPET_REFUSAL_NO_ROUTE, 404 },        { LIMPET_REFUSAL_TOO_SLOW, 408 },
+  { LIMPET_REFUSAL_BODY_SIZE, 413 },       { LIMPET_REFUSAL_HEAD_SIZE, 431 },
+  { LIMPET_REFUSAL_NO_MEMORY, 503 },       { LIMPET_REFUSAL_NOT_READY, 503 },
+  { LIMPET_REFUSAL_NO_TARGET, 503 },       { LIMPET_REFUSAL_FULL, 503 },
+  { LIMPET_REFUSAL_TARGET_FULL, 503 },     { LIMPET_REFUSAL_VERSION_GONE, 503 },
+  { LIMPET_REFUSAL_UNKNOWN_VERSION, 503 }, { LIMPET_REFUSAL_QUARANTINED, 503 },
+  { LIMPET_REFUSAL_BROKEN, 502 },          { LIMPET_REFUSAL_TIMEOUT, 504 },
+  { LIMPET_REFUSAL_STOPPING, 502 },
 };
 
 static void on_timer (uv_timer_t *timer);
@@ -160,6 +161,9 @@
   task->link.data = task;
   task->call.arrived_ms = limpet_clock_mono_ms ();
   task->body = g_byte_array_new ();
+  task->holder.account = caller->exchange->account;
+  limpet_byte_holder_set_owner (&task->holder, LIMPET_BYTE_OWNER_CALLER,
+                                limpet_stream_peer_address (&caller->tcp));
   task->is_http10 = head->minor_version == 0 && head->fields_count > 0;
   task->closes_connection = !head->keep_alive;
   copy_head (task, head, head->fields_count > 0 ? caller->reader.text : NULL);
@@ -206,8 +210,9 @@
 
   limpet_call_clear (&task->call);
   limpet_event_splitter_clear (&task->events);
-  g_byte_array_free (task->body, TRUE);
+  g_byte_array_unref (task->body);
   limpet_relay_discard_body (task);
+  limpet_byte_holder_clear (&task->holder);
   if (task->response_head != NULL)
     g_string_free (task->response_head, TRUE);
   g_free (task->head_text);
@@ -304,7 +309,7 @@
   task->caller = NULL;
   uv_close ((uv_handle_t *)&task->timer, free_task);
   if (caller != NULL && caller->task == task)
-    limpet_caller_response_done (caller, close);
+    limpet_caller_response_done (caller, close, task->call.deadline_ms);
 }
 
 void
@@ -334,6 +339,32 @@
   limpet_task_finish (task, limpet_refusal_string[reason]);
 }
 
+void
+limpet_task_count_held_bytes (LimpetTask *task)
+{
+  size_t bytes
+      = sizeof *task + sizeof *task->head + MAX (task->reserved_bytes, task->body->len);
+
+  if (task->response_body != NULL)
+    bytes += task->response_body->len;
+  if (task->events.text != NULL)
+    bytes += task->events.text->len;
+  if (task->upstream != NULL)
+    bytes += limpet_upstream_head_bytes (task->upstream);
+  limpet_byte_holder_set_bytes (&task->holder, bytes);
+}
+
+bool
+limpet_task_reserve (LimpetTask *task, size_t body_bytes)
+{
+  if (body_bytes > task->reserved_bytes
+      && !limpet_byte_holder_may_grow (&task->holder, body_bytes - task->reserved_bytes))
+    return false;
+  task->reserved_bytes = MAX (task->reserved_bytes, body_bytes);
+  limpet_task_count_held_bytes (task);
+  return limpet_byte_holder_may_grow (&task->holder, 0);
+}
+
 void
 limpet_task_start (LimpetTask *task)
 {
@@ -352,8 +383,9 @@
   limpet_resumption_start (task);
 }
 
+/* Returns the head of the request to the target. */
 static GString *
-write_request (const LimpetTask *task, const LimpetTarget *target)
+write_request_head (const LimpetTask *task, const LimpetTarget *target)
 {
   LimpetTargetCodec *codec = task->exchange->target_codec;
   LimpetCallAttempt attempt = {
@@ -364,14 +396,13 @@
     .cache_source
     = limpet_dispatch_cache_source (task->exchange->dispatch, &task->call, target),
   };
-  GString *out = g_string_sized_new (1024 + task->body->len);
+  GString *out = g_string_sized_new (1024);
 
   g_string_printf (out, "%s %s HTTP/1.1\r\n", task->head->method, task->call.path);
   codec->ops->write_request_fields (codec, task->head, &task->call, &attempt, out);
   if (task->body->len > 0 || task->head->content_length == 0 || task->head->is_chunked)
     g_string_append_printf (out, "Content-Length: %u\r\n", task->body->len);
   g_string_append (out, "\r\n");
-  g_string_append_len (out, (const char *)task->body->data, (gssize)task->body->len);
   return out;
 }
 
@@ -405,20 +436,24 @@
   LimpetMs now_ms = limpet_clock_mono_ms ();
   LimpetMs min_idle_since_ms
       = limpet_call_is_idempotent (&task->call) ? 0 : now_ms - UNSAFE_MAX_IDLE_MS;
-  GString *request = write_request (task, target);
+  GString *head = write_request_head (task, target);
 
   log_resumption (task, target);
+  limpet_byte_holder_set_owner (&task->holder, LIMPET_BYTE_OWNER_TARGET, target->id_hash);
+  limpet_byte_holder_set_owner (&task->holder, LIMPET_BYTE_OWNER_SERVICE,
+                                target->group_hash);
   task->target = target;
   add_attempted_target (task, target);
   limpet_event_splitter_clear (&task->events);
   task->is_streaming = false;
+  task->received_bytes = 0;
   task->sent_ms = now_ms;
   task->is_sent = false;
   task->has_first_event = false;
   task->last_event_ms = 0;
   task->response = (LimpetTargetResponse){ .status = 0 };
   task->upstream = limpet_upstream_open (task, target, min_idle_since_ms);
-  limpet_upstream_send (task->upstream, task, request);
+  limpet_upstream_send (task->upstream, task, head);
 }
 
 void
@@ -489,13 +524,13 @@
                          : task->response.status != 0 ? "head"
                                                       : "none";
 
-  limpet_log (
-      LIMPET_LOG_NOTICE, "try", task->target->vm.id,
-      "id=%s failed=%s cause=\"%s\" route=%s response=%s parts=%s request=%" PRIx64
-      " any_heard_ago_ms=%ld target_reported_ago_ms=%ld",
-      task->call.id, limpet_status_string[status], cause, task->call.route->name,
-      response, parts, task->call.fingerprint, age_ms (task->exchange->heard_ms),
-      age_ms (task->target->report.at_ms));
+  limpet_log (LIMPET_LOG_NOTICE, "try", task->target->vm.id,
+              "id=%s failed=%s cause=\"%s\" route=%s response=%s received_bytes=%" PRIu64
+              " parts=%s request=%" PRIx64
+              " any_heard_ago_ms=%ld target_reported_ago_ms=%ld",
+              task->call.id, limpet_status_string[status], cause, task->call.route->name,
+              response, task->received_bytes, parts, task->call.fingerprint,
+              age_ms (task->exchange->heard_ms), age_ms (task->target->report.at_ms));
   g_free (parts);
 }
 
--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -18,6 +18,8 @@
 
 typedef struct Tunnel Tunnel;
 
+static void resume_reading (Tunnel *tunnel);
+
 /* One of the two connections of a tunnel. */
 typedef struct
 {
@@ -25,6 +27,7 @@
   uv_tcp_t tcp;
   bool is_open;   /* the handle has been initialized */
   bool is_paused; /* reading is stopped because of the backlog of the other end */
+  LimpetByteHolder holder; /* of what waits to be written */
 } End;
 
 struct Tunnel
@@ -67,7 +70,10 @@
 static void
 on_end_closed (uv_handle_t *handle)
 {
-  handle->data = ((End *)handle->data)->tunnel;
+  End *end = handle->data;
+
+  limpet_byte_holder_clear (&end->holder);
+  handle->data = end->tunnel;
   on_handle_closed (handle);
 }
 
@@ -102,6 +108,24 @@
   close_tunnel (((End *)stream->data)->tunnel, true);
 }
 
+static size_t
+backlog (const End *end)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&end->tcp);
+}
+
+static void
+on_written (uv_stream_t *stream)
+{
+  End *end = stream->data;
+
+  limpet_byte_holder_set_bytes (&end->holder, backlog (end));
+  resume_reading (end->tunnel);
+}
+
+static const LimpetStreamWriteOps write_ops
+    = { .on_error = on_write_error, .on_written = on_written };
+
 static void
 on_shutdown (uv_shutdown_t *request, int status)
 {
@@ -120,7 +144,7 @@
 {
   char byte = (char)code;
 
-  if (!limpet_stream_write ((uv_stream_t *)&tunnel->router.tcp, &byte, 1, on_write_error))
+  if (!limpet_stream_write ((uv_stream_t *)&tunnel->router.tcp, &byte, 1, &write_ops))
     close_tunnel (tunnel, true);
 }
 
@@ -150,10 +174,8 @@
 static void
 alloc_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-  LimpetExchange *exchange = ((End *)handle->data)->tunnel->exchange;
-
   (void)suggested;
-  *buffer = uv_buf_init (exchange->read_buffer, sizeof exchange->read_buffer);
+  *buffer = limpet_exchange_read_buffer (((End *)handle->data)->tunnel->exchange);
 }
 
 static void on_server_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
@@ -164,12 +186,14 @@
 {
   Tunnel *tunnel = from->tunnel;
 
-  if (!limpet_stream_write ((uv_stream_t *)&to->tcp, data, length, on_write_error))
+  if (!limpet_stream_write ((uv_stream_t *)&to->tcp, data, length, &write_ops))
     {
       close_tunnel (tunnel, true);
       return;
     }
-  if (uv_stream_get_write_queue_size ((uv_stream_t *)&to->tcp) > MAX_BACKLOG_BYTES)
+  limpet_byte_holder_set_bytes (&to->holder, backlog (to));
+  if (backlog (to) > MAX_BACKLOG_BYTES
+      || (backlog (to) > 0 && !limpet_byte_holder_may_grow (&to->holder, length)))
     {
       from->is_paused = true;
       uv_read_stop ((uv_stream_t *)&from->tcp);
@@ -222,6 +246,19 @@
   refuse (tunnel, LIMPET_TUNNEL_UNREACHABLE);
 }
 
+/* What waits to be written at either end belongs to the other router and the target. */
+static void
+set_owners (End *end)
+{
+  const Tunnel *tunnel = end->tunnel;
+
+  end->holder.account = tunnel->exchange->account;
+  limpet_byte_holder_set_owner (&end->holder, LIMPET_BYTE_OWNER_CALLER,
+                                limpet_stream_peer_address (&tunnel->router.tcp));
+  limpet_byte_holder_set_owner (&end->holder, LIMPET_BYTE_OWNER_TARGET,
+                                tunnel->target->id_hash);
+}
+
 static void
 connect_to_target (Tunnel *tunnel)
 {
@@ -233,6 +270,8 @@
   server->tunnel = tunnel;
   server->tcp.data = server;
   server->is_open = true;
+  set_owners (server);
+  set_owners (&tunnel->router);
   limpet_paths_set_target_options (&server->tcp);
   tunnel->connect.data = tunnel;
   code = limpet_paths_bind (tunnel->exchange, &server->tcp);
@@ -366,23 +405,26 @@
 static void
 resume (End *end, const End *other, uv_read_cb on_read)
 {
-  if (!end->is_paused
-      || uv_stream_get_write_queue_size ((const uv_stream_t *)&other->tcp) > 0)
+  if (!end->is_paused || backlog (other) > 0)
     return;
   end->is_paused = false;
   uv_read_start ((uv_stream_t *)&end->tcp, alloc_buffer, on_read);
 }
 
+static void
+resume_reading (Tunnel *tunnel)
+{
+  if (tunnel->is_closed)
+    return;
+  resume (&tunnel->router, &tunnel->server, on_router_read);
+  resume (&tunnel->server, &tunnel->router, on_server_read);
+}
+
 void
 limpet_tunnels_check (LimpetExchange *exchange)
 {
   for (GList *link = exchange->tunnels.head; link != NULL; link = link->next)
-    {
-      Tunnel *tunnel = link->data;
-
-      resume (&tunnel->router, &tunnel->server, on_router_read);
-      resume (&tunnel->server, &tunnel->router, on_server_read);
-    }
+    resume_reading (link->data);
 }
 
 void
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -13,6 +13,9 @@
 /* An attempt fails after this number of interim responses and responses to other calls,
  * which a target in trouble may send without end. */
 #define MAX_SKIPPED_RESPONSES 16
+/* Of a stream, at most so much is read until the next check of its caller, since many
+ * small events take much processor time. */
+#define STREAM_READ_BYTES (16 * 1024)
 /* A probe of the own links succeeds if its connection is not reset for this time. */
 #define PATH_PROBE_HOLD_MS 100
 /* A router that relays has to connect to the target and reply within this time. */
@@ -30,8 +33,8 @@
   if (--upstream->open_handles > 0)
     return;
   limpet_http_reader_clear (&upstream->reader);
-  if (upstream->request != NULL)
-    g_string_free (upstream->request, TRUE);
+  if (upstream->request_head != NULL)
+    g_string_free (upstream->request_head, TRUE);
   limpet_target_unref (upstream->target);
   g_free (upstream);
 }
@@ -140,13 +143,25 @@
     fail (upstream, LIMPET_STATUS_BROKEN, "sending the request failed");
 }
 
+static const LimpetStreamWriteOps write_ops = { .on_error = on_write_error };
+
+/* Makes the reader stop if there is a cause for which the attempt fails. */
+static bool
+reject_if (LimpetUpstream *upstream, const char *cause)
+{
+  if (cause != NULL)
+    upstream->reader.error = cause;
+  return cause == NULL;
+}
+
 static bool
 on_head (void *user, const LimpetHttpHead *head)
 {
   LimpetUpstream *upstream = user;
 
   upstream->keep_alive = head->keep_alive;
-  return upstream->task != NULL && limpet_relay_head (upstream->task, head);
+  return upstream->task != NULL
+         && reject_if (upstream, limpet_relay_head (upstream->task, head));
 }
 
 static bool
@@ -154,7 +169,8 @@
 {
   LimpetUpstream *upstream = user;
 
-  return upstream->task != NULL && limpet_relay_body (upstream->task, data, length);
+  return upstream->task != NULL
+         && reject_if (upstream, limpet_relay_body (upstream->task, data, length));
 }
 
 static const LimpetHttpReaderOps reader_ops = { .on_head = on_head, .on_body = on_body };
@@ -221,7 +237,7 @@
   successor = connect_upstream (exchange, upstream->target);
   successor->relay_failures = upstream->relay_failures + 1;
   task->upstream = successor;
-  limpet_upstream_send (successor, task, g_steal_pointer (&upstream->request));
+  limpet_upstream_send (successor, task, g_steal_pointer (&upstream->request_head));
   limpet_upstream_close (upstream);
 }
 
@@ -268,6 +284,8 @@
         fail (upstream, LIMPET_STATUS_BROKEN, upstream->reader.error);
       else if (progress == LIMPET_HTTP_COMPLETE)
         handle_response (upstream, offset < length, false);
+      else if (!upstream->reader.head_done)
+        limpet_task_count_held_bytes (upstream->task);
     }
 }
 
@@ -303,14 +321,21 @@
         code == UV_EOF ? "the target closed the connection" : uv_strerror ((int)code));
 }
 
+static bool
+is_streaming (const LimpetUpstream *upstream)
+{
+  return upstream->task != NULL && upstream->task->is_streaming;
+}
+
 static void
 alloc_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
   LimpetUpstream *upstream = handle->data;
 
   (void)suggested;
-  *buffer = uv_buf_init (upstream->exchange->read_buffer,
-                         sizeof upstream->exchange->read_buffer);
+  *buffer = limpet_exchange_read_buffer (upstream->exchange);
+  if (is_streaming (upstream))
+    buffer->len = MIN (buffer->len, STREAM_READ_BYTES);
 }
 
 static void
@@ -335,6 +360,8 @@
     {
       record_bytes (upstream);
       process_input (upstream, buffer->base, (size_t)count);
+      if ((size_t)count == STREAM_READ_BYTES && is_streaming (upstream))
+        limpet_upstream_pause (upstream, true);
     }
   else if (count < 0)
     on_stream_end (upstream, count);
@@ -343,15 +370,15 @@
 static void
 write_request (LimpetUpstream *upstream)
 {
-  GString *request = upstream->request;
+  GString *head = upstream->request_head;
   bool written;
 
-  upstream->request = NULL;
+  upstream->request_head = NULL;
   upstream->was_heard_since_send = false;
   limpet_task_record_sent (upstream->task);
-  written = limpet_stream_write ((uv_stream_t *)&upstream->tcp, request->str,
-                                 request->len, on_write_error);
-  g_string_free (request, TRUE);
+  written = limpet_stream_write_with_body ((uv_stream_t *)&upstream->tcp, head->str,
+                                           head->len, upstream->task->body, &write_ops);
+  g_string_free (head, TRUE);
   if (!written)
     fail (upstream, LIMPET_STATUS_BROKEN, "sending the request failed");
 }
@@ -367,7 +394,7 @@
                   0);
   limpet_tunnel_write_hello (upstream->target->id_hash, hello);
   if (!limpet_stream_write ((uv_stream_t *)&upstream->tcp, hello, sizeof hello,
-                            on_write_error))
+                            &write_ops))
     fail_relay (upstream, "sending failed");
 }
 
@@ -384,7 +411,7 @@
       end_probe (upstream);
       limpet_upstream_release (upstream, LIMPET_POOL_IDLE_MS);
     }
-  else if (upstream->request != NULL)
+  else if (upstream->request_head != NULL)
     write_request (upstream);
 }
 
@@ -545,10 +572,10 @@
 }
 
 void
-limpet_upstream_send (LimpetUpstream *upstream, LimpetTask *task, GString *request)
+limpet_upstream_send (LimpetUpstream *upstream, LimpetTask *task, GString *head)
 {
   upstream->task = task;
-  upstream->request = request;
+  upstream->request_head = head;
   upstream->call_count++;
   upstream->skipped_response = false;
   upstream->skipped_count = 0;
@@ -574,6 +601,12 @@
   uv_timer_start (&upstream->timer, on_idle_or_connect_timeout, (uint64_t)max_idle_ms, 0);
 }
 
+size_t
+limpet_upstream_head_bytes (const LimpetUpstream *upstream)
+{
+  return upstream->reader.head_done ? 0 : upstream->reader.text->len;
+}
+
 void
 limpet_upstream_pause (LimpetUpstream *upstream, bool paused)
 {
--- a/src/liblimpetroad/private/async_client.h
+++ b/src/liblimpetroad/private/async_client.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_PRIVATE_ASYNC_CLIENT_H
 #define LIMPETROAD_PRIVATE_ASYNC_CLIENT_H
 
+#include "limpetroad/byte_account.h"
 #include "limpetroad/clock.h"
 
 #include <stdbool.h>
@@ -20,6 +21,8 @@
 /* Counts the calls of several clients. */
 typedef struct
 {
+  /* In which the bodies of responses are counted, borrowed; NULL for none. */
+  LimpetByteAccount *account;
   uint64_t calls;
   uint64_t failed_calls;   /* without a complete response; cancelled ones do not count */
   uint64_t hedged_calls;   /* that repeat another one, see hedged_client.h */
--- a/src/liblimpetroad/private/event_splitter.h
+++ b/src/liblimpetroad/private/event_splitter.h
@@ -22,7 +22,8 @@
  * A zeroed splitter is ready for use: feed → … → clear. */
 typedef struct
 {
-  GString *text; /* bytes of the incomplete event */
+  GString *text;        /* bytes of the incomplete event */
+  size_t comment_bytes; /* of the comments since the last event */
   /* Id of the last complete event that had one; empty if none. */
   char last_id[LIMPET_NAME_SIZE];
   /* Id of the first complete event; empty if it has none, or before it. */
@@ -42,7 +43,8 @@
 bool limpet_event_splitter_continues (const LimpetEventSplitter *splitter,
                                       const char *last_id,
                                       LimpetIdSteps steps);
-/* Returns whether the incomplete event is longer than LIMPET_MAX_EVENT_BYTES. */
+/* Returns whether the incomplete event is longer than LIMPET_MAX_EVENT_BYTES, or more
+ * than LIMPET_MAX_COMMENT_BYTES have come without an event. */
 bool limpet_event_splitter_exceeds_limit (const LimpetEventSplitter *splitter);
 void limpet_event_splitter_clear (LimpetEventSplitter *splitter);
 
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_PRIVATE_EXCHANGE_H
 #define LIMPETROAD_PRIVATE_EXCHANGE_H
 
+#include "limpetroad/byte_account.h"
 #include "limpetroad/dispatch.h"
 #include "limpetroad/exchange.h"
 #include "limpetroad/histogram.h"
@@ -19,6 +20,7 @@
  *   resumption.c     streams that callers resume, and the versions that began streams
  *   upstream.c       connection to a target, and the pool of idle ones
  *   paths.c          own links to the targets, or other routers while these are cut
+ *   held_bytes.c     ends what holds most while the memory for others is used up
  *   tunnel.c         connections to targets for routers whose own links are cut
  *   pending_crashes.c  broken calls, until it shows whether their target has crashed
  */
@@ -67,7 +69,7 @@
   void *resumption_user;
   GQueue awaiting_origin;  /* of LimpetTask */
   uv_timer_t origin_timer; /* active while a task awaits the origin of its stream */
-  size_t buffered_bytes;   /* of the response bodies of all tasks */
+  LimpetByteAccount *account;
   /* When bytes last arrived on an own connection to a target; 0 before that. */
   LimpetMs heard_ms;
   LimpetMs responded_ms;   /* last response of any target, on whichever path */
@@ -97,8 +99,11 @@
   GList link;
   LimpetHttpReader reader;
   LimpetTask *task; /* current request, from its head to its response; NULL if none */
-  GByteArray *pipelined; /* bytes received after the current request; NULL if none */
-  bool has_more_input;   /* bytes came after the last request in the same read */
+  GByteArray *pipelined;   /* bytes received after the current request; NULL if none */
+  LimpetByteHolder holder; /* of the pipelined bytes and those that wait to be written */
+  LimpetMs write_due_ms;   /* when the last response has to be written */
+  bool has_more_input;     /* bytes came after the last request in the same read */
+  bool awaits_written;     /* further requests wait until the last response is written */
   /* Start of the wait for a request, for the rest of it or for the caller to close. */
   LimpetMs wait_start_ms;
   bool is_reading;
@@ -116,8 +121,10 @@
   LimpetHttpHead *head; /* copy of the request head */
   char *head_text;      /* holds the strings of head */
   bool is_http10;
-  bool closes_connection; /* close the caller's connection after the response */
-  GByteArray *body;
+  bool closes_connection;  /* close the caller's connection after the response */
+  GByteArray *body;        /* not changed any more once the request is complete */
+  size_t reserved_bytes;   /* for the body */
+  LimpetByteHolder holder; /* of the request and the buffered response */
   LimpetDispatchRequest dispatch_request; /* for limpet_dispatch_submit() */
   uv_timer_t timer;                       /* expires when the final response is due */
   LimpetUpstream *upstream; /* connection of the current attempt; NULL if none */
@@ -142,6 +149,8 @@
   LimpetTargetResponse response;
   GString *response_head; /* status line and end-to-end fields for the caller */
   GByteArray *response_body;
+  uint64_t received_bytes; /* in the current attempt */
+  int64_t response_length; /* Content-Length; -1 if there is none */
   LimpetEventSplitter events;
   char last_event_id[LIMPET_NAME_SIZE]; /* from earlier attempts; empty if none */
   LimpetIdSteps id_steps;               /* of the events of earlier attempts */
@@ -149,13 +158,16 @@
   LimpetMs await_start_ms;              /* when it began to await the origin */
   LimpetMs query_ms;                    /* last query for the origin; 0 if none */
   bool awaits_origin;
-  bool is_origin_shared;     /* other routers are told which version began it */
-  bool is_streaming;         /* complete events are forwarded as they arrive */
+  bool is_origin_shared; /* other routers are told which version began it */
+  bool is_streaming;     /* complete events are forwarded as they arrive */
+  bool is_passing_on;    /* the body is forwarded as it arrives, since it is too large */
   bool is_chunked_to_caller; /* the response to the caller uses chunked framing */
   bool ends_with_close; /* only the close of the target's connection ends the response */
 };
 
 /* exchange.c */
+/* Returns the buffer for the next read of any connection. */
+uv_buf_t limpet_exchange_read_buffer (LimpetExchange *exchange);
 /* Gives the target no new calls for the rest of its incarnation. */
 void limpet_exchange_mark_leaving (LimpetExchange *exchange,
                                    LimpetTarget *target,
@@ -173,11 +185,15 @@
 /* Writes to the caller. If this fails, closes the connection, which may also finish the
  * task. */
 void limpet_caller_write (LimpetCaller *caller, const char *data, size_t length);
-/* Returns the number of bytes queued for the caller. */
-size_t limpet_caller_backlog (const LimpetCaller *caller);
-/* Must be called after the whole response was written. Processes the next request or, if
- * close is set, closes the connection. */
-void limpet_caller_response_done (LimpetCaller *caller, bool close);
+/* Returns whether so many bytes are queued for the caller that no more are to be read for
+ * it. */
+bool limpet_caller_is_behind (const LimpetCaller *caller);
+/* Must be called after the whole response was passed to limpet_caller_write(). Processes
+ * the next request or, if close is set, closes the connection after what is queued has
+ * been written, or at due_ms. */
+void limpet_caller_response_done (LimpetCaller *caller, bool close, LimpetMs due_ms);
+/* Closes the connection if it has no request, after what is queued has been written. */
+void limpet_caller_end (LimpetCaller *caller);
 
 /* call_filters.c */
 /* Runs the filters in order. Returns false and sets refusal if one refuses the call. */
@@ -193,6 +209,10 @@
 /* Returns whether the call, if it is sent now, ends before the router stops, as far as
  * can be told from earlier calls of its route. */
 bool limpet_task_can_end (const LimpetTask *task);
+/* Reserves memory for a body. Returns false if there is none. */
+bool limpet_task_reserve (LimpetTask *task, size_t body_bytes);
+/* Counts what the task holds now. */
+void limpet_task_count_held_bytes (LimpetTask *task);
 /* Runs the filters on the complete request and submits the call to the dispatcher. */
 void limpet_task_start (LimpetTask *task);
 /* Called when the connection of the caller is closed before the task has finished. */
@@ -246,10 +266,10 @@
 bool limpet_continuation_accepts_end (const LimpetTask *task);
 
 /* relay.c */
-/* Process the head and a part of the body of a target's response. The attempt fails if
- * one returns false. */
-bool limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head);
-bool limpet_relay_body (LimpetTask *task, const char *data, size_t length);
+/* Process the head and a part of the body of a target's response. If they return a text,
+ * the attempt fails for this cause. */
+const char *limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head);
+const char *limpet_relay_body (LimpetTask *task, const char *data, size_t length);
 /* Frees the buffered part of a response. */
 void limpet_relay_discard_body (LimpetTask *task);
 /* Processes the end of a target's response: forwards the response, or retries or fails
@@ -289,6 +309,10 @@
 void limpet_pending_crashes_probe_group (LimpetExchange *exchange, const char *group);
 void limpet_pending_crashes_clear (LimpetExchange *exchange);
 
+/* held_bytes.c */
+/* While more is held than the budget, ends the call or connection that holds most. */
+void limpet_held_bytes_check (LimpetExchange *exchange);
+
 /* upstream.c */
 /* Returns a connection for the task: a pooled one that has been idle since
  * min_idle_since_ms or later, else a new one. A failed connect is reported later by
@@ -296,8 +320,8 @@
 LimpetUpstream *limpet_upstream_open (const LimpetTask *task,
                                       LimpetTarget *target,
                                       LimpetMs min_idle_since_ms);
-/* Sends the request once connected; takes ownership of request. */
-void limpet_upstream_send (LimpetUpstream *upstream, LimpetTask *task, GString *request);
+/* Sends the task's request once connected; takes ownership of head. */
+void limpet_upstream_send (LimpetUpstream *upstream, LimpetTask *task, GString *head);
 /* Returns the connection to the pool for max_idle_ms. Closes it if max_idle_ms is not
  * positive or the target is leaving. */
 void limpet_upstream_release (LimpetUpstream *upstream, LimpetMs max_idle_ms);
@@ -311,6 +335,8 @@
 void limpet_upstream_fail_trial (LimpetUpstream *upstream);
 /* Closes the connection without reporting a failure to its task. */
 void limpet_upstream_close (LimpetUpstream *upstream);
+/* Returns the bytes of a response head that is not complete yet. */
+size_t limpet_upstream_head_bytes (const LimpetUpstream *upstream);
 /* Stops reading from the target if paused is set, else resumes it. */
 void limpet_upstream_pause (LimpetUpstream *upstream, bool paused);
 
--- a/src/liblimpetroad/private/state_fetch.h
+++ b/src/liblimpetroad/private/state_fetch.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_PRIVATE_STATE_FETCH_H
 #define LIMPETROAD_PRIVATE_STATE_FETCH_H
 
+#include "limpetroad/byte_account.h"
 #include "limpetroad/clock.h"
 
 #include <glib.h>
@@ -23,9 +24,14 @@
   /* Makes this router known to the one at address, which serves only routers that it
    * knows. */
   void (*greet) (void *user, uint32_t address);
-  /* Delivers a response of the router at address, a dotted IPv4 address. Returns whether
-   * it was of use; otherwise another router is asked. */
-  bool (*on_state) (void *user, const char *address, const char *data, size_t length);
+  /* Delivers a response of the router at address, a dotted IPv4 address, which was asked
+   * at asked_ms (boot clock). Returns whether it was of use; otherwise another router is
+   * asked. */
+  bool (*on_state) (void *user,
+                    const char *address,
+                    const char *data,
+                    size_t length,
+                    LimpetMs asked_ms);
 } LimpetStateFetchOps;
 
 /* port is that at which all routers serve their states, and own_address the dotted IPv4
@@ -35,6 +41,8 @@
                                           int port,
                                           const LimpetStateFetchOps *ops,
                                           void *user);
+/* Counts the states received in an account, which is borrowed. */
+void limpet_state_fetch_set_account (LimpetStateFetch *fetch, LimpetByteAccount *account);
 /* Asks the router at address first, and at once; it has told of records that this one
  * lacks. */
 void limpet_state_fetch_prefer (LimpetStateFetch *fetch, uint32_t address);
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -131,6 +131,62 @@
   limpet_directory_delete (directory);
 }
 
+/* Guards against a fault: an entry of another writer had a higher sequence number, and
+ * the target's own ones were taken for late writes until they had passed it. */
+static void
+test_a_sequence_of_another_writer_binds_no_target (void)
+{
+  LimpetDirectory *directory = make_directory (2);
+  bool leaving = false;
+
+  put_entry (directory, "s0", 60, false);
+  put_entry (directory, "s0", 6, true);
+  build_list (directory, 0, "s0", &leaving);
+  CU_ASSERT_TRUE (leaving);
+  put_entry (directory, "s1", 60, false);
+  put_entry (directory, "s1", 6, false);
+  put_entry (directory, "s1", 7, false); /* goes on, so that 60 was not its own */
+  limpet_directory_remove (directory, "s1", 10);
+  build_list (directory, 10, NULL, NULL);
+  put_entry (directory, "s1", 8, false);
+  CU_ASSERT_EQUAL (build_list (directory, 20, NULL, NULL), 2);
+  limpet_directory_delete (directory);
+}
+
+static void
+test_an_entry_that_cannot_be_read_changes_nothing (void)
+{
+  LimpetDirectory *directory = make_directory (3);
+
+  limpet_directory_begin_list (directory);
+  put_entry (directory, "s0", 1, false);
+  limpet_directory_keep (directory, "s1");
+  limpet_directory_keep (directory, "s9");
+  limpet_directory_end_list (directory, 10);
+  CU_ASSERT_EQUAL (build_list (directory, 10, NULL, NULL), 2);
+  limpet_directory_delete (directory);
+}
+
+/* Guards against a use after free: an entry was read after it had been dropped. */
+static void
+test_old_tombstones_are_dropped (void)
+{
+  LimpetDirectory *directory = make_directory (3);
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "s%u", i);
+      limpet_directory_remove (directory, id, 10);
+    }
+  CU_ASSERT_EQUAL (build_list (directory, 10, NULL, NULL), 0);
+  CU_ASSERT_EQUAL (build_list (directory, 100000, NULL, NULL), 0);
+  put_entry (directory, "s0", 1, false);
+  CU_ASSERT_EQUAL (build_list (directory, 100010, NULL, NULL), 1);
+  limpet_directory_delete (directory);
+}
+
 static void
 test_entries_missing_from_a_list_are_removed (void)
 {
@@ -252,7 +308,7 @@
   message.topics = topics;
   message.n_topics = 1;
   limpet_gossip_receive (routers[0].gossip, 2, data,
-                         gossip_message__pack (&message, data), 5000);
+                         gossip_message__pack (&message, data), 5000, 5000);
   run_fleet (5000, 10000, &end, NULL);
   for (uint32_t i = 0; i < ROUTERS; i++)
     routers[i].heard_end = 0;
@@ -262,6 +318,46 @@
   stop_routers ();
 }
 
+/* Has the first routers stand still in turn, one at a time for 400 ms. */
+static void
+play_standstills (uint32_t routers_in_turn, LimpetMs *max_age_ms)
+{
+  int64_t end = 0;
+  uint32_t turn = 0;
+
+  for (LimpetMs now_ms = 5000; now_ms < 20000; now_ms += 430, turn++)
+    {
+      routers[turn % routers_in_turn].stands_still_until_ms = now_ms + 400;
+      run_fleet (now_ms, now_ms + 430, &end, max_age_ms);
+    }
+}
+
+/* Guards against a fault: routers took over the age in a datagram that had waited while
+ * they stood still, passed it on as new, and all routers put off their reads. */
+static void
+test_routers_that_stand_still_make_no_read_newer (void)
+{
+  static const uint32_t counts[] = { 3, 9, 85, 295 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      LimpetMs max_age_ms = 0;
+      int64_t end = 0;
+
+      router_count = counts[i];
+      start_routers (100 + (uint32_t)i);
+      run_fleet (1, 5000, &end, NULL);
+      routers_deceived = 0;
+      loss_ratio = 0.02;
+      disorder_ratio = 0.05;
+      play_standstills (MAX (1, counts[i] * 3 / 10), &max_age_ms);
+      CU_ASSERT_EQUAL (routers_deceived, 0);
+      CU_ASSERT_TRUE (max_age_ms < 2000);
+      stop_routers ();
+    }
+  router_count = ROUTERS;
+}
+
 static void
 test_records_lost_in_gossip_are_read_from_the_store (void)
 {
@@ -482,7 +578,7 @@
 
       for (size_t i = 0; i < length; i++)
         bytes[i] = (uint8_t)g_rand_int_range (random, 0, 256);
-      limpet_gossip_receive (routers[0].gossip, 2, bytes, length, 2000);
+      limpet_gossip_receive (routers[0].gossip, 2, bytes, length, 2000, 2000);
     }
   run_fleet (2000, 4000, &end, NULL);
   CU_ASSERT_EQUAL (count_outdated (end), 0);
@@ -512,5 +608,9 @@
   CU_ADD_TEST (suite, test_load_reports_reach_nearly_all_routers);
   CU_ADD_TEST (suite, test_load_reports_of_busy_targets_are_spread);
   CU_ADD_TEST (suite, test_gossip_stays_within_the_traffic_limit);
+  CU_ADD_TEST (suite, test_a_sequence_of_another_writer_binds_no_target);
+  CU_ADD_TEST (suite, test_an_entry_that_cannot_be_read_changes_nothing);
+  CU_ADD_TEST (suite, test_old_tombstones_are_dropped);
+  CU_ADD_TEST (suite, test_routers_that_stand_still_make_no_read_newer);
   CU_ADD_TEST (suite, test_random_datagrams_are_handled_safely);
 }
--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -82,71 +82,92 @@
   CU_PASS ("no crash");
 }
 
-/* Entries that servers write to the registry, and the expected result of the parser. */
+static const char *const entry_fields[][2] = {
+  { "service", "\"s\"" },  { "address", "\"10.0.0.1:80\"" }, { "zone", "\"z\"" },
+  { "version", "\"v1\"" }, { "state", "\"ready\"" },         { "slots", "8" },
+  { "seq", "1" },          { "cold_left_ms", "0" },
+};
+
+/* Entries with one field that differs, and the expected result of the parser. */
 static const struct
 {
-  const char *text;
+  const char *field;
+  const char *value; /* JSON; NULL if the field is missing */
   LimpetStatus status;
 } server_entries[] = {
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"slots\":6}",
-    LIMPET_STATUS_OK },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"draining\"}",
-    LIMPET_STATUS_OK },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"odd\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"host:80\",\"state\":\"ready\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:70000\",\"state\":\"ready\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:8x\",\"state\":\"ready\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":4,\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}", LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\"}", LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"seq\":1e999}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"seq\":-1}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
-    "\"seq\":9007199254740992}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"seq\":1.5}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"seq\":null}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"slots\":65536}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"slots\":0}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"born\":\"1\"}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"born\":1e15}",
-    LIMPET_STATUS_INVALID },
-  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"born\":1.7e12,"
-    "\"seq\":9007199254740991,\"slots\":65535}",
-    LIMPET_STATUS_OK },
-  { "[]", LIMPET_STATUS_INVALID },
-  { "\x80\xff", LIMPET_STATUS_INVALID },
-  { "", LIMPET_STATUS_INVALID },
+  { "more", "1", LIMPET_STATUS_OK },
+  { "state", "\"draining\"", LIMPET_STATUS_OK },
+  { "state", "\"odd\"", LIMPET_STATUS_INVALID },
+  { "state", "1", LIMPET_STATUS_INVALID },
+  { "address", "\"10.0.0.1\"", LIMPET_STATUS_INVALID },
+  { "address", "\"host:80\"", LIMPET_STATUS_INVALID },
+  { "address", "\"10.0.0.1:70000\"", LIMPET_STATUS_INVALID },
+  { "address", "\"10.0.0.1:8x\"", LIMPET_STATUS_INVALID },
+  { "address", "4", LIMPET_STATUS_INVALID },
+  { "service", "4", LIMPET_STATUS_INVALID },
+  { "zone", "4", LIMPET_STATUS_INVALID },
+  { "version", "[]", LIMPET_STATUS_INVALID },
+  { "seq", "9007199254740991", LIMPET_STATUS_OK },
+  { "seq", "1e999", LIMPET_STATUS_INVALID },
+  { "seq", "-1", LIMPET_STATUS_INVALID },
+  { "seq", "9007199254740992", LIMPET_STATUS_INVALID },
+  { "seq", "1.5", LIMPET_STATUS_INVALID },
+  { "seq", "null", LIMPET_STATUS_INVALID },
+  { "seq", "\"1\"", LIMPET_STATUS_INVALID },
+  { "slots", "65535", LIMPET_STATUS_OK },
+  { "slots", "65536", LIMPET_STATUS_INVALID },
+  { "slots", "0", LIMPET_STATUS_INVALID },
+  { "cold_left_ms", "\"0\"", LIMPET_STATUS_INVALID },
+  { "born", "1.7e12", LIMPET_STATUS_OK },
+  { "born", "\"1\"", LIMPET_STATUS_INVALID },
+  { "born", "1e15", LIMPET_STATUS_INVALID },
+  { "service", NULL, LIMPET_STATUS_INVALID },
+  { "address", NULL, LIMPET_STATUS_INVALID },
+  { "zone", NULL, LIMPET_STATUS_INVALID },
+  { "version", NULL, LIMPET_STATUS_INVALID },
+  { "state", NULL, LIMPET_STATUS_INVALID },
+  { "slots", NULL, LIMPET_STATUS_INVALID },
+  { "seq", NULL, LIMPET_STATUS_INVALID },
+  { "cold_left_ms", NULL, LIMPET_STATUS_INVALID },
 };
 
+static GString *
+write_entry (const char *field, const char *value)
+{
+  GString *text = g_string_new ("{\"end\":0");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (entry_fields); i++)
+    if (strcmp (entry_fields[i][0], field) != 0)
+      g_string_append_printf (text, ",\"%s\":%s", entry_fields[i][0], entry_fields[i][1]);
+  if (value != NULL)
+    g_string_append_printf (text, ",\"%s\":%s", field, value);
+  return g_string_append_c (text, '}');
+}
+
+static LimpetStatus
+parse_entry (const char *text)
+{
+  LimpetVm vm;
+  int64_t sequence;
+  LimpetError error;
+
+  return platform_server_entry_parse ("i-1", text, strlen (text), &vm, &sequence, &error);
+}
+
 static void
 test_malformed_server_entries_are_rejected (void)
 {
+  static const char *const no_entries[] = { "[]", "\x80\xff", "", "{}", "4" };
+
   for (size_t i = 0; i < G_N_ELEMENTS (server_entries); i++)
     {
-      LimpetVm vm;
-      int64_t sequence;
-      LimpetError error;
+      GString *text = write_entry (server_entries[i].field, server_entries[i].value);
 
-      CU_ASSERT_EQUAL (platform_server_entry_parse ("i-1", server_entries[i].text,
-                                                    strlen (server_entries[i].text), &vm,
-                                                    &sequence, &error),
-                       server_entries[i].status);
+      CU_ASSERT_EQUAL (parse_entry (text->str), server_entries[i].status);
+      g_string_free (text, TRUE);
     }
+  for (size_t i = 0; i < G_N_ELEMENTS (no_entries); i++)
+    CU_ASSERT_EQUAL (parse_entry (no_entries[i]), LIMPET_STATUS_INVALID);
 }
 
 static const struct
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -70,6 +70,57 @@
   limpet_quarantine_delete (quarantine);
 }
 
+static void
+count_verdict (void *user, const LimpetSuspect *suspect)
+{
+  (void)suspect;
+  (*(uint32_t *)user)++;
+}
+
+/* Has the routers tell each other of a suspect, 5 ms later than it is. */
+static void
+exchange_suspects (LimpetQuarantine *const quarantines[2], LimpetMs now_ms)
+{
+  for (uint32_t from = 0; from < 2; from++)
+    {
+      LimpetSuspect records[8];
+      uint32_t count = limpet_quarantine_collect_changed (quarantines[from], records, 8);
+
+      for (uint32_t i = 0; i < count; i++)
+        {
+          for (uint32_t j = 0; j < records[i].crash_count; j++)
+            records[i].crashes[j].at_ms += 5;
+          limpet_quarantine_receive (quarantines[1 - from], &records[i], now_ms);
+        }
+    }
+}
+
+/* Guards against a fault: each of two routers took the other's crash for the last one,
+ * and nobody wrote the quarantine to the store. */
+static void
+test_a_quarantine_is_written_by_a_router_that_saw_one_of_the_last_crashes (void)
+{
+  static const LimpetQuarantineOps counting_ops = { .on_quarantined = count_verdict };
+  uint32_t verdicts = 0;
+  LimpetQuarantine *quarantines[2]
+      = { limpet_quarantine_new (&counting_ops, &verdicts, 1),
+          limpet_quarantine_new (&counting_ops, &verdicts, 2) };
+
+  crash (quarantines[0], CRASHING, 1, 20000);
+  crash (quarantines[0], CRASHING, 2, 20400);
+  crash (quarantines[1], CRASHING, 3, 20402);
+  exchange_suspects (quarantines, 20410);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      succeed (quarantines[i], SESSION, 20500); /* clears the part of the team */
+      tick_until (quarantines[i], 20500, 23000);
+      CU_ASSERT_TRUE (is_found (quarantines[i], CRASHING, 23000));
+    }
+  CU_ASSERT_TRUE (verdicts >= 1);
+  for (uint32_t i = 0; i < 2; i++)
+    limpet_quarantine_delete (quarantines[i]);
+}
+
 /* Two targets may crash by chance under a request and its retry. */
 static void
 test_two_crashes_do_not_quarantine_a_part (void)
@@ -652,5 +703,7 @@
                test_late_crashes_of_a_quarantined_request_do_not_quarantine_its_parts);
   CU_ADD_TEST (suite, test_a_request_is_kept_from_targets_by_all_routers);
   CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
+  CU_ADD_TEST (suite,
+               test_a_quarantine_is_written_by_a_router_that_saw_one_of_the_last_crashes);
   CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
 }
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -13,10 +13,14 @@
   GBytes *bytes;
 } Datagram;
 
-Router routers[ROUTERS];
+Router routers[LARGEST_FLEET];
+uint32_t router_count = ROUTERS;
 static GQueue datagrams = G_QUEUE_INIT;
 static GRand *loss_random;
 double loss_ratio;
+double disorder_ratio;
+LimpetMs newest_read_ms;
+uint32_t routers_deceived;
 uint64_t sent_bytes;
 
 static void
@@ -73,22 +77,41 @@
 {
   for (guint count = datagrams.length; count > 0; count--)
     {
-      Datagram *datagram = g_queue_pop_head (&datagrams);
+      bool is_early = count > 1 && g_rand_double (loss_random) < disorder_ratio;
+      Datagram *datagram = g_queue_pop_nth (&datagrams, is_early ? 1 : 0);
       gsize length = 0;
       const uint8_t *data = g_bytes_get_data (datagram->bytes, &length);
 
-      if (datagram->to >= 1 && datagram->to <= ROUTERS
+      if (datagram->to >= 1 && datagram->to <= router_count
           && g_rand_double (loss_random) >= loss_ratio)
-        limpet_gossip_receive (routers[datagram->to - 1].gossip, datagram->from, data,
-                               length, now_ms);
+        {
+          Router *router = &routers[datagram->to - 1];
+
+          if (now_ms < router->stands_still_until_ms)
+            {
+              g_queue_push_tail (&datagrams, datagram);
+              continue;
+            }
+          limpet_gossip_receive (router->gossip, datagram->from, data, length,
+                                 router->drained_ms, now_ms);
+          if (g_rand_double (loss_random) < disorder_ratio)
+            limpet_gossip_receive (router->gossip, datagram->from, data, length,
+                                   router->drained_ms, now_ms);
+        }
       g_bytes_unref (datagram->bytes);
       g_free (datagram);
     }
+  for (uint32_t i = 0; i < router_count; i++)
+    if (now_ms >= routers[i].stands_still_until_ms)
+      routers[i].drained_ms = now_ms;
 }
 
 void
 deliver_all (LimpetMs now_ms)
 {
+  for (uint32_t i = 0; i < router_count; i++)
+    routers[i].stands_still_until_ms = 0;
+  disorder_ratio = 0;
   while (datagrams.length > 0)
     deliver (now_ms);
 }
@@ -113,10 +136,12 @@
 {
   loss_random = g_rand_new_with_seed (seed);
   loss_ratio = 0;
+  disorder_ratio = 0;
+  newest_read_ms = 0;
   sent_bytes = 0;
-  for (uint32_t i = 0; i < ROUTERS; i++)
+  for (uint32_t i = 0; i < router_count; i++)
     start_router (i, seed);
-  for (uint32_t i = 1; i < ROUTERS; i++) /* all find router 1 in the registry */
+  for (uint32_t i = 1; i < router_count; i++) /* all find router 1 in the registry */
     limpet_gossip_add_member (routers[i].gossip, 1, 1);
 }
 
@@ -134,7 +159,7 @@
 stop_routers (void)
 {
   deliver_all (0);
-  for (uint32_t i = 0; i < ROUTERS; i++)
+  for (uint32_t i = 0; i < router_count; i++)
     {
       limpet_gossip_delete (routers[i].gossip);
       limpet_quarantine_delete (routers[i].quarantine);
@@ -151,23 +176,27 @@
   for (LimpetMs now_ms = from_ms; now_ms < until_ms; now_ms += STEP_MS)
     {
       deliver (now_ms);
-      for (uint32_t i = 0; i < ROUTERS; i++)
+      for (uint32_t i = 0; i < router_count; i++)
         {
           Router *router = &routers[i];
           LimpetGossipRecord records[64];
+          LimpetMs age_ms;
           LimpetGossipBatch batch = { .topic = STORE_TOPIC,
                                       .first_offset = router->next_offset,
                                       .records = records,
                                       .end_offset = *end,
                                       .read_ms = now_ms };
 
+          if (now_ms < router->stands_still_until_ms)
+            continue;
           if (now_ms % TICK_MS == 0)
             limpet_quarantine_tick (router->quarantine, now_ms);
           limpet_gossip_tick (router->gossip, now_ms);
-          if (max_age_ms != NULL)
-            *max_age_ms
-                = MAX (*max_age_ms,
-                       limpet_gossip_topic_age_ms (router->gossip, STORE_TOPIC, now_ms));
+          age_ms = limpet_gossip_topic_age_ms (router->gossip, STORE_TOPIC, now_ms);
+          if (age_ms < now_ms - newest_read_ms)
+            routers_deceived++;
+          if (max_age_ms != NULL && router->stands_still_until_ms == 0)
+            *max_age_ms = MAX (*max_age_ms, age_ms);
           if (limpet_gossip_next_read_ms (router->gossip, STORE_TOPIC, now_ms) > 0)
             continue;
           for (; batch.count < MIN (64, *end - router->next_offset); batch.count++)
@@ -175,6 +204,7 @@
                 = (LimpetGossipRecord){ .bytes = (const uint8_t *)"record", .length = 6 };
           router->next_offset += batch.count;
           reads++;
+          newest_read_ms = now_ms;
           limpet_gossip_publish_read (router->gossip, &batch, now_ms);
         }
     }
@@ -184,7 +214,7 @@
 void
 report_all_loads (LimpetMs now_ms)
 {
-  for (uint32_t i = 0; i < ROUTERS; i++)
+  for (uint32_t i = 0; i < router_count; i++)
     for (uint32_t engine = 0; engine < 2; engine++)
       {
         LimpetGossipLoad load
@@ -201,7 +231,7 @@
 {
   uint32_t outdated = 0;
 
-  for (uint32_t i = 0; i < ROUTERS; i++)
+  for (uint32_t i = 0; i < router_count; i++)
     outdated += routers[i].next_offset < end;
   return outdated;
 }
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -9,6 +9,7 @@
 
 /* Number of simulated routers. */
 #define ROUTERS 73
+#define LARGEST_FLEET 295
 /* Step of the simulated time; datagrams arrive one step after they are sent. */
 #define STEP_MS 10
 /* The topic that routers read from the store. */
@@ -27,10 +28,21 @@
   LimpetGossipLimit limit;         /* last one of requests received */
   LimpetGossipLimit refusal_limit; /* the same of refusals */
   uint32_t load_reports;           /* number of load reports received */
+  LimpetMs stands_still_until_ms;  /* it does nothing before; 0 if it never stood still */
+  LimpetMs drained_ms;             /* when no datagram waited for it any more */
   LimpetMs busy_reported_ms;       /* time of the last received report of BUSY_TARGET */
 } Router;
 
-extern Router routers[ROUTERS];
+extern Router routers[LARGEST_FLEET];
+/* ROUTERS unless a test sets it while none run. */
+extern uint32_t router_count;
+/* Probability with which each datagram is delivered before an earlier one, and with which
+ * it is delivered twice. */
+extern double disorder_ratio;
+/* Time of the last read of the topic by any router. */
+extern LimpetMs newest_read_ms;
+/* How often a router, at a step of run_fleet(), believed a read newer than that. */
+extern uint32_t routers_deceived;
 /* Probability with which each datagram is lost. */
 extern double loss_ratio;
 /* By all routers, including IP and UDP headers. */
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -368,8 +368,10 @@
 
     As a context manager it ends the routers and closes the listeners."""
 
-    def __init__(self, routers=1, routes=None, start=True):
+    def __init__(self, routers=1, routes=None, start=True, memory_mb=160, **limits):
+        """limits: of the configuration."""
         self.directory = f.tempfile.mkdtemp(prefix="limpet-platform-")
+        self.memory_mb = memory_mb
         self.store = Store()
         self.second_store = None
         self.servers = []
@@ -377,7 +379,7 @@
         self.routes = routes or ROUTES
         self.version = 1
         self.peer_port = f.free_port_range(PEER_PORTS)
-        self.configure()
+        self.configure(**limits)
         self.router_count = routers
         if start:
             self.start()
@@ -426,7 +428,7 @@
         port, ready = self.free_ports()
         settings = {"node": name, "zone": "z", "ip": ip,
                     "port_range": [self.peer_port, self.peer_port + PEER_PORTS - 1],
-                    "beat_interval_ms": 1200,
+                    "beat_interval_ms": 1200, "limits": {"memory_mb": self.memory_mb},
                     "seeds": ["%s:%d" % (seed, self.peer_port) for seed in seeds],
                     "listen": {"front": "%s:%d" % (ip, port), "ready": "%s:%d" % (ip, ready)},
                     "platform": {"address": "127.0.0.1:%d" % (store or self.store).port},
--- /dev/null
+++ b/test/test_endless_bytes.py
@@ -0,0 +1,256 @@
+"""Peers that send without end, and callers that do not read: a router's memory stays bounded, and others are served."""
+
+import socket
+import threading
+import time
+
+import fleet as f
+from platform_fake import HOST, Platform, chunk, route
+from run_all import table
+from test_platform import check
+
+BLOCK = b"x" * 65536
+PLAY_S = 3
+# What a router may hold beside its budget, which is at most a quarter of the VM's memory.
+REST_MIB = 12
+LARGE_BYTES = 15900000
+UPLOAD_BYTES = 3900000
+SEALED = "Content-Length: 900000000000\r\n\r\n"
+
+
+def repeat(*first):
+    """Returns a handler that sends the first parts and then the last of them without end."""
+    def send(server, message, connection):
+        for part in first[:-1]:
+            connection.sendall(part(server, message) if callable(part) else part)
+        while True:
+            connection.sendall(first[-1])
+    return send
+
+
+def head(extra):
+    return lambda server, message: server.head(message, extra=extra)
+
+
+def send_large_answer(server, message, connection):
+    connection.sendall(server.head(message, extra="Content-Length: %d\r\n\r\n" % LARGE_BYTES))
+    for start in range(0, LARGE_BYTES, len(BLOCK)):
+        connection.sendall(BLOCK[:LARGE_BYTES - start])
+    return True
+
+
+CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = "Content-Type: text/event-stream\r\n" + CHUNKED
+# What a faulty server sends, by kind.
+ENDLESS = {
+    "head": repeat(b"HTTP/1.1 200 X\r\nField: ", BLOCK),
+    "fields": repeat(b"HTTP/1.1 200 X\r\n", b"Field: x\r\n" * 6000),
+    "noise": repeat(bytes(range(256)) * 256),
+    "body": repeat(head("\r\n"), BLOCK),
+    "foreign_body": repeat(b"HTTP/1.1 200 X\r\nRequest-Id: other\r\n\r\n", BLOCK),
+    "unsigned_body": repeat(b"HTTP/1.1 200 X\r\n\r\n", BLOCK),
+    "error_body": repeat(lambda server, message: server.head(message, 500, "\r\n"), BLOCK),
+    "chunks": repeat(head(CHUNKED), chunk(BLOCK)),
+    "large_length": repeat(head(SEALED), BLOCK),
+    "chunk_extension": repeat(head(CHUNKED), b"1;", BLOCK),
+    "trailers": repeat(head(CHUNKED), b"0\r\n", b"Field: x\r\n" * 6000),
+    "interim": repeat(b"HTTP/1.1 100 X\r\n\r\n" * 3000),
+    "after_answer": repeat(head("Content-Length: 1\r\n\r\n"), BLOCK),
+    "large_answer": send_large_answer,
+    "event_line": repeat(head(EVENTS), chunk(b"data: "), chunk(BLOCK)),
+    "event_lines": repeat(head(EVENTS), chunk(b"data: x\n" * 8192)),
+    "comments": repeat(head(EVENTS), chunk(b": x\n\n" * 13000)),
+    "events": repeat(head(EVENTS), chunk(b"id: 1\ndata: x\n\n" * 4000)),
+}
+
+
+class Pressure:
+    """A router before faulty servers and sound ones, with callers of both.
+
+    served, asked: calls to the sound service. peak_mib: highest resident memory."""
+
+    def __init__(self, kind, memory_mb):
+        self.platform = Platform(start=False, memory_mb=memory_mb, max_body_bytes=4194304, routes=[
+            route("faulty", "/faulty/", "unsafe", "plain"), route("again", "/again/", "safe", "plain"),
+            route("stream", "/stream/", "streaming", "model"),
+            route("sound", "/sound/", "safe", "sound")])
+        handle = ENDLESS.get(kind, self.read_nothing)
+        for service in ("plain", "model"):
+            for _ in range(3):
+                self.platform.add_server(service, slots=64, on_request=handle)
+        for _ in range(2):
+            self.platform.add_server("sound", slots=64)
+        self.end = threading.Event()
+        self.asked = self.served = 0
+        self.lock = threading.Lock()
+
+    def __enter__(self):
+        self.platform.start()
+        return self
+
+    def __exit__(self, *error):
+        self.end.set()
+        self.platform.__exit__(*error)
+
+    # A server that takes a request's head and leaves the rest unread.
+    def read_nothing(self, server, message, connection):
+        self.end.wait(20)
+        raise OSError("closed")
+
+    def call_faulty(self, path, reads, body_bytes):
+        while not self.end.is_set():
+            try:
+                with self.platform.client() as client:
+                    if not reads:
+                        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+                    client.send(path, "POST", body=b"x" * body_bytes)
+                    if not reads:
+                        self.end.wait(PLAY_S)
+                    while not self.end.is_set() and client.socket.recv(65536):
+                        pass
+            except OSError:
+                pass
+            self.end.wait(0.02)
+
+    def call_sound(self):
+        while not self.end.is_set():
+            try:
+                status = self.platform.call("/sound/").status
+            except OSError:
+                status = 0
+            with self.lock:
+                self.asked += 1
+                self.served += status == 200
+            self.end.wait(0.02)
+
+    def play(self, path, callers, reads=True, body_bytes=1):
+        threads = [threading.Thread(target=self.call_faulty, args=(path, reads, body_bytes), daemon=True)
+                   for _ in range(callers)]
+        threads += [threading.Thread(target=self.call_sound, daemon=True) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        self.end.wait(PLAY_S)
+        self.read_peak()
+        self.end.set()
+
+    def read_peak(self):
+        with open("/proc/%d/status" % self.platform.routers[0]["process"].popen.pid) as file:
+            peak = [line for line in file if line.startswith("VmHWM")][0]
+        self.peak_mib = int(peak.split()[1]) / 1024
+
+    def check(self):
+        result = "peak %.0f MiB, %d of %d served" % (self.peak_mib, self.served, self.asked)
+        check(self.platform.routers[0]["process"].popen.poll() is None, result)
+        check(self.peak_mib <= REST_MIB + self.platform.memory_mb / 4, result)
+        check(self.asked > 20 and self.served >= 0.99 * self.asked, result)
+
+
+# Rows: kind, path, callers, whether they read.
+ROWS = [(kind, "/faulty/1", 6, True) for kind in ENDLESS if "event" not in kind and kind != "comments"] \
+    + [(kind, "/stream/1", 6, True) for kind in ENDLESS] \
+    + [(kind, path, 240, reads) for reads in (True, False)
+       for kind, path in (("body", "/faulty/1"), ("chunks", "/again/1"), ("large_length", "/again/1"),
+                          ("large_answer", "/faulty/1"), ("events", "/stream/1"), ("head", "/stream/1"))]
+
+
+@table([("%s_%s_%d_%s" % (kind, path.split("/")[1], callers, "read" if reads else "wait"), kind, path, callers, reads)
+        for kind, path, callers, reads in ROWS])
+def test_servers_that_send_without_end_leave_a_router_its_memory(kind, path, callers, reads):
+    with Pressure(kind, 112) as pressure:
+        pressure.play(path, callers, reads)
+        pressure.check()
+
+
+@table([("%d" % memory_mb, memory_mb) for memory_mb in (112, 160, 512)])
+def test_uploads_to_servers_that_do_not_read_leave_a_router_its_memory(memory_mb):
+    with Pressure("uploads", memory_mb) as pressure:
+        pressure.play("/faulty/1", 120, True, UPLOAD_BYTES)
+        pressure.check()
+
+
+def test_an_upload_for_which_there_is_no_memory_is_refused_and_has_not_run():
+    with Pressure("uploads", 112) as pressure:
+        clients = [pressure.platform.client() for _ in range(40)]
+        for client in clients:
+            fields = [("Content-Length", str(UPLOAD_BYTES))]
+            client.send("/faulty/1", "POST", fields=fields)
+            client.socket.sendall(b"x" * 1000)
+        time.sleep(0.5)
+        client = pressure.platform.client()
+        client.send("/faulty/1", "POST", fields=[("Content-Length", str(UPLOAD_BYTES))])
+        answer = client.read()
+        check(answer.status == 503 and float(answer.fields["retry-after"]) > 0, answer.line)
+        for client in clients:
+            client.close()
+        f.wait_for(lambda: pressure.platform.metric("limpetroad_held_bytes ") < 100000, "the memory to be free", 5)
+
+
+@table([("length", "Content-Length: %d\r\n\r\n" % LARGE_BYTES), ("chunks", CHUNKED), ("close", "Connection: close\r\n\r\n")])
+def test_a_large_answer_is_passed_on_whole(extra):
+    body = b"".join(b"%015d\n" % number for number in range(LARGE_BYTES // 16))
+    def send(server, message, connection):
+        if "chunked" in extra:
+            connection.sendall(server.head(message, extra=extra))
+            for start in range(0, len(body), 70000):
+                connection.sendall(chunk(body[start:start + 70000]))
+            connection.sendall(b"0\r\n\r\n")
+            return True
+        connection.sendall(server.head(message, extra=extra.replace(str(LARGE_BYTES), str(len(body)))) + body)
+        if "close" in extra:
+            raise OSError("the answer ends with the connection")
+        return True
+    with Platform(start=False, memory_mb=112) as platform:
+        platform.add_server(on_request=send)
+        platform.start()
+        for path in ("/safe/", "/unsafe/"):
+            answer = platform.call(path, "POST", body=b"x")
+            check(answer.status == 200 and answer.body == body, answer.line, len(answer.body))
+
+
+@table([("length", "Content-Length: %d\r\n\r\n" % LARGE_BYTES), ("chunks", CHUNKED)])
+def test_a_large_answer_that_breaks_off_does_not_look_complete(extra):
+    def send(server, message, connection):
+        connection.sendall(server.head(message, extra=extra))
+        for _ in range(100):
+            connection.sendall(chunk(BLOCK) if "chunked" in extra else BLOCK)
+        raise OSError("breaks off")
+    with Platform(start=False, memory_mb=112) as platform:
+        platform.add_server(on_request=send)
+        platform.start()
+        with platform.client() as client:
+            client.send("/unsafe/", "POST", body=b"x")
+            try:
+                answer = client.read()
+                is_cut = answer.status != 200 or len(answer.body) < int(answer.fields.get("content-length", 0))
+            except OSError:
+                is_cut = True
+            check(is_cut)
+
+
+@table([("6", 6, True), ("24", 24, True)])
+def test_a_stream_of_comments_is_ended(callers, reads):
+    with Pressure("comments", 112) as pressure:
+        with pressure.platform.client() as client:
+            client.send("/stream/1", "POST", body=b"x")
+            start = time.monotonic()
+            received = 0
+            try:
+                while data := client.socket.recv(65536):
+                    received += len(data)
+            except OSError:
+                pass
+            check(time.monotonic() - start < 2 and received < 1000000, received)
+
+
+def test_a_store_that_sends_without_end_leaves_a_router_its_memory():
+    with Platform(start=False, memory_mb=112) as platform:
+        platform.add_server()
+        platform.start()
+        f.wait_for(lambda: platform.call("/safe/").status == 200, "the server")
+        platform.store.mode = "endless"
+        time.sleep(PLAY_S)
+        pressure = Pressure.__new__(Pressure)
+        pressure.platform, pressure.asked, pressure.served = platform, 100, 0
+        pressure.served = sum(platform.call("/safe/").status == 200 for _ in range(100))
+        pressure.read_peak()
+        pressure.check()
