Tunnels: a killed router does not end a relayed answer in order; heavy tests in a process of their own

Shown by test_a_relayed_stream_is_not_complete_if_the_router_that_relays_is_killed, which fails without the change.

--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -377,6 +377,8 @@
       return;
     }
   limpet_paths_set_router_options (&tunnel->router.tcp);
+  /* A killed process must not end a response without a length in order. */
+  limpet_stream_set_reset_on_close (&tunnel->router.tcp, true);
   uv_timer_start (&tunnel->timer, on_timeout, PEER_TIMEOUT_MS, 0);
   uv_read_start ((uv_stream_t *)&tunnel->router.tcp, alloc_buffer, on_router_read);
 }
--- a/test/run_all.py
+++ b/test/run_all.py
@@ -30,6 +30,13 @@
     return wrap
 
 
+def own_process(function):
+    """Runs the decorated test in a Python process of its own, since its threads leave the stand-ins of
+    other tests no time."""
+    function.needs_process = True
+    return function
+
+
 # Returns the names of the cases that KNOWN-RED.txt lists.
 def known_red():
     path = os.path.join(f.ROOT, "KNOWN-RED.txt")
@@ -51,12 +58,22 @@
             yield "%s.%s[%s]" % (module.__name__, name, row[0]), function, row[1:]
 
 
+def run_in_own_process(name):
+    result = subprocess.run([sys.executable, os.path.abspath(__file__), name], text=True,
+                            env=dict(os.environ, LIMPET_OWN_PROCESS="1"), capture_output=True)
+    if "\nok    %s (" % name not in result.stdout:
+        raise AssertionError(result.stdout + result.stderr[-2000:])
+
+
 # Runs one case; returns (name, traceback or None, seconds).
 def run_case(case):
     name, function, arguments = case
     start = time.monotonic()
     try:
-        function(*arguments)
+        if getattr(function, "needs_process", False) and "LIMPET_OWN_PROCESS" not in os.environ:
+            run_in_own_process(name)
+        else:
+            function(*arguments)
         return name, None, time.monotonic() - start
     except BaseException:
         return name, traceback.format_exc(limit=-7), time.monotonic() - start
--- a/test/test_answer_ends.py
+++ b/test/test_answer_ends.py
@@ -8,6 +8,7 @@
 import fleet as f
 from platform_fake import Client, Message, Platform, chunk, event
 from run_all import table
+from test_isolated_routers import Caller, IsolatedFleet
 from test_platform import check
 
 BODY = b"".join(b"entry %09d\n" % number for number in range(25000))  # 400,000 bytes
@@ -148,3 +149,39 @@
         for _ in range(count):
             message = Message(client.file)
             check(message.body == BODY, message.line)
+
+
+class RelayedStreams(IsolatedFleet):
+    """Streams without a length, to a router that reaches its servers through another one only."""
+
+    def __init__(self):
+        self.relays = []
+        super().__init__("reset", "stream")
+
+    def on_request(self, server, message, connection):
+        router = threading.current_thread().router
+        if self.is_isolated(router):
+            return super().on_request(server, message, connection)
+        self.relays.append(router)
+        connection.sendall(server.head(message, extra="Content-Type: text/event-stream\r\n\r\n"))
+        for number in range(1, EVENTS + 1):
+            connection.sendall(event(number))
+            time.sleep(EVENT_GAP_S)
+        connection.shutdown(socket.SHUT_WR)
+        raise OSError("the answer ends with the connection")
+
+
+def test_a_relayed_stream_is_not_complete_if_the_router_that_relays_is_killed():
+    with RelayedStreams() as fleet:
+        fleet.cut()
+        caller = Caller(0)
+        f.wait_for(lambda: fleet.request(caller) and fleet.platform.metric("limpetroad_isolated") == 1, "isolation")
+        fleet.relays.clear()
+        client = fleet.platform.client(0)
+        client.send("/stream/1", "POST", body=b"x")
+        f.wait_for(lambda: fleet.relays, "the request")
+        time.sleep(EVENTS * EVENT_GAP_S / 2)
+        check(fleet.relays[-1] != 0, fleet.relays)
+        fleet.platform.routers[fleet.relays[-1]]["process"].kill()
+        data, _ = read_all(client)
+        check(data.startswith(b"HTTP/1.1 200") and not data.endswith(b"0\r\n\r\n"), data[-60:])
