--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -43,6 +43,7 @@
   if (caller->is_closed)
     return;
   caller->is_closed = true;
+  limpet_read_turn_cancel (&caller->turn);
   caller->task = NULL;
   g_queue_unlink (&caller->exchange->callers, &caller->link);
   if (by_reset)
@@ -340,6 +341,8 @@
     process_input (caller, buffer->base, (size_t)count);
   else if (count < 0)
     limpet_caller_close (caller);
+  if (count > 0 && !caller->is_closed)
+    limpet_read_turn_end_if_full (&caller->turn, (size_t)count, buffer->len);
 }
 
 static void
@@ -348,7 +351,23 @@
   if (caller->is_reading)
     return;
   caller->is_reading = true;
-  uv_read_start ((uv_stream_t *)&caller->tcp, alloc_buffer, on_read);
+  if (!caller->turn.is_waiting)
+    uv_read_start ((uv_stream_t *)&caller->tcp, alloc_buffer, on_read);
+}
+
+static void
+end_turn (void *owner)
+{
+  uv_read_stop ((uv_stream_t *)&((LimpetCaller *)owner)->tcp);
+}
+
+static void
+begin_turn (void *owner)
+{
+  LimpetCaller *caller = owner;
+
+  if (caller->is_reading)
+    uv_read_start ((uv_stream_t *)&caller->tcp, alloc_buffer, on_read);
 }
 
 /* Processes the requests that have come meanwhile, and reads further ones. */
@@ -394,6 +413,8 @@
 
   caller->exchange = exchange;
   caller->link.data = caller;
+  limpet_read_turn_init (&caller->turn, &exchange->read_turns, end_turn, begin_turn,
+                         caller);
   caller->wait_start_ms = limpet_clock_mono_ms ();
   limpet_http_reader_init (&caller->reader, false, LIMPET_MAX_HEADER_BYTES, &reader_ops,
                            caller);
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -25,6 +25,23 @@
   limpet_caller_accept (exchange);
 }
 
+static void
+do_nothing (uv_idle_t *handle)
+{
+  (void)handle;
+}
+
+static void
+on_before_poll (uv_prepare_t *handle)
+{
+  LimpetExchange *exchange = handle->data;
+
+  if (limpet_read_turns_resume (&exchange->read_turns))
+    uv_idle_start (&exchange->read_idle, do_nothing);
+  else
+    uv_idle_stop (&exchange->read_idle);
+}
+
 static void
 on_periodic_timer (uv_timer_t *timer)
 {
@@ -60,6 +77,7 @@
   g_queue_init (&exchange->pending_crashes);
   g_queue_init (&exchange->awaiting_origin);
   g_queue_init (&exchange->tunnels);
+  g_queue_init (&exchange->read_turns);
   limpet_paths_init (exchange);
   return exchange;
 }
@@ -306,6 +324,10 @@
       && limpet_tunnels_init (exchange, error) != LIMPET_STATUS_OK)
     return LIMPET_STATUS_INTERNAL;
   limpet_resumption_init (exchange);
+  uv_idle_init (exchange->loop, &exchange->read_idle);
+  uv_prepare_init (exchange->loop, &exchange->before_poll);
+  exchange->before_poll.data = exchange;
+  uv_prepare_start (&exchange->before_poll, on_before_poll);
   uv_timer_init (exchange->loop, &exchange->periodic_timer);
   exchange->periodic_timer.data = exchange;
   uv_timer_start (&exchange->periodic_timer, on_periodic_timer, PERIODIC_TIMER_MS,
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -71,6 +71,7 @@
   if (upstream->is_closed)
     return;
   upstream->is_closed = true;
+  limpet_read_turn_cancel (&upstream->turn);
   upstream->task = NULL;
   if (upstream->is_trial)
     limpet_paths_cancel_trial (upstream->exchange, upstream->target);
@@ -360,13 +361,32 @@
     {
       record_bytes (upstream);
       process_input (upstream, buffer->base, (size_t)count);
+      if (upstream->is_closed)
+        return;
       if ((size_t)count == STREAM_READ_BYTES && is_streaming (upstream))
         limpet_upstream_pause (upstream, true);
+      else
+        limpet_read_turn_end_if_full (&upstream->turn, (size_t)count, buffer->len);
     }
   else if (count < 0)
     on_stream_end (upstream, count);
 }
 
+static void
+stop_reading (void *owner)
+{
+  uv_read_stop ((uv_stream_t *)&((LimpetUpstream *)owner)->tcp);
+}
+
+static void
+resume_reading (void *owner)
+{
+  LimpetUpstream *upstream = owner;
+
+  if (!upstream->is_paused)
+    uv_read_start ((uv_stream_t *)&upstream->tcp, alloc_buffer, on_read);
+}
+
 static void
 write_request (LimpetUpstream *upstream)
 {
@@ -488,6 +508,8 @@
   upstream->exchange = exchange;
   upstream->target = target;
   upstream->link.data = upstream;
+  limpet_read_turn_init (&upstream->turn, &exchange->read_turns, stop_reading,
+                         resume_reading, upstream);
   limpet_target_ref (target);
   limpet_http_reader_init (&upstream->reader, true, MAX_RESPONSE_HEAD_BYTES, &reader_ops,
                            upstream);
@@ -615,7 +637,7 @@
   upstream->is_paused = paused;
   if (paused)
     uv_read_stop ((uv_stream_t *)&upstream->tcp);
-  else
+  else if (!upstream->turn.is_waiting)
     uv_read_start ((uv_stream_t *)&upstream->tcp, alloc_buffer, on_read);
 }
 
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -9,6 +9,7 @@
 #include "private/call_durations.h"
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
+#include "private/read_turn.h"
 #include "private/stream_write.h"
 
 /* Internal interfaces of the exchange:
@@ -59,6 +60,9 @@
   void (*leaving_observer) (void *user, const LimpetTarget *target);
   void *leaving_observer_user;
   uv_tcp_t listener;
+  uv_prepare_t before_poll;  /* resumes the connections in read_turns */
+  uv_idle_t read_idle;       /* active while further connections wait for their turn */
+  GQueue read_turns;         /* see read_turn.h */
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
   GQueue tasks;              /* of LimpetTask, until they finish */
@@ -99,7 +103,8 @@
   GList link;
   LimpetHttpReader reader;
   LimpetTask *task; /* current request, from its head to its response; NULL if none */
-  GByteArray *pipelined;   /* bytes received after the current request; NULL if none */
+  GByteArray *pipelined; /* bytes received after the current request; NULL if none */
+  LimpetReadTurn turn;
   LimpetByteHolder holder; /* of the pipelined bytes and those that wait to be written */
   LimpetMs write_due_ms;   /* when the last response has to be written */
   bool has_more_input;     /* bytes came after the last request in the same read */
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -16,6 +16,7 @@
   uv_timer_t timer; /* connect time-out or idle time-out */
   uv_connect_t connect;
   LimpetHttpReader reader;
+  LimpetReadTurn turn;
   GString *request_head; /* of a request to be sent once connected; NULL if none */
   /* Router through which the connection goes (network byte order); 0 for the own links.
    */
