Tasks: the account is not updated after the body was freed; what is ended for want of memory is logged as such

Found by reading the diff: free_task() freed the request body before it discarded the response, which counts what the task holds.

--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -392,7 +392,8 @@
 limpet_exchange_abort_all (LimpetExchange *exchange)
 {
   while (exchange->tasks.length > 0)
-    limpet_task_abort (g_queue_peek_head (&exchange->tasks));
+    limpet_task_abort (g_queue_peek_head (&exchange->tasks), LIMPET_REFUSAL_STOPPING,
+                       LIMPET_REFUSAL_NOT_READY);
   limpet_tunnels_close_all (exchange);
 }
 
--- a/src/liblimpetroad/exchange/held_bytes.c
+++ b/src/liblimpetroad/exchange/held_bytes.c
@@ -34,7 +34,7 @@
               task != NULL ? task->call.id : "-", bytes_of (caller),
               limpet_byte_account_held (caller->exchange->account));
   if (task != NULL && task->is_body_complete)
-    limpet_task_abort (task);
+    limpet_task_abort (task, LIMPET_REFUSAL_BROKEN, LIMPET_REFUSAL_NO_MEMORY);
   else
     limpet_caller_reset (caller);
 }
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -210,8 +210,8 @@
 
   limpet_call_clear (&task->call);
   limpet_event_splitter_clear (&task->events);
-  g_byte_array_unref (task->body);
   limpet_relay_discard_body (task);
+  g_byte_array_unref (task->body);
   limpet_byte_holder_clear (&task->holder);
   if (task->response_head != NULL)
     g_string_free (task->response_head, TRUE);
@@ -681,7 +681,9 @@
 }
 
 void
-limpet_task_abort (LimpetTask *task)
+limpet_task_abort (LimpetTask *task,
+                   LimpetRefusalReason if_sent,
+                   LimpetRefusalReason if_not_run)
 {
   bool sent = task->sent_count > 0;
 
@@ -689,6 +691,5 @@
   if (task->head_sent || task->caller == NULL)
     limpet_relay_abort (task);
   else
-    limpet_task_write_failure (
-        task, sent ? LIMPET_REFUSAL_STOPPING : LIMPET_REFUSAL_NOT_READY, 0);
+    limpet_task_write_failure (task, sent ? if_sent : if_not_run, 0);
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -242,8 +242,12 @@
 void limpet_task_submit (LimpetTask *task);
 /* Starts an attempt on target; the task takes over the target's reference and slot. */
 void limpet_task_send (LimpetTask *task, LimpetTarget *target);
-/* Cancels the attempt and finishes the task because the router is stopping. */
-void limpet_task_abort (LimpetTask *task);
+/* Cancels the attempt and finishes the task. Unless the response has begun, its caller
+ * gets a failure with if_sent or, if the call was never sent, if_not_run as the reason.
+ */
+void limpet_task_abort (LimpetTask *task,
+                        LimpetRefusalReason if_sent,
+                        LimpetRefusalReason if_not_run);
 /* Handles a failed attempt whose connection is already closed: retries or fails the call.
  * LIMPET_STATUS_UNREACHABLE and LIMPET_STATUS_NO_PATH mean that the request was not sent,
  * the latter for no fault of the target; after any other status the target may have run
