--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -485,13 +485,14 @@
 {
   LimpetCaller *caller = task->caller;
   bool close_completes = task->head_sent && !task->is_chunked_to_caller;
+  bool by_reset = close_completes || task->is_passing_on; /* nobody needs half a body */
 
   limpet_resumption_record (task);
   task->caller = NULL;
   if (caller != NULL)
     caller->task = NULL;
   limpet_task_finish (task, "broken");
-  if (caller != NULL && close_completes)
+  if (caller != NULL && by_reset)
     limpet_caller_reset (caller);
   else if (caller != NULL)
     limpet_caller_close (caller);
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -525,12 +525,12 @@
                                                       : "none";
 
   limpet_log (LIMPET_LOG_NOTICE, "try", task->target->vm.id,
-              "id=%s failed=%s cause=\"%s\" route=%s response=%s received_bytes=%" PRIu64
-              " parts=%s request=%" PRIx64
-              " any_heard_ago_ms=%ld target_reported_ago_ms=%ld",
+              "id=%s failed=%s cause=\"%s\" route=%s response=%s parts=%s"
+              " request=%" PRIx64 " any_heard_ago_ms=%ld target_reported_ago_ms=%ld"
+              " received_bytes=%" PRIu64,
               task->call.id, limpet_status_string[status], cause, task->call.route->name,
-              response, task->received_bytes, parts, task->call.fingerprint,
-              age_ms (task->exchange->heard_ms), age_ms (task->target->report.at_ms));
+              response, parts, task->call.fingerprint, age_ms (task->exchange->heard_ms),
+              age_ms (task->target->report.at_ms), task->received_bytes);
   g_free (parts);
 }
 
