--- /dev/null
+++ b/test/test_versions_in_force.py
@@ -0,0 +1,93 @@
+"""Routers answer by the newest configuration although datagrams between them come late."""
+
+import random
+import signal
+import threading
+import time
+
+from platform_fake import Platform, ROUTES, route
+from test_platform import check
+
+ROUTERS = 6
+APPLY_S = 2            # config_apply_ms
+INTERVAL_S = 2.6       # between two versions
+VERSIONS = 10
+POLL_S = 0.05
+STANDSTILL_S = (0.05, 0.4)
+RUN_S = (0.01, 0.04)   # between two standstills
+
+
+class VersionSeries:
+    """Writes versions, each with a new route and a new key in place of the last ones, and checks at
+    all routers which of them are in force."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.begun, self.written = 0, []   # versions; times at which they were in the store
+        self.right, self.wrong = [], []
+        self.end = threading.Event()
+
+    def write(self):
+        self.begun += 1
+        number = len(self.written)
+        self.platform.configure(ROUTES + [route("new", "/new-%d/" % number, "safe", "plain")],
+                                keys=("key-1", "key-of-%d" % number))
+        self.written.append(time.monotonic())
+
+    def poll(self, router):
+        with self.platform.client(router) as client:
+            while not self.end.wait(POLL_S):
+                newest = self.begun - 1
+                for path, key, wanted in (("/new-%d/" % newest, "key-1", 200),
+                                          ("/safe/", "key-of-%d" % newest, 200),
+                                          ("/new-%d/" % (newest - 1), "key-1", 404),
+                                          ("/safe/", "key-of-%d" % (newest - 1), 401)):
+                    if newest < 1 or len(self.written) <= newest:
+                        continue
+                    late_s = time.monotonic() - self.written[newest]
+                    status = client.call(path, key=key).status
+                    if late_s > APPLY_S and self.begun - 1 == newest:
+                        (self.right if status == wanted else self.wrong).append(
+                            (router, newest, status, wanted, late_s))
+
+    def play(self):
+        threads = [threading.Thread(target=self.poll, args=(router,)) for router in range(ROUTERS)]
+        for thread in threads:
+            thread.start()
+        try:
+            for _ in range(VERSIONS):
+                self.write()
+                time.sleep(INTERVAL_S)
+        finally:
+            self.end.set()
+            for thread in threads:
+                thread.join()
+        check(self.right and not self.wrong, len(self.right), len(self.wrong), self.wrong[:5])
+
+
+def test_routers_with_a_small_share_of_a_processor_follow_the_versions():
+    """Guards against ages that leave out the time that a datagram waited in a router's socket."""
+    with Platform(routers=ROUTERS, start=False) as platform:
+        platform.add_server()
+        platform.start()
+        platform.wait_for_routers(ROUTERS)
+        series = VersionSeries(platform)
+
+        def run_in_turns(router):
+            rng = random.Random(router)
+            process = platform.routers[router]["process"]
+            while not series.end.wait(rng.uniform(*RUN_S)):
+                process.signal(signal.SIGSTOP)
+                time.sleep(rng.uniform(*STANDSTILL_S))
+                process.signal(signal.SIGCONT)
+
+        threads = [threading.Thread(target=run_in_turns, args=(router,))
+                   for router in range(ROUTERS)]
+        for thread in threads:
+            thread.start()
+        try:
+            series.play()
+        finally:
+            series.end.set()
+            for thread in threads:
+                thread.join()
