Gossip: a slow link makes no read of the store newer

Callers saw (test_versions_in_force, real routers, one of seven behind a link of 0.4 or 0.6 s): new routes and keys refused with 404 and 401, dropped ones served, more than 2 s after the version was in the store, by routers that nothing disturbed: 1,189 of 2,551 and 1,601 of 2,536 answers.

Cause: a datagram tells the age of a read when it was sent; its receiver took the read for newer by the time on the link, passed that on, and the read came back as new. All routers put off their own reads, for up to 10.7 s in the simulation (U slow_links_make_no_read_newer fails for each delay and size on; 150 to 600 ms; 3, 9, 85 routers). Ruled out: the wait in the receiver's socket, which bounds; lost reads (none failed).

Change: messages name the reader and the time on its clock; the difference of clocks is known from the fastest message of a minute, and bounds how late a read can have been, whatever way a message took. The early bound stays as it was.

--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -5,6 +5,7 @@
 #include "limpetroad/limits.h"
 #include "limpetroad/logger.h"
 #include "private/gossip.pb-c.h"
+#include "private/gossip_clocks.h"
 #include "private/gossip_limits.h"
 #include "private/gossip_loads.h"
 #include "private/gossip_members.h"
@@ -55,6 +56,8 @@
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
 #define LOADS_PER_SUSPECT 8
+/* Number of loads that take as many bytes as what identifies a read in a digest. */
+#define LOADS_PER_READ 2
 /* A load with the hash of its target. */
 #define LOAD_BYTES (LIMPET_GOSSIP_LOAD_BYTES + 4)
 /* Limit for the records of one message, which keeps it within one packet. */
@@ -65,18 +68,32 @@
 /* For this time, all messages of a router with the same topic and end go to the same
  * receivers; later ones go to others. */
 #define RECEIVER_ROTATION_MS 1000
+/* A datagram that may have waited longer in the socket does not count for the clocks of
+ * other routers. */
+#define MAX_CLOCK_WAIT_MS 200
+/* Times on the clocks of other routers are below this limit, some 2,000 years. */
+#define MAX_CLOCK_MS (INT64_C (1) << 46)
 /* A topic only grows, so of two reads the later one cannot show an earlier end. Reads
  * that began within this time may have been served in the other order. */
 #define READ_OVERLAP_MS 2000
 
+/* A read of a topic by some router. */
 typedef struct
 {
-  int64_t end;                /* offset up to which this router has the records */
-  LimpetMs read_ms;           /* boot clock of the newest known read; 0 for none */
-  LimpetMs delay_ms;          /* random delay before this router reads the topic itself */
-  LimpetMs extra_delay_ms;    /* the same beside that, if it hears from other routers */
-  int64_t announced_end;      /* latest end that another router read */
-  LimpetMs announced_read_ms; /* boot clock of the newest read that showed it */
+  uint32_t reader;     /* start of the router that made it; 0 for one of an older build */
+  LimpetMs read_at_ms; /* on the reader's clock */
+  LimpetMs read_ms;    /* earliest time by the boot clock of this router; 0 for no read */
+  LimpetMs latest_ms;  /* latest time by that clock */
+} Read;
+
+typedef struct
+{
+  int64_t end;             /* offset up to which this router has the records */
+  Read read;               /* the newest known one */
+  LimpetMs delay_ms;       /* random delay before this router reads the topic itself */
+  LimpetMs extra_delay_ms; /* the same beside that, if it hears from other routers */
+  int64_t announced_end;   /* latest end that another router read */
+  Read announced_read;     /* the newest read that showed it */
 } Topic;
 
 struct LimpetGossip
@@ -84,12 +101,14 @@
   const LimpetGossipOps *ops;
   void *user;
   uint32_t own_address;
-  uint32_t zone; /* 0 if it is not known */
+  uint32_t reader; /* identifies this start of the router */
+  uint32_t zone;   /* 0 if it is not known */
   LimpetMs max_staleness_ms;
   GRand *random;
   LimpetGossipMembers *members;
   LimpetGossipLoads *loads;
   LimpetGossipLimits *limits;
+  LimpetGossipClocks *clocks;
   LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
   LimpetStreamOrigins *origins; /* borrowed; NULL if there are none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
@@ -137,11 +156,13 @@
   gossip->ops = ops;
   gossip->user = user;
   gossip->own_address = own_address;
+  gossip->reader = MAX (1, (uint32_t)XXH64 (&seed, sizeof seed, own_address));
   gossip->max_staleness_ms = DEFAULT_MAX_STALENESS_MS;
   gossip->random = g_rand_new_with_seed_array (seeds, 2);
   gossip->members = limpet_gossip_members_new (own_address);
   gossip->loads = limpet_gossip_loads_new ();
   gossip->limits = limpet_gossip_limits_new ();
+  gossip->clocks = limpet_gossip_clocks_new ();
   return gossip;
 }
 
@@ -154,6 +175,7 @@
   limpet_gossip_members_delete (gossip->members);
   limpet_gossip_loads_delete (gossip->loads);
   limpet_gossip_limits_delete (gossip->limits);
+  limpet_gossip_clocks_delete (gossip->clocks);
   g_free (gossip);
 }
 
@@ -271,10 +293,20 @@
   return receivers;
 }
 
+static void
+encode_read (const Read *read, LimpetMs now_ms, TopicUpdate *update)
+{
+  update->age_ms = (uint32_t)MAX (0, now_ms - read->read_ms);
+  update->age_range_ms = (uint32_t)(read->latest_ms - read->read_ms);
+  update->reader = read->reader;
+  update->read_at_ms = read->read_at_ms;
+}
+
 /* Sends the records first to first + count - 1 of a batch to the receivers. */
 static void
 push_message (LimpetGossip *gossip,
               const LimpetGossipBatch *batch,
+              const Read *read,
               uint32_t first,
               uint32_t count,
               LimpetMs now_ms,
@@ -292,8 +324,8 @@
     };
   topic.topic = batch->topic;
   topic.end = batch->end_offset;
-  topic.age_ms = (uint32_t)MAX (0, now_ms - batch->read_ms);
-  topic.from = batch->first_offset + first;
+  encode_read (read, now_ms, &topic);
+  topic.from = count > 0 ? batch->first_offset + first : 0;
   topic.records = records;
   topic.n_records = count;
   topic.holds_all = gossip->topics[batch->topic].end >= batch->end_offset;
@@ -309,6 +341,7 @@
 static void
 push_batch (LimpetGossip *gossip,
             const LimpetGossipBatch *batch,
+            const Read *read,
             LimpetMs now_ms,
             uint32_t except)
 {
@@ -323,23 +356,42 @@
       while (first + count < batch->count && count < MAX_RECORDS
              && bytes + batch->records[first + count].length <= MAX_BATCH_BYTES)
         bytes += batch->records[first + count++].length;
-      push_message (gossip, batch, first, count, now_ms, receivers);
+      push_message (gossip, batch, read, first, count, now_ms, receivers);
       first += MAX (1, count);
     }
   while (first < batch->count);
   g_array_free (receivers, TRUE);
 }
 
+static bool
+is_same_read (const Read *a, const Read *b)
+{
+  return a->reader != 0 && a->reader == b->reader && a->read_at_ms == b->read_at_ms;
+}
+
+/* Takes over what another message tells of the time of the same read. */
+static void
+merge_read (Read *known, const Read *read)
+{
+  known->latest_ms = MIN (known->latest_ms, read->latest_ms);
+  known->read_ms = MIN (MAX (known->read_ms, read->read_ms), known->latest_ms);
+}
+
 /* Records a read of a topic, if no later one is known. */
 static void
-record_read (LimpetGossip *gossip, uint32_t topic, LimpetMs read_ms)
+record_read (LimpetGossip *gossip, uint32_t topic, const Read *read)
 {
   Topic *known = &gossip->topics[topic];
-  LimpetMs gain_ms = read_ms - known->read_ms;
+  LimpetMs gain_ms = read->read_ms - known->read.read_ms;
 
+  if (is_same_read (read, &known->read))
+    {
+      merge_read (&known->read, read);
+      return;
+    }
   if (gain_ms <= 0)
     return;
-  known->read_ms = read_ms;
+  known->read = *read;
   /* The age of one read differs by some ms between messages. */
   if (gain_ms >= MIN_FORWARD_AGE_GAIN_MS)
     draw_read_delays (gossip, known);
@@ -350,10 +402,17 @@
                             const LimpetGossipBatch *batch,
                             LimpetMs now_ms)
 {
+  Read read = { .reader = gossip->reader,
+                .read_at_ms = batch->read_ms,
+                .read_ms = batch->read_ms,
+                .latest_ms = batch->read_ms };
+
   gossip->topics[batch->topic].end
       = MAX (gossip->topics[batch->topic].end, batch->end_offset);
-  record_read (gossip, batch->topic, batch->read_ms);
-  push_batch (gossip, batch, now_ms, 0);
+  limpet_gossip_clocks_record (gossip->clocks, read.reader, read.read_at_ms, read.read_ms,
+                               now_ms);
+  record_read (gossip, batch->topic, &read);
+  push_batch (gossip, batch, &read, now_ms, 0);
 }
 
 /* Returns whether end, which a read at read_ms showed, is later than the known end and
@@ -361,7 +420,7 @@
 static bool
 is_later_end (const Topic *known, int64_t end, LimpetMs read_ms)
 {
-  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read_ms;
+  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read.read_ms;
 }
 
 LimpetMs
@@ -369,44 +428,48 @@
 {
   const Topic *known = &gossip->topics[topic];
   LimpetMs recent_ms = (LimpetMs)(READ_LIFE_RATIO * (double)gossip->max_staleness_ms);
-  LimpetMs due_ms = known->read_ms + recent_ms + known->delay_ms;
+  LimpetMs due_ms = known->read.read_ms + recent_ms + known->delay_ms;
 
   /* A router that is cut off from the others, or lacks what they pass on, cannot leave it
    * to them. */
   if (now_ms - gossip->heard_ms <= MAX_SILENCE_MS
-      && !is_later_end (known, known->announced_end, known->announced_read_ms))
+      && !is_later_end (known, known->announced_end, known->announced_read.read_ms))
     due_ms += known->extra_delay_ms;
-  return known->read_ms == 0 ? 0 : MAX (0, due_ms - now_ms);
+  return known->read.read_ms == 0 ? 0 : MAX (0, due_ms - now_ms);
 }
 
 LimpetMs
 limpet_gossip_topic_age_ms (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms)
 {
-  return now_ms - gossip->topics[topic].read_ms;
+  return now_ms - gossip->topics[topic].read.read_ms;
 }
 
 /* Records an end that another router read. Returns whether it is new. */
 static bool
-record_announcement (Topic *known, int64_t end, LimpetMs read_ms)
+record_announcement (Topic *known, int64_t end, const Read *read)
 {
-  bool is_current = is_later_end (known, known->announced_end, known->announced_read_ms);
+  bool is_current
+      = is_later_end (known, known->announced_end, known->announced_read.read_ms);
 
   if (is_current && end < known->announced_end)
     return false;
   if (is_current && end == known->announced_end)
     {
-      known->announced_read_ms = MAX (known->announced_read_ms, read_ms);
+      if (is_same_read (read, &known->announced_read))
+        merge_read (&known->announced_read, read);
+      else if (read->read_ms > known->announced_read.read_ms)
+        known->announced_read = *read;
       return false;
     }
   known->announced_end = end;
-  known->announced_read_ms = read_ms;
+  known->announced_read = *read;
   return true;
 }
 
 bool
 limpet_gossip_is_current (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms)
 {
-  LimpetMs read_ms = gossip->topics[topic].read_ms;
+  LimpetMs read_ms = gossip->topics[topic].read.read_ms;
   bool is_alone = limpet_gossip_members_count (gossip->members) == 0;
 
   return read_ms > gossip->resumed_ms && now_ms - gossip->last_tick_ms <= MAX_SILENCE_MS
@@ -415,6 +478,33 @@
          && (is_alone || now_ms - MAX (read_ms, gossip->heard_ms) <= MAX_SILENCE_MS);
 }
 
+/* Returns the read of which a message tells. The age in the message is too low by the
+ * time that it was under way, which only the reader's clock shows. */
+static Read
+decode_read (LimpetGossip *gossip,
+             const TopicUpdate *received,
+             LimpetMs earliest_ms,
+             LimpetMs now_ms)
+{
+  LimpetMs age_ms = (LimpetMs)received->age_ms;
+  LimpetMs least_age_ms = MAX (0, age_ms - (LimpetMs)received->age_range_ms);
+  Read read = { .reader = received->reader,
+                .read_at_ms = received->read_at_ms,
+                .read_ms = earliest_ms - age_ms - LIMPET_GOSSIP_HOP_MS,
+                .latest_ms = now_ms - least_age_ms };
+
+  if (read.read_at_ms < 0 || read.read_at_ms > MAX_CLOCK_MS)
+    read.reader = 0;
+  if (read.reader != 0 && now_ms - earliest_ms <= MAX_CLOCK_WAIT_MS)
+    limpet_gossip_clocks_record (gossip->clocks, read.reader, read.read_at_ms,
+                                 read.latest_ms, now_ms);
+  if (read.reader != 0)
+    limpet_gossip_clocks_convert (gossip->clocks, read.reader, read.read_at_ms,
+                                  &read.latest_ms);
+  read.read_ms = MIN (read.read_ms, read.latest_ms);
+  return read;
+}
+
 static void
 receive_topic (LimpetGossip *gossip,
                const TopicUpdate *received,
@@ -423,12 +513,13 @@
                uint32_t sender)
 {
   LimpetGossipRecord records[MAX_RECORDS];
-  LimpetGossipBatch batch = { .topic = received->topic,
-                              .first_offset = received->from,
-                              .records = records,
-                              .end_offset = received->end,
-                              .sender = received->holds_all ? sender : 0 };
-  LimpetMs read_ms = earliest_ms - (LimpetMs)received->age_ms - LIMPET_GOSSIP_HOP_MS;
+  LimpetGossipBatch batch
+      = { .topic = received->topic,
+          .first_offset = received->n_records > 0 ? received->from : received->end,
+          .records = records,
+          .end_offset = received->end,
+          .sender = received->holds_all ? sender : 0 };
+  Read read;
   Topic *known;
   int64_t old_end;
   bool is_newer;
@@ -437,13 +528,14 @@
   if (received->topic >= LIMPET_GOSSIP_TOPICS || received->n_records > MAX_RECORDS)
     return;
   known = &gossip->topics[received->topic];
+  read = decode_read (gossip, received, earliest_ms, now_ms);
   if (received->end < known->end)
     return; /* this router has newer records */
   if (received->end > known->end)
     {
-      if (!is_later_end (known, received->end, read_ms))
+      if (!is_later_end (known, received->end, read.read_ms))
         return;
-      is_announcement = record_announcement (known, received->end, read_ms);
+      is_announcement = record_announcement (known, received->end, &read);
     }
   for (size_t i = 0; i < received->n_records; i++)
     records[batch.count++] = (LimpetGossipRecord){ .bytes = received->records[i].data,
@@ -451,14 +543,17 @@
   old_end = known->end;
   if (received->end > known->end)
     known->end = gossip->ops->on_batch (gossip->user, &batch);
-  is_newer = read_ms >= known->read_ms + MIN_FORWARD_AGE_GAIN_MS;
+  is_newer = read.read_ms >= known->read.read_ms + MIN_FORWARD_AGE_GAIN_MS
+             && !is_same_read (&read, &known->read);
   /* The read counts for this router only if it now has all records of that read. */
   if (known->end >= received->end)
-    record_read (gossip, received->topic, read_ms);
-  batch.read_ms = known->end >= received->end ? known->read_ms : read_ms;
+    {
+      record_read (gossip, received->topic, &read);
+      read = known->read;
+    }
   if (known->end > old_end || is_announcement
       || (is_newer && known->end >= received->end))
-    push_batch (gossip, &batch, now_ms, sender);
+    push_batch (gossip, &batch, &read, now_ms, sender);
 }
 
 static void
@@ -695,8 +790,8 @@
   LimpetGossipStreams streams;
 } Digest;
 
-/* Fills a digest with some suspects, limits and origins of streams. They take the place
- * of loads, so that the digest does not grow. */
+/* Fills a digest with reads, some suspects, limits and origins of streams. They take the
+ * place of loads, so that the digest does not grow. */
 static void
 fill_digest (LimpetGossip *gossip,
              Digest *digest,
@@ -704,7 +799,8 @@
              uint32_t suspects,
              LimpetMs now_ms)
 {
-  uint32_t replaced_loads = suspects * LOADS_PER_SUSPECT;
+  uint32_t replaced_loads
+      = suspects * LOADS_PER_SUSPECT + LIMPET_GOSSIP_TOPICS * LOADS_PER_READ;
   uint32_t streams = 0;
 
   gossip_message__init (&digest->message);
@@ -733,16 +829,15 @@
     {
       const Topic *known = &gossip->topics[i];
       bool is_behind
-          = is_later_end (known, known->announced_end, known->announced_read_ms);
-      LimpetMs read_ms = is_behind ? known->announced_read_ms : known->read_ms;
+          = is_later_end (known, known->announced_end, known->announced_read.read_ms);
+      const Read *read = is_behind ? &known->announced_read : &known->read;
 
       topic_update__init (&digest->topics[i]);
-      if (read_ms == 0)
+      if (read->read_ms == 0)
         continue;
       digest->topics[i].topic = i;
       digest->topics[i].end = is_behind ? known->announced_end : known->end;
-      digest->topics[i].from = digest->topics[i].end;
-      digest->topics[i].age_ms = (uint32_t)MAX (0, now_ms - read_ms);
+      encode_read (read, now_ms, &digest->topics[i]);
       digest->topics[i].holds_all = !is_behind;
       digest->topic_pointers[digest->message.n_topics++] = &digest->topics[i];
     }
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -793,7 +793,7 @@
   (ProtobufCMessageInit) suspect_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor topic_update__field_descriptors[6] =
+static const ProtobufCFieldDescriptor topic_update__field_descriptors[9] =
 {
   {
     "topic",
@@ -867,19 +867,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reader",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TopicUpdate, reader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_at_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(TopicUpdate, read_at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_range_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TopicUpdate, age_range_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned topic_update__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  8,   /* field[8] = age_range_ms */
   1,   /* field[1] = end */
   3,   /* field[3] = from */
   5,   /* field[5] = holds_all */
+  7,   /* field[7] = read_at_ms */
+  6,   /* field[6] = reader */
   4,   /* field[4] = records */
   0,   /* field[0] = topic */
 };
 static const ProtobufCIntRange topic_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor topic_update__descriptor =
 {
@@ -889,7 +928,7 @@
   "TopicUpdate",
   "",
   sizeof(TopicUpdate),
-  6,
+  9,
   topic_update__field_descriptors,
   topic_update__field_indices_by_name,
   1,  topic_update__number_ranges,
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -203,7 +203,7 @@
    */
   int64_t end;
   /*
-   * time since that read
+   * time since that read, at most
    */
   uint32_t age_ms;
   /*
@@ -219,10 +219,22 @@
    * the sender has all records before end
    */
   protobuf_c_boolean holds_all;
+  /*
+   * the start of a router that made the read; 0 from older builds
+   */
+  uint32_t reader;
+  /*
+   * time of the read on the reader's clock
+   */
+  int64_t read_at_ms;
+  /*
+   * the time since that read is at least age_ms less this
+   */
+  uint32_t age_range_ms;
 };
 #define TOPIC_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&topic_update__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /* GossipMessage methods */
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -4,6 +4,7 @@
 #include "limpetroad/backoff.h"
 #include "limpetroad/directory.h"
 #include "private/gossip.pb-c.h"
+#include "private/gossip_clocks.h"
 
 #include <glib.h>
 #include <string.h>
@@ -358,6 +359,68 @@
   router_count = ROUTERS;
 }
 
+/* The clock of router 7 is 5,000 ms ahead; messages take 3 ms, or longer. */
+static void
+test_the_fastest_message_tells_another_clock (void)
+{
+  LimpetGossipClocks *clocks = limpet_gossip_clocks_new ();
+  LimpetMs local_ms = 0;
+
+  CU_ASSERT_FALSE (limpet_gossip_clocks_convert (clocks, 7, 6000, &local_ms));
+  limpet_gossip_clocks_record (clocks, 7, 6000, 1400, 1400);
+  limpet_gossip_clocks_record (clocks, 7, 6500, 1503, 1503);
+  limpet_gossip_clocks_record (clocks, 7, 7000, 2600, 2600);
+  CU_ASSERT_TRUE (limpet_gossip_clocks_convert (clocks, 7, 6000, &local_ms));
+  CU_ASSERT_EQUAL (local_ms, 1003);
+  /* It has drifted by 2 ms a minute later. */
+  limpet_gossip_clocks_record (clocks, 7, 36000, 31005, 31405);
+  CU_ASSERT_TRUE (limpet_gossip_clocks_convert (clocks, 7, 36000, &local_ms));
+  CU_ASSERT_EQUAL (local_ms, 31003);
+  limpet_gossip_clocks_record (clocks, 7, 66000, 61005, 62000);
+  CU_ASSERT_TRUE (limpet_gossip_clocks_convert (clocks, 7, 66000, &local_ms));
+  CU_ASSERT_EQUAL (local_ms, 61005);
+  CU_ASSERT_FALSE (limpet_gossip_clocks_convert (clocks, 8, 6000, &local_ms));
+  limpet_gossip_clocks_delete (clocks);
+}
+
+/* Returns the longest time without a read by any router, over 15 s. */
+static LimpetMs
+longest_time_without_read_ms (void)
+{
+  LimpetMs longest_ms = 0;
+  int64_t end = 0;
+
+  for (LimpetMs now_ms = 5000; now_ms < 20000; now_ms += STEP_MS)
+    {
+      run_fleet (now_ms, now_ms + STEP_MS, &end, NULL);
+      longest_ms = MAX (longest_ms, now_ms - newest_read_ms);
+    }
+  return longest_ms;
+}
+
+/* Guards against a fault: the time that a datagram was under way made the read of which
+ * it told newer with each hop, and all routers put off their reads. */
+static void
+test_slow_links_make_no_read_newer (void)
+{
+  static const uint32_t counts[] = { 3, 9, 85 };
+
+  for (LimpetMs delay_ms = 0; delay_ms <= 600; delay_ms += 150)
+    for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+      {
+        int64_t end = 0;
+
+        router_count = counts[i];
+        start_routers (200 + (uint32_t)i);
+        run_fleet (1, 5000, &end, NULL);
+        for (uint32_t j = 0; j < MAX (1, counts[i] / 9); j++)
+          routers[j].link_delay_ms = delay_ms;
+        CU_ASSERT_TRUE (longest_time_without_read_ms () < 2000);
+        stop_routers ();
+      }
+  router_count = ROUTERS;
+}
+
 static void
 test_records_lost_in_gossip_are_read_from_the_store (void)
 {
@@ -612,5 +675,7 @@
   CU_ADD_TEST (suite, test_an_entry_that_cannot_be_read_changes_nothing);
   CU_ADD_TEST (suite, test_old_tombstones_are_dropped);
   CU_ADD_TEST (suite, test_routers_that_stand_still_make_no_read_newer);
+  CU_ADD_TEST (suite, test_the_fastest_message_tells_another_clock);
+  CU_ADD_TEST (suite, test_slow_links_make_no_read_newer);
   CU_ADD_TEST (suite, test_random_datagrams_are_handled_safely);
 }
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -10,6 +10,7 @@
 {
   uint32_t from;
   uint32_t to;
+  LimpetMs arrives_ms; /* 0 if it does not depend on the time */
   GBytes *bytes;
 } Datagram;
 
@@ -17,20 +18,30 @@
 uint32_t router_count = ROUTERS;
 static GQueue datagrams = G_QUEUE_INIT;
 static GRand *loss_random;
+static LimpetMs step_ms; /* simulated time of the step under way */
 double loss_ratio;
 double disorder_ratio;
 LimpetMs newest_read_ms;
 uint32_t routers_deceived;
 uint64_t sent_bytes;
 
+static LimpetMs
+link_delay_ms (uint32_t address)
+{
+  return address >= 1 && address <= router_count ? routers[address - 1].link_delay_ms : 0;
+}
+
 static void
 send_datagram (void *user, uint32_t address, const uint8_t *data, size_t length)
 {
   Datagram *datagram = g_new0 (Datagram, 1);
+  uint32_t own_address = ((Router *)user)->address;
+  LimpetMs delay_ms = link_delay_ms (own_address) + link_delay_ms (address);
 
   sent_bytes += length + DATAGRAM_HEADER_BYTES;
-  datagram->from = ((Router *)user)->address;
+  datagram->from = own_address;
   datagram->to = address;
+  datagram->arrives_ms = delay_ms > 0 ? step_ms + delay_ms : 0;
   datagram->bytes = g_bytes_new (data, length);
   g_queue_push_tail (&datagrams, datagram);
 }
@@ -87,7 +98,7 @@
         {
           Router *router = &routers[datagram->to - 1];
 
-          if (now_ms < router->stands_still_until_ms)
+          if (now_ms < MAX (router->stands_still_until_ms, datagram->arrives_ms))
             {
               g_queue_push_tail (&datagrams, datagram);
               continue;
@@ -110,7 +121,9 @@
 deliver_all (LimpetMs now_ms)
 {
   for (uint32_t i = 0; i < router_count; i++)
-    routers[i].stands_still_until_ms = 0;
+    routers[i].stands_still_until_ms = routers[i].link_delay_ms = 0;
+  for (GList *link = datagrams.head; link != NULL; link = link->next)
+    ((Datagram *)link->data)->arrives_ms = 0;
   disorder_ratio = 0;
   while (datagrams.length > 0)
     deliver (now_ms);
@@ -175,6 +188,7 @@
 
   for (LimpetMs now_ms = from_ms; now_ms < until_ms; now_ms += STEP_MS)
     {
+      step_ms = now_ms;
       deliver (now_ms);
       for (uint32_t i = 0; i < router_count; i++)
         {
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -29,6 +29,7 @@
   LimpetGossipLimit refusal_limit; /* the same of refusals */
   uint32_t load_reports;           /* number of load reports received */
   LimpetMs stands_still_until_ms;  /* it does nothing before; 0 if it never stood still */
+  LimpetMs link_delay_ms;          /* of each datagram to and from it, beside a step */
   LimpetMs drained_ms;             /* when no datagram waited for it any more */
   LimpetMs busy_reported_ms;       /* time of the last received report of BUSY_TARGET */
 } Router;
--- a/test/test_versions_in_force.py
+++ b/test/test_versions_in_force.py
@@ -2,10 +2,13 @@
 
 import random
 import signal
+import socket
+import struct
 import threading
 import time
 
 from platform_fake import Platform, ROUTES, route
+from run_all import table
 from test_platform import check
 
 ROUTERS = 6
@@ -65,6 +68,58 @@
         check(self.right and not self.wrong, len(self.right), len(self.wrong), self.wrong[:5])
 
 
+class SlowRouter:
+    """A router behind a slow link: it passes on each datagram of another router to all of them, as
+    its own, delay_s after it was sent."""
+
+    def __init__(self, platform, delay_s):
+        self.routers = [router["ip"] for router in platform.routers]
+        self.port = platform.peer_port
+        self.delay_s = delay_s
+        self.ip = "127.%d.%d.%d" % (random.randrange(1, 250), random.randrange(250),
+                                    random.randrange(1, 250))
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((self.ip, self.port))
+        self.pass_on(b"")
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                data, (sender, _) = self.socket.recvfrom(8192)
+            except OSError:
+                return
+            # The first field of a message (fixed32) is the sender's address.
+            if sender in self.routers and data[:1] == b"\x0d":
+                threading.Timer(self.delay_s, self.pass_on, (data[5:],)).start()
+
+    def pass_on(self, fields):
+        address = struct.unpack("<I", socket.inet_aton(self.ip))[0]
+        for router in self.routers:
+            try:
+                self.socket.sendto(struct.pack("<BI", 0x0d, address) + fields, (router, self.port))
+            except OSError:
+                return  # closed
+
+    def close(self):
+        self.socket.close()
+
+
+@table([("%d_ms" % (1000 * delay_s), delay_s) for delay_s in (0.4, 0.6)])
+def test_a_slow_link_of_a_router_does_not_keep_the_others_from_reading(delay_s):
+    """Guards against ages that leave out the time that a datagram was under way: with each hop the
+    last read of the store seemed newer, and all routers put off theirs."""
+    with Platform(routers=ROUTERS, start=False) as platform:
+        platform.add_server()
+        platform.start()
+        platform.wait_for_routers(ROUTERS)
+        slow = SlowRouter(platform, delay_s)
+        try:
+            VersionSeries(platform).play()
+        finally:
+            slow.close()
+
+
 def test_routers_with_a_small_share_of_a_processor_follow_the_versions():
     """Guards against ages that leave out the time that a datagram waited in a router's socket."""
     with Platform(routers=ROUTERS, start=False) as platform:
