Gossip: a slow link keeps no old load of a target alive

Seen in the simulation (U slow_links_keep_no_load_alive, which failed for each delay from 150 to 600 ms): two reports of a target that went through a slow link replaced each other, each as newer than the other one, and routers placed calls by a load up to 11 s old as if it were new.

Cause: a copy of a report was recognised by the tag of the last report only. Change: the tags of the last four are known. After: a report looks newer by the time of its way to the slow link and back at most. Ruled out: the reader's clock as for reads, which takes twice the bytes of a load.

--- a/src/liblimpetroad/cluster_state/gossip_loads.c
+++ b/src/liblimpetroad/cluster_state/gossip_loads.c
@@ -2,12 +2,15 @@
 
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Older loads are not forwarded. They are stored for twice this time, so that a delayed
  * copy is recognised as a duplicate. */
 #define MAX_LOAD_AGE_MS 1500
 /* Unit of the ages in messages. */
 #define AGE_UNIT_MS 10
+/* Reports of a target whose tags are known. */
+#define RECENT_TAGS 4
 /* Part of the loads in a message that are the newest; the rest are the highest ones. Busy
  * targets complete requests, and so report, less often than idle ones, and a selection by
  * age alone would leave them out. */
@@ -16,7 +19,9 @@
 typedef struct
 {
   LimpetGossipLoad load;
-  uint8_t tag; /* random, to recognise a duplicate of the report */
+  /* Random numbers of the last reports, the newest first, to recognise duplicates. */
+  uint8_t tags[RECENT_TAGS];
+  uint32_t tag_count;
 } Entry;
 
 struct LimpetGossipLoads
@@ -40,13 +45,34 @@
   g_free (loads);
 }
 
+static Entry *
+find_entry (const LimpetGossipLoads *loads, uint32_t target_hash)
+{
+  return g_hash_table_lookup (loads->entries, GUINT_TO_POINTER (target_hash));
+}
+
 static void
 store_report (LimpetGossipLoads *loads, const LimpetGossipLoad *load, uint8_t tag)
 {
-  Entry entry = { .load = *load, .tag = tag };
+  Entry *entry = find_entry (loads, load->target_hash);
+
+  if (entry == NULL)
+    {
+      entry = g_new0 (Entry, 1);
+      g_hash_table_insert (loads->entries, GUINT_TO_POINTER (load->target_hash), entry);
+    }
+  entry->load = *load;
+  memmove (entry->tags + 1, entry->tags, RECENT_TAGS - 1);
+  entry->tags[0] = tag;
+  entry->tag_count = MIN (entry->tag_count + 1, RECENT_TAGS);
+}
 
-  g_hash_table_replace (loads->entries, GUINT_TO_POINTER (load->target_hash),
-                        g_memdup2 (&entry, sizeof entry));
+/* Returns whether the report is known. A copy of it that took long looks newer than it
+ * is, also newer than a later report. */
+static bool
+is_duplicate (const Entry *known, uint8_t tag)
+{
+  return memchr (known->tags, tag, known->tag_count) != NULL;
 }
 
 void
@@ -66,18 +92,16 @@
 {
   LimpetMs age_ms = bytes[1] * AGE_UNIT_MS;
   uint8_t tag = bytes[2];
-  const Entry *known
-      = g_hash_table_lookup (loads->entries, GUINT_TO_POINTER (target_hash));
+  const Entry *known = find_entry (loads, target_hash);
 
   *load = (LimpetGossipLoad){
     .target_hash = target_hash,
     .inflight = bytes[0],
     .at_ms = now_ms - age_ms - LIMPET_GOSSIP_HOP_MS,
   };
-  /* Ages are rounded, so a duplicate may look newer than the stored report; the tag
-   * identifies it. */
   if (age_ms > MAX_LOAD_AGE_MS
-      || (known != NULL && (tag == known->tag || load->at_ms <= known->load.at_ms)))
+      || (known != NULL
+          && (is_duplicate (known, tag) || load->at_ms <= known->load.at_ms)))
     return false;
   store_report (loads, load, tag);
   return true;
@@ -145,7 +169,7 @@
       target_hashes[i] = entry->load.target_hash;
       out[0] = (uint8_t)CLAMP (entry->load.inflight, 0, UINT8_MAX);
       out[1] = (uint8_t)(MAX (0, now_ms - entry->load.at_ms) / AGE_UNIT_MS);
-      out[2] = entry->tag;
+      out[2] = entry->tags[0];
     }
   g_ptr_array_free (fresh, TRUE);
   return count;
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -421,6 +421,35 @@
   router_count = ROUTERS;
 }
 
+/* Guards against a fault: reports of a target that came by a slow link looked newer than
+ * later ones, and replaced each other for seconds after the last one. A report may look
+ * newer by the time that it was under way, to a slow link and back. */
+static void
+test_slow_links_keep_no_load_alive (void)
+{
+  for (LimpetMs delay_ms = 0; delay_ms <= 600; delay_ms += 150)
+    {
+      int64_t end = 0;
+      LimpetGossipLoad load = { .target_hash = BUSY_TARGET };
+
+      router_count = 9;
+      start_routers (300);
+      run_fleet (1, 5000, &end, NULL);
+      routers[0].link_delay_ms = delay_ms;
+      for (load.at_ms = 5000; load.at_ms < 5300; load.at_ms += 100)
+        {
+          load.inflight++;
+          limpet_gossip_publish_load (routers[load.inflight].gossip, &load);
+          run_fleet (load.at_ms, load.at_ms + 100, &end, NULL);
+        }
+      run_fleet (5300, 12000, &end, NULL);
+      for (uint32_t i = 0; i < router_count; i++)
+        CU_ASSERT_TRUE (routers[i].busy_reported_ms <= 5200 + 2 * delay_ms + 100);
+      stop_routers ();
+    }
+  router_count = ROUTERS;
+}
+
 static void
 test_records_lost_in_gossip_are_read_from_the_store (void)
 {
@@ -677,5 +706,6 @@
   CU_ADD_TEST (suite, test_routers_that_stand_still_make_no_read_newer);
   CU_ADD_TEST (suite, test_the_fastest_message_tells_another_clock);
   CU_ADD_TEST (suite, test_slow_links_make_no_read_newer);
+  CU_ADD_TEST (suite, test_slow_links_keep_no_load_alive);
   CU_ADD_TEST (suite, test_random_datagrams_are_handled_safely);
 }
