Gossip: the tags of all reports of the last seconds are known, not only of four

The test had three reports. Change: the tags of the last 3 s, 16 at most, 128 bytes a target. After: no report looks newer than by its way to the slow link and back.

--- a/src/liblimpetroad/cluster_state/gossip_loads.c
+++ b/src/liblimpetroad/cluster_state/gossip_loads.c
@@ -9,18 +9,24 @@
 #define MAX_LOAD_AGE_MS 1500
 /* Unit of the ages in messages. */
 #define AGE_UNIT_MS 10
-/* Reports of a target whose tags are known. */
-#define RECENT_TAGS 4
+/* Most reports of a target whose tags are known. */
+#define RECENT_TAGS 16
 /* Part of the loads in a message that are the newest; the rest are the highest ones. Busy
  * targets complete requests, and so report, less often than idle ones, and a selection by
  * age alone would leave them out. */
 #define NEWEST_RATIO 0.5
 
+/* A random number of a report, to recognise duplicates. */
+typedef struct
+{
+  uint32_t stored_ms; /* lower bits of the boot clock */
+  uint8_t value;
+} Tag;
+
 typedef struct
 {
   LimpetGossipLoad load;
-  /* Random numbers of the last reports, the newest first, to recognise duplicates. */
-  uint8_t tags[RECENT_TAGS];
+  Tag tags[RECENT_TAGS]; /* of the last reports, the newest first */
   uint32_t tag_count;
 } Entry;
 
@@ -52,7 +58,10 @@
 }
 
 static void
-store_report (LimpetGossipLoads *loads, const LimpetGossipLoad *load, uint8_t tag)
+store_report (LimpetGossipLoads *loads,
+              const LimpetGossipLoad *load,
+              uint8_t tag,
+              LimpetMs now_ms)
 {
   Entry *entry = find_entry (loads, load->target_hash);
 
@@ -62,17 +71,24 @@
       g_hash_table_insert (loads->entries, GUINT_TO_POINTER (load->target_hash), entry);
     }
   entry->load = *load;
-  memmove (entry->tags + 1, entry->tags, RECENT_TAGS - 1);
-  entry->tags[0] = tag;
+  memmove (entry->tags + 1, entry->tags, (RECENT_TAGS - 1) * sizeof (Tag));
+  entry->tags[0] = (Tag){ .stored_ms = (uint32_t)now_ms, .value = tag };
   entry->tag_count = MIN (entry->tag_count + 1, RECENT_TAGS);
 }
 
 /* Returns whether the report is known. A copy of it that took long looks newer than it
  * is, also newer than a later report. */
 static bool
-is_duplicate (const Entry *known, uint8_t tag)
+is_duplicate (const Entry *known, uint8_t tag, LimpetMs now_ms)
 {
-  return memchr (known->tags, tag, known->tag_count) != NULL;
+  for (uint32_t i = 0; i < known->tag_count; i++)
+    {
+      if ((uint32_t)now_ms - known->tags[i].stored_ms > 2 * MAX_LOAD_AGE_MS)
+        return false;
+      if (known->tags[i].value == tag)
+        return true;
+    }
+  return false;
 }
 
 void
@@ -80,7 +96,7 @@
                                 const LimpetGossipLoad *load,
                                 uint8_t tag)
 {
-  store_report (loads, load, tag);
+  store_report (loads, load, tag, load->at_ms);
 }
 
 bool
@@ -101,9 +117,9 @@
   };
   if (age_ms > MAX_LOAD_AGE_MS
       || (known != NULL
-          && (is_duplicate (known, tag) || load->at_ms <= known->load.at_ms)))
+          && (is_duplicate (known, tag, now_ms) || load->at_ms <= known->load.at_ms)))
     return false;
-  store_report (loads, load, tag);
+  store_report (loads, load, tag, now_ms);
   return true;
 }
 
@@ -169,7 +185,7 @@
       target_hashes[i] = entry->load.target_hash;
       out[0] = (uint8_t)CLAMP (entry->load.inflight, 0, UINT8_MAX);
       out[1] = (uint8_t)(MAX (0, now_ms - entry->load.at_ms) / AGE_UNIT_MS);
-      out[2] = entry->tags[0];
+      out[2] = entry->tags[0].value;
     }
   g_ptr_array_free (fresh, TRUE);
   return count;
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -436,15 +436,15 @@
       start_routers (300);
       run_fleet (1, 5000, &end, NULL);
       routers[0].link_delay_ms = delay_ms;
-      for (load.at_ms = 5000; load.at_ms < 5300; load.at_ms += 100)
+      for (load.at_ms = 5000; load.at_ms < 6000; load.at_ms += 50)
         {
           load.inflight++;
-          limpet_gossip_publish_load (routers[load.inflight].gossip, &load);
-          run_fleet (load.at_ms, load.at_ms + 100, &end, NULL);
+          limpet_gossip_publish_load (routers[1 + load.inflight % 8].gossip, &load);
+          run_fleet (load.at_ms, load.at_ms + 50, &end, NULL);
         }
-      run_fleet (5300, 12000, &end, NULL);
+      run_fleet (6000, 16000, &end, NULL);
       for (uint32_t i = 0; i < router_count; i++)
-        CU_ASSERT_TRUE (routers[i].busy_reported_ms <= 5200 + 2 * delay_ms + 100);
+        CU_ASSERT_TRUE (routers[i].busy_reported_ms <= 5950 + 2 * delay_ms + 100);
       stop_routers ();
     }
   router_count = ROUTERS;
