--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -26,9 +26,10 @@
  *
  *  Routers need not agree on which of them reads: each message carries the age of the
  *  read that it stems from, and a router whose state is too old reads the topic itself
- *  (limpet_gossip_next_read_ms()). In addition, each router regularly sends digests to
- *  random routers: the end and age of its topics, load reports, and some of the routers
- *  that it knows.
+ *  (limpet_gossip_next_read_ms()). A message also names the reader and the time on its
+ *  clock, so that a read seems no newer when a message takes long. In addition, each
+ * router regularly sends digests to random routers: the end and age of its topics, load
+ * reports, and some of the routers that it knows.
  *
  *  \p now_ms is always the boot clock (limpet_clock_boot_ms()).
  */
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -207,7 +207,7 @@
    */
   uint32_t age_ms;
   /*
-   * offset of the first record below
+   * offset of the first record below, if there is one
    */
   int64_t from;
   /*
