--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -38,6 +38,7 @@
   LimpetAsyncCallback on_response; /* NULL if no call is under way */
   void *user;
   LimpetMs timeout_ms; /* longest time without any byte of the response */
+  LimpetMs called_ms;  /* monotonic time when the call began */
   LimpetMs sent_ms;    /* monotonic time when the request was sent */
   /* Monotonic time when the call began or the last byte of the response came. */
   LimpetMs progress_ms;
@@ -177,8 +178,17 @@
 handle_response (Connection *connection)
 {
   LimpetAsyncClient *client = connection->client;
-  int status = connection->reader.head.status;
+  const LimpetHttpHead *head = &connection->reader.head;
+  const LimpetAsyncClientStats *stats = client->stats;
+  int status = head->status;
 
+  if (stats->on_field != NULL
+      && !stats->on_field (status, limpet_http_head_field (head, stats->field_name),
+                           client->called_ms))
+    {
+      reset_client (client, "an outdated response");
+      return;
+    }
   close_connection (client);
   finish_call (client, status, NULL);
 }
@@ -342,7 +352,7 @@
   if (body != NULL)
     g_string_append_len (client->request, body, (gssize)body_length);
   client->timeout_ms = timeout_ms;
-  client->progress_ms = limpet_clock_mono_ms ();
+  client->called_ms = client->progress_ms = limpet_clock_mono_ms ();
   client->wait_ms = 0;
   uv_timer_start (&client->timer, on_timeout,
                   (uint64_t)MIN (timeout_ms, CONNECT_TIMEOUT_MS), 0);
--- a/src/liblimpetroad/private/async_client.h
+++ b/src/liblimpetroad/private/async_client.h
@@ -21,6 +21,12 @@
 /* Counts the calls of several clients. */
 typedef struct
 {
+  /* Receives the status of each complete response and the value of its header field
+   * called field_name, or NULL if it has none, before the callback of the call. called_ms
+   * is the monotonic time when the call began. Returns false if the response must not be
+   * used: the call then fails. NULL if nobody wants to know. */
+  bool (*on_field) (int status, const char *value, LimpetMs called_ms);
+  const char *field_name;
   /* In which the bodies of responses are counted, borrowed; NULL for none. */
   LimpetByteAccount *account;
   uint64_t calls;
