Test: the store comes back from a copy that lacks its newest records

The stand-in of the store plays the drill (connections refused, a copy some seconds old, offsets given out again, 410 beyond the end, Store-Era, the newest lost value of each key written again).

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -136,6 +136,8 @@
         self.faults = []
         self.faulty_topic = "keyed.op"
         self.first = {}   # offset of the oldest readable record of each topic
+        self.era = None   # the value of Store-Era in all responses; None: they have no such field
+        self.appended = {}  # times at which the records of each topic were appended
         self.listener = Listener(self.serve)
         self.port = self.listener.port
 
@@ -146,9 +148,44 @@
         if isinstance(value, str):
             value = value.encode()
         with self.lock:
-            self.topics.setdefault(topic, []).append((key, value))
+            self.append(topic, key, value)
             self.lock.notify_all()
 
+    def append(self, topic, key, value):
+        self.topics.setdefault(topic, []).append((key, value))
+        self.appended.setdefault(topic, []).append(time.monotonic())
+
+    def lose_newest(self, lost_s):
+        """Goes on from a copy that is lost_s old, in the next era. Returns the newest record of each
+        key that was lost, by topic."""
+        since = time.monotonic() - lost_s
+        lost = {}
+        with self.lock:
+            for topic, times in self.appended.items():
+                kept = sum(at < since for at in times)
+                newest = {}
+                for key, value in self.topics[topic][kept:]:
+                    newest.pop(key, None)  # so that the keys stay in the order of these records
+                    newest[key] = value
+                lost[topic] = list(newest.items())
+                del self.topics[topic][kept:], times[kept:]
+            if self.era is not None:
+                self.era += 1
+        return lost
+
+    def play_drill(self, lost_s, away_s, topics=("keyed.op", "keyed.servers"), write=None):
+        """Refuses connections for away_s and comes back from a copy that is lost_s old, in which the
+        newest record of each lost key of topics was written again, and what write() writes."""
+        self.listener.close()
+        time.sleep(away_s)
+        lost = self.lose_newest(lost_s)
+        for topic in topics:
+            for key, value in lost.get(topic, ()):
+                self.put(topic, key, value)
+        if write:
+            write()
+        self.listener = Listener(self.serve, self.port)
+
     def drop_history(self, topic):
         """Drops the records of a topic: a read from an offset before the end gets 410. The
         snapshot (log-newest) still has the newest record of each key."""
@@ -189,7 +226,9 @@
                 while True:
                     connection.sendall(b"x" * 65536)
             status, body = (503, b"{}") if mode == "busy" else self.respond(path, message)
-            head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+            era = "" if self.era is None else "Store-Era: %s\r\n" % self.era
+            head = b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (status, era.encode(),
+                                                                        len(body))
             last = head + body if "/log-read" in path else b""
             connection.sendall(head)
             topic = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(path).query))["topic"]
@@ -229,11 +268,11 @@
                 size = struct.unpack(">I", message.body[:4])[0]
                 record = message.body[4:4 + size]
                 key = record[1:1 + record[0]].decode()
-                self.topics.setdefault(topic, []).append((key, record[1 + record[0]:] or None))
+                self.append(topic, key, record[1 + record[0]:] or None)
                 return 200, b'{"offset":%d,"end":%d}' % (len(records), len(records) + 1)
             start = int(query["from"])
-            if start < self.first.get(topic, 0):
-                return 410, b'{"first":%d}' % self.first[topic]
+            if start < self.first.get(topic, 0) or start > len(records):
+                return 410, b'{"first":%d}' % self.first.get(topic, 0)
             out = struct.pack(">QQ", len(records), self.first.get(topic, 0))
             most = 1024 * int(query.get("max_kb", 1024))
             for key, value in records[start:]:
--- /dev/null
+++ b/test/test_store_copies.py
@@ -0,0 +1,272 @@
+"""The store comes back from a copy that lacks its newest records, and gives out their offsets again."""
+
+import random
+import signal
+import threading
+import time
+
+import fleet as f
+from platform_fake import Platform, ROUTES, route
+from run_all import table
+from test_platform import check
+
+ROUTERS = 3
+APPLY_S = 2.0           # config_apply_ms and drain_ms
+# In touch again this long after the store's return (stable_window_ms).
+STABLE_S = 3.0
+AWAY_S = 0.5
+LOST_S = 2.0
+POLL_S = 0.05
+
+
+class CopiedStore(Platform):
+    """Routers on a store whose records are numbered versions: each adds a route and a key and drops
+    those of the one before."""
+
+    def __init__(self, routers=ROUTERS, era=1):
+        super().__init__(routers=routers, start=False)
+        self.store.era = era
+        self.add_server()
+        self.add_server()
+        self.number = 0
+        self.written_at = {}
+        self.start()
+        self.wait_for_routers(routers)
+
+    def write_version(self):
+        self.number += 1
+        self.configure(ROUTES + [route("new", "/new-%d/" % self.number, "safe", "plain")],
+                       keys=("key-1", "key-of-%d" % self.number))
+        self.written_at[self.number] = time.monotonic()
+
+    def write_versions(self, count):
+        for _ in range(count):
+            self.write_version()
+
+    def wait_for_version(self, limit_s=APPLY_S):
+        for router in range(len(self.routers)):
+            f.wait_for(lambda: self.metric("limpetroad_configuration_version", router)
+                       == self.version, "the version at router %d" % router, limit_s)
+
+    def wrong_answers(self, router, number):
+        """Returns the answers of a router that another version than number decided."""
+        wrong = []
+        with self.client(router) as client:
+            for path, key, wanted in (("/new-%d/" % number, "key-1", 200),
+                                      ("/safe/", "key-of-%d" % number, 200),
+                                      ("/new-%d/" % (number - 1), "key-1", 404),
+                                      ("/safe/", "key-of-%d" % (number - 1), 401)):
+                status = client.call(path, key=key).status
+                if status != wanted:
+                    wrong.append((router, path, key, status))
+        return wrong
+
+    def check_newest_is_in_force(self):
+        wrong = [answer for router in range(len(self.routers))
+                 for answer in self.wrong_answers(router, self.number)]
+        check(not wrong, wrong)
+
+    def use_all_servers(self, router):
+        """Sends a router so many requests that all its servers get some."""
+        with self.client(router) as client:
+            for _ in range(20):
+                client.call("/safe/")
+
+
+def settle_before_losses():
+    """Lets what was written so far be older than the copy."""
+    time.sleep(LOST_S + 0.1)
+
+
+@table([("%s_%d_lost_%d_written_again" % (name, lost, new), era, lost, new)
+        for name, era in (("eras", 1), ("no_eras", None))
+        for lost, new in ((1, 0), (1, 1), (2, 0), (2, 1), (3, 1), (3, 2), (4, 4))
+        # Without eras, only an end that falls shows the loss.
+        if era is not None or 1 + new < lost])
+def test_versions_at_offsets_given_out_again_come_into_force(era, lost, new):
+    """Guards against routers that skip records at offsets that they had read before the loss."""
+    with CopiedStore(era=era) as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        settle_before_losses()
+        platform.write_versions(lost)
+        platform.wait_for_version()
+        platform.store.play_drill(LOST_S, AWAY_S, write=lambda: platform.write_versions(new))
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
+@table([("%s_%s" % (how, time_of), how, time_of)
+        for how in ("draining", "removed") for time_of in ("before", "after")])
+def test_servers_that_leave_around_a_loss_get_no_requests(how, time_of):
+    """Guards against a leaving that a router skips, or forgets because the copy lacks it."""
+    with CopiedStore() as platform:
+        leaving = platform.servers[0]
+        settle_before_losses()
+        for _ in range(3):
+            platform.add_server()
+        # Appended records that are lost, but for the newest of each server.
+        for server in platform.servers[1:]:
+            for _ in range(2):
+                server.write("ready")
+        for router in range(ROUTERS):
+            f.wait_for(lambda: platform.metric('limpetroad_topic_end{topic="keyed.servers"}', router)
+                       == len(platform.store.topics["keyed.servers"]), "the entries", APPLY_S)
+
+        def leave():
+            if how == "draining":
+                leaving.write("draining")
+            else:
+                leaving.remove()
+
+        if time_of == "before":
+            leave()
+            time.sleep(APPLY_S)
+        written_again = ("keyed.op",) if time_of == "before" else ("keyed.op", "keyed.servers")
+        platform.store.play_drill(APPLY_S + LOST_S, AWAY_S, written_again)
+        if time_of == "after":
+            leave()
+            for server in platform.servers[1:] * 2:
+                server.write("ready")
+            time.sleep(APPLY_S)
+        ran = len(leaving.ran)
+        for router in range(ROUTERS):
+            platform.use_all_servers(router)
+        check(len(leaving.ran) == ran, len(leaving.ran), ran)
+
+
+def test_a_server_that_the_copy_lacks_serves_on():
+    """Guards against dropping a server whose entry is not written again yet."""
+    with CopiedStore() as platform:
+        settle_before_losses()
+        newest = platform.add_server("sound")
+        platform.configure([route("newest", "/newest/", "safe", "sound")])
+        platform.wait_for_version()
+        for router in range(ROUTERS):
+            f.wait_for(lambda: platform.call("/newest/", router=router).status == 200,
+                       "the server to be in use", APPLY_S)
+        platform.store.play_drill(LOST_S, AWAY_S, ("keyed.op",))
+        for _ in range(20):
+            statuses = [platform.call("/newest/", router=router).status
+                        for router in range(ROUTERS)]
+            check(statuses == ROUTERS * [200], statuses)
+            time.sleep(POLL_S)
+        newest.write("ready", newest.sequence)  # the same entry again
+        time.sleep(STABLE_S)
+        check(platform.call("/newest/").status == 200)
+
+
+@table([("missing", None), ("negative", -4), ("not_a_number", "second"), ("empty", ""),
+        ("lower", 2), ("too_large", 10 ** 30), ("fraction", "8.5")])
+def test_an_odd_era_keeps_no_router_from_following(value):
+    """Guards against routers that wait for ever, or end, because of an era that is none."""
+    with CopiedStore(era=7) as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        platform.store.era = value
+        for _ in range(3):
+            platform.write_version()
+            platform.wait_for_version()
+        platform.store.era = 9
+        platform.write_version()
+        platform.wait_for_version()
+        platform.check_newest_is_in_force()
+
+
+def test_a_router_that_starts_in_a_drill_follows():
+    """Guards against a state of before the loss that a router takes from another one."""
+    with CopiedStore() as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        settle_before_losses()
+        platform.write_versions(3)
+        platform.wait_for_version()
+        drill = threading.Thread(target=platform.store.play_drill, args=(LOST_S, 1.0),
+                                 kwargs={"write": lambda: platform.write_versions(2)})
+        drill.start()
+        platform.add_router(wait=False)
+        drill.join()
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
+def test_two_drills_in_a_row_are_followed():
+    """Guards against a second loss while routers catch up after the first one."""
+    with CopiedStore() as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        settle_before_losses()
+        platform.write_versions(3)
+        platform.wait_for_version()
+        platform.store.play_drill(LOST_S, AWAY_S)
+        platform.write_versions(2)
+        time.sleep(0.3)
+        platform.store.play_drill(0.4, 0.2, write=lambda: platform.write_versions(1))
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
+def test_routers_register_again_after_their_records_were_lost():
+    """Guards against routers that nobody finds any more after a loss."""
+    with CopiedStore() as platform:
+        f.wait_for(lambda: len(platform.store.topics.get("keyed.routers", ())) >= ROUTERS,
+                   "the routers to register")
+        platform.store.play_drill(60, AWAY_S)
+        f.wait_for(lambda: {key for key, _ in platform.store.topics.get("keyed.routers", ())}
+                   >= {"r%d" % router for router in range(ROUTERS)},
+                   "the routers to register again")
+
+
+class DrillSeries:
+    """Versions and servers that change, while the store is restored from copies again and again."""
+
+    def __init__(self, platform, seed, lost_s, away_s, every_s, drills, disturb=None):
+        self.platform, self.rng = platform, random.Random(seed)
+        self.lost_s, self.away_s, self.every_s, self.drills = lost_s, away_s, every_s, drills
+        self.disturb = disturb
+        self.end = threading.Event()
+        self.back_at = float("-inf")
+        self.is_away = False
+        self.right, self.wrong = 0, []
+        self.left = {}  # server that left → time
+
+    def write(self):
+        while not self.end.wait(self.rng.uniform(0.35, 1.5)):
+            if self.is_away:
+                continue
+            self.platform.write_version()
+
+    def poll(self, router):
+        """Counts the answers while the store has been back for STABLE_S and the newest version has
+        been there for APPLY_S."""
+        while not self.end.wait(POLL_S):
+            number = self.platform.number
+            began_at = time.monotonic()
+            is_due = (not self.is_away and began_at > self.back_at + STABLE_S
+                      and began_at > self.platform.written_at.get(number, began_at) + APPLY_S)
+            wrong = self.platform.wrong_answers(router, number)
+            if is_due and not self.is_away and self.platform.number == number:
+                self.right += 4 - len(wrong)
+                self.wrong += [(began_at - self.back_at,) + answer for answer in wrong]
+
+    def play(self):
+        threads = [threading.Thread(target=self.write)]
+        threads += [threading.Thread(target=self.poll, args=(router,))
+                    for router in range(len(self.platform.routers))]
+        for thread in threads:
+            thread.start()
+        try:
+            for _ in range(self.drills):
+                time.sleep(self.every_s)
+                self.is_away = True
+                if self.disturb:
+                    self.disturb(self)
+                self.platform.store.play_drill(self.lost_s, self.away_s)
+                self.back_at = time.monotonic()
+                self.is_away = False
+            time.sleep(self.every_s)
+        finally:
+            self.end.set()
+            for thread in threads:
+                thread.join()
+        check(self.right and not self.wrong, self.right, len(self.wrong), self.wrong[:5])
