Store: offsets have an era, so that a store that comes back from a copy is followed

Cause: routers took it that a topic only grows. After the store lost its newest records and gave out their offsets again, each router asked from its old offset on and skipped what had been written below it; gossip only raised ends, so that nobody could lower them. What the routers themselves had written was believed to last. Change: a position is an offset with its era (log_era), higher for a later era whatever the offset. The store names the era in Store-Era; a call that began before an era was known cannot bring an older response into it.

Messages: TopicUpdate has era (builds before this one ignore it); states have version 2, and routers of older builds get version 1 from a store without eras only.

--- a/include/limpetroad/directory.h
+++ b/include/limpetroad/directory.h
@@ -60,6 +60,10 @@
  *  that changed in the meantime. */
 void limpet_directory_registry_recovered (LimpetDirectory *directory, LimpetMs now_ms);
 
+/** Records that the registry has come back from a copy: entries that are missing from the
+ *  next list are kept until the targets have had time to write them again. */
+void limpet_directory_registry_restored (LimpetDirectory *directory);
+
 /** Removes the missing entries that need not be kept any longer. Returns whether the list
  *  has changed since the last limpet_directory_build(). */
 bool limpet_directory_is_changed (LimpetDirectory *directory, LimpetMs now_ms);
--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -48,14 +48,15 @@
   size_t length;
 } LimpetGossipRecord;
 
-/** Consecutive records of a topic, and the end of the topic when it was read. */
+/** Consecutive records of a topic, and the end of the topic when it was read. Offsets are
+ *  positions (see limpetroad/log_era.h): those of a later era count as later. */
 typedef struct
 {
   uint32_t topic;
-  int64_t first_offset; /**< offset of the first of the records */
+  int64_t first_offset; /**< of the first of the records */
   const LimpetGossipRecord *records;
   uint32_t count;
-  int64_t end_offset; /**< offset after the last record of the topic */
+  int64_t end_offset; /**< after the last record of the topic */
   LimpetMs read_ms;   /**< boot clock when the read began */
   uint32_t sender;    /**< router that has all records of the topic; 0 if none is known */
 } LimpetGossipBatch;
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -7,6 +7,10 @@
 /* Entries that expired during an outage of the registry are written again within about
  * two seconds of its recovery (service discovery section of the users' protocol page). */
 #define REREGISTRATION_MS 2300
+/* Entries that the registry lost are written again within about two seconds of its
+ * return. The users' rules apply to a router again three seconds after that return, of
+ * which it learns within 1.2 s; until then a target that has left must be gone. */
+#define LOST_ENTRY_MS 1700
 /* An entry expires after three heartbeat intervals without a write, and its last write
  * may be one interval old when an outage begins. So no entry expires in an outage that is
  * shorter than this number of intervals. */
@@ -27,6 +31,7 @@
   LimpetMs remove_at_ms; /* when a missing entry is removed; 0 if it is not missing */
   bool is_listed;        /* was put since limpet_directory_begin_list() */
   bool is_tombstone;     /* removed; kept only to recognise stale entries */
+  bool is_lost;          /* missing since the registry came back from a copy */
 } Entry;
 
 struct LimpetDirectory
@@ -35,6 +40,7 @@
   LimpetMs heartbeat_ms;
   LimpetMs outage_start_ms; /* of the current outage of the registry; 0 if none */
   LimpetMs recovered_ms;    /* end of the last outage long enough to expire entries */
+  bool is_restored; /* the next list is the first one since it came back from a copy */
   bool is_changed;
 };
 
@@ -72,14 +78,15 @@
 
 /* Returns whether vm is older than the known entry. Within an incarnation, a missing
  * entry is replaced only by one with a higher sequence: an entry with the same sequence
- * was written before it went missing. */
+ * was written before it went missing, unless it was lost and is written again. */
 static bool
 is_stale (const Entry *entry, const LimpetVm *vm, int64_t sequence)
 {
   if (vm->incarnation != entry->vm.incarnation)
     return vm->incarnation < entry->vm.incarnation;
   return is_late_write (entry, sequence)
-         || (sequence == entry->sequence && entry->remove_at_ms > 0);
+         || (sequence == entry->sequence && entry->remove_at_ms > 0
+             && (entry->is_tombstone || !entry->is_lost));
 }
 
 /* A target that leaves does not come back in its incarnation, however late that is told.
@@ -145,20 +152,42 @@
     entry->is_listed = true;
 }
 
+static void
+set_missing (LimpetDirectory *directory,
+             Entry *entry,
+             LimpetMs remove_at_ms,
+             LimpetMs now_ms)
+{
+  directory->is_changed = true;
+  entry->remove_at_ms = remove_at_ms;
+  limpet_log (LIMPET_LOG_NOTICE, "directory", entry->vm.id,
+              "entry missing from the registry; kept for up to %ld ms",
+              (long)(remove_at_ms - now_ms));
+}
+
 static void
 remove_entry (LimpetDirectory *directory, Entry *entry, LimpetMs now_ms)
 {
   LimpetMs keep_until_ms = directory->recovered_ms + REREGISTRATION_MS;
+  bool is_kept = directory->recovered_ms > 0 && now_ms < keep_until_ms
+                 && !entry->vm.leaving && !entry->is_lost;
+
+  if (entry->remove_at_ms > 0 && !entry->is_lost)
+    return;
+  entry->is_lost = false;
+  set_missing (directory, entry, is_kept ? keep_until_ms : now_ms, now_ms);
+}
 
+/* Keeps an entry that the copy lacks until the target has had time to write it again,
+ * unless the target is leaving. */
+static void
+lose_entry (LimpetDirectory *directory, Entry *entry, LimpetMs now_ms)
+{
   if (entry->remove_at_ms > 0)
     return;
-  directory->is_changed = true;
-  entry->remove_at_ms = now_ms;
-  if (directory->recovered_ms > 0 && now_ms < keep_until_ms && !entry->vm.leaving)
-    entry->remove_at_ms = keep_until_ms;
-  limpet_log (LIMPET_LOG_NOTICE, "directory", entry->vm.id,
-              "entry missing from the registry; kept for up to %ld ms",
-              (long)(entry->remove_at_ms - now_ms));
+  entry->is_lost = !entry->vm.leaving;
+  set_missing (directory, entry, entry->is_lost ? now_ms + LOST_ENTRY_MS : now_ms,
+               now_ms);
 }
 
 void
@@ -189,8 +218,17 @@
 
   g_hash_table_iter_init (&iter, directory->entries);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
-    if (!((Entry *)entry)->is_listed)
+    if (!((Entry *)entry)->is_listed && directory->is_restored)
+      lose_entry (directory, entry, now_ms);
+    else if (!((Entry *)entry)->is_listed && !((Entry *)entry)->is_lost)
       remove_entry (directory, entry, now_ms);
+  directory->is_restored = false;
+}
+
+void
+limpet_directory_registry_restored (LimpetDirectory *directory)
+{
+  directory->is_restored = true;
 }
 
 void
@@ -248,7 +286,7 @@
           continue;
         }
       if (entry->is_tombstone || entry->remove_at_ms == 0
-          || (mass_expiry && now_ms < entry->remove_at_ms))
+          || ((mass_expiry || entry->is_lost) && now_ms < entry->remove_at_ms))
         continue;
       limpet_log (LIMPET_LOG_NOTICE, "directory", entry->vm.id, "dropped");
       entry->is_tombstone = true;
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -3,6 +3,7 @@
 #include "limpetroad/backoff.h"
 #include "limpetroad/counters.h"
 #include "limpetroad/limits.h"
+#include "limpetroad/log_era.h"
 #include "limpetroad/logger.h"
 #include "private/gossip.pb-c.h"
 #include "private/gossip_clocks.h"
@@ -73,7 +74,7 @@
 #define MAX_CLOCK_WAIT_MS 200
 /* Times on the clocks of other routers are below this limit, some 2,000 years. */
 #define MAX_CLOCK_MS (INT64_C (1) << 46)
-/* A topic only grows, so of two reads the later one cannot show an earlier end. Reads
+/* Positions only rise, so of two reads the later one cannot show an earlier end. Reads
  * that began within this time may have been served in the other order. */
 #define READ_OVERLAP_MS 2000
 
@@ -88,7 +89,7 @@
 
 typedef struct
 {
-  int64_t end;             /* offset up to which this router has the records */
+  int64_t end;             /* position up to which this router has the records */
   Read read;               /* the newest known one */
   LimpetMs delay_ms;       /* random delay before this router reads the topic itself */
   LimpetMs extra_delay_ms; /* the same beside that, if it hears from other routers */
@@ -293,6 +294,13 @@
   return receivers;
 }
 
+static void
+encode_end (int64_t end, TopicUpdate *update)
+{
+  update->era = limpet_log_position_era (end);
+  update->end = limpet_log_position_offset (end);
+}
+
 static void
 encode_read (const Read *read, LimpetMs now_ms, TopicUpdate *update)
 {
@@ -323,9 +331,9 @@
       .len = batch->records[first + i].length,
     };
   topic.topic = batch->topic;
-  topic.end = batch->end_offset;
+  encode_end (batch->end_offset, &topic);
   encode_read (read, now_ms, &topic);
-  topic.from = count > 0 ? batch->first_offset + first : 0;
+  topic.from = count > 0 ? limpet_log_position_offset (batch->first_offset) + first : 0;
   topic.records = records;
   topic.n_records = count;
   topic.holds_all = gossip->topics[batch->topic].end >= batch->end_offset;
@@ -505,6 +513,12 @@
   return read;
 }
 
+static bool
+is_position (uint32_t era, int64_t offset)
+{
+  return era <= LIMPET_LOG_MAX_ERA && offset >= 0 && offset <= LIMPET_LOG_MAX_OFFSET;
+}
+
 static void
 receive_topic (LimpetGossip *gossip,
                const TopicUpdate *received,
@@ -515,9 +529,10 @@
   LimpetGossipRecord records[MAX_RECORDS];
   LimpetGossipBatch batch
       = { .topic = received->topic,
-          .first_offset = received->n_records > 0 ? received->from : received->end,
+          .first_offset = limpet_log_position (
+              received->era, received->n_records > 0 ? received->from : received->end),
           .records = records,
-          .end_offset = received->end,
+          .end_offset = limpet_log_position (received->era, received->end),
           .sender = received->holds_all ? sender : 0 };
   Read read;
   Topic *known;
@@ -525,34 +540,36 @@
   bool is_newer;
   bool is_announcement = false;
 
-  if (received->topic >= LIMPET_GOSSIP_TOPICS || received->n_records > MAX_RECORDS)
+  if (received->topic >= LIMPET_GOSSIP_TOPICS || received->n_records > MAX_RECORDS
+      || !is_position (received->era, received->end)
+      || !is_position (received->era, received->from))
     return;
   known = &gossip->topics[received->topic];
   read = decode_read (gossip, received, earliest_ms, now_ms);
-  if (received->end < known->end)
+  if (batch.end_offset < known->end)
     return; /* this router has newer records */
-  if (received->end > known->end)
+  if (batch.end_offset > known->end)
     {
-      if (!is_later_end (known, received->end, read.read_ms))
+      if (!is_later_end (known, batch.end_offset, read.read_ms))
         return;
-      is_announcement = record_announcement (known, received->end, &read);
+      is_announcement = record_announcement (known, batch.end_offset, &read);
     }
   for (size_t i = 0; i < received->n_records; i++)
     records[batch.count++] = (LimpetGossipRecord){ .bytes = received->records[i].data,
                                                    .length = received->records[i].len };
   old_end = known->end;
-  if (received->end > known->end)
+  if (batch.end_offset > known->end)
     known->end = gossip->ops->on_batch (gossip->user, &batch);
   is_newer = read.read_ms >= known->read.read_ms + MIN_FORWARD_AGE_GAIN_MS
              && !is_same_read (&read, &known->read);
   /* The read counts for this router only if it now has all records of that read. */
-  if (known->end >= received->end)
+  if (known->end >= batch.end_offset)
     {
       record_read (gossip, received->topic, &read);
       read = known->read;
     }
   if (known->end > old_end || is_announcement
-      || (is_newer && known->end >= received->end))
+      || (is_newer && known->end >= batch.end_offset))
     push_batch (gossip, &batch, &read, now_ms, sender);
 }
 
@@ -836,7 +853,7 @@
       if (read->read_ms == 0)
         continue;
       digest->topics[i].topic = i;
-      digest->topics[i].end = is_behind ? known->announced_end : known->end;
+      encode_end (is_behind ? known->announced_end : known->end, &digest->topics[i]);
       encode_read (read, now_ms, &digest->topics[i]);
       digest->topics[i].holds_all = !is_behind;
       digest->topic_pointers[digest->message.n_topics++] = &digest->topics[i];
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -793,7 +793,7 @@
   (ProtobufCMessageInit) suspect_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor topic_update__field_descriptors[9] =
+static const ProtobufCFieldDescriptor topic_update__field_descriptors[10] =
 {
   {
     "topic",
@@ -903,11 +903,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TopicUpdate, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned topic_update__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   8,   /* field[8] = age_range_ms */
   1,   /* field[1] = end */
+  9,   /* field[9] = era */
   3,   /* field[3] = from */
   5,   /* field[5] = holds_all */
   7,   /* field[7] = read_at_ms */
@@ -918,7 +931,7 @@
 static const ProtobufCIntRange topic_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor topic_update__descriptor =
 {
@@ -928,7 +941,7 @@
   "TopicUpdate",
   "",
   sizeof(TopicUpdate),
-  9,
+  10,
   topic_update__field_descriptors,
   topic_update__field_indices_by_name,
   1,  topic_update__number_ranges,
--- /dev/null
+++ b/src/liblimpetroad/cluster_state/log_era.c
@@ -0,0 +1,72 @@
+#include "limpetroad/log_era.h"
+
+#define OFFSET_BITS 40
+
+int64_t
+limpet_log_position (uint32_t era, int64_t offset)
+{
+  return (int64_t)era << OFFSET_BITS | offset;
+}
+
+uint32_t
+limpet_log_position_era (int64_t position)
+{
+  return position < 0 ? 0 : (uint32_t)(position >> OFFSET_BITS);
+}
+
+int64_t
+limpet_log_position_offset (int64_t position)
+{
+  return position < 0 ? position : position & LIMPET_LOG_MAX_OFFSET;
+}
+
+static void
+set_number (LimpetLogEra *era, int64_t number, LimpetMs now_ms)
+{
+  if (number <= era->number || number > LIMPET_LOG_MAX_ERA)
+    return;
+  era->number = (uint32_t)number;
+  era->since_ms = now_ms;
+}
+
+/* Returns the number of the era from which a response stems that names this one, as far
+ * as it is known. */
+static int64_t
+number_of (const LimpetLogEra *era, int64_t named)
+{
+  return era->has_responded && named == era->named ? era->named_number : named;
+}
+
+LimpetLogEraNews
+limpet_log_era_record (LimpetLogEra *era,
+                       int64_t named,
+                       LimpetMs called_ms,
+                       LimpetMs now_ms)
+{
+  uint32_t old_number = era->number;
+  bool is_first = !era->has_responded;
+
+  if (called_ms <= era->since_ms && number_of (era, named) < era->number)
+    return LIMPET_LOG_ERA_OUTDATED;
+  if (named > era->number)
+    set_number (era, named, now_ms);
+  else if (!is_first && named != era->named && era->named_number == era->number)
+    limpet_log_era_advance (era, now_ms); /* no other router has told of a new one yet */
+  era->named = named;
+  era->named_number = era->number;
+  era->has_responded = true;
+  return !is_first && era->number > old_number ? LIMPET_LOG_ERA_NEW : LIMPET_LOG_ERA_SAME;
+}
+
+void
+limpet_log_era_advance (LimpetLogEra *era, LimpetMs now_ms)
+{
+  set_number (era, (int64_t)era->number + 1, now_ms);
+  era->named_number = era->number;
+}
+
+void
+limpet_log_era_hear (LimpetLogEra *era, uint32_t number, LimpetMs now_ms)
+{
+  set_number (era, number, now_ms);
+}
--- a/src/liblimpetroad/cluster_state/state_message.c
+++ b/src/liblimpetroad/cluster_state/state_message.c
@@ -40,7 +40,7 @@
   gsize length = 0;
   const char *compressed = g_bytes_get_data (message->compressed, &length);
 
-  header[MAGIC_BYTES] = LIMPET_STATE_MESSAGE_VERSION;
+  header[MAGIC_BYTES] = (char)message->version;
   header[MAGIC_BYTES + 1] = (char)message->topic;
   limpet_write_big_endian (header + AGE_OFFSET,
                            (uint64_t)CLAMP (message->age_ms, 0, UINT32_MAX), AGE_BYTES);
@@ -64,7 +64,9 @@
       *reason = "not a state";
       return NULL;
     }
-  if (data[MAGIC_BYTES] != LIMPET_STATE_MESSAGE_VERSION)
+  message->version = data[MAGIC_BYTES];
+  if (message->version < LIMPET_STATE_MESSAGE_VERSION_WITHOUT_ERAS
+      || message->version > LIMPET_STATE_MESSAGE_VERSION)
     {
       *reason = "unknown version of the format";
       return NULL;
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -231,10 +231,14 @@
    * the time since that read is at least age_ms less this
    */
   uint32_t age_range_ms;
+  /*
+   * of end and from, see log_era.h
+   */
+  uint32_t era;
 };
 #define TOPIC_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&topic_update__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* GossipMessage methods */
--- a/src/liblimpetroad/private/state_message.h
+++ b/src/liblimpetroad/private/state_message.h
@@ -10,13 +10,16 @@
 
 /* What one router sends another that lacks records of a topic: the state of the topic
  * (see limpetroad/topic_state.h), compressed, with the time since the sender knew it to
- * be the newest. The header has the version of this format, and receivers refuse other
- * versions.
+ * be the newest. The header has the version of this format, and receivers refuse later
+ * versions. In version 1 the offsets have no era (see limpetroad/log_era.h): it is that
+ * of a log without eras.
  */
-#define LIMPET_STATE_MESSAGE_VERSION 1
+#define LIMPET_STATE_MESSAGE_VERSION 2
+#define LIMPET_STATE_MESSAGE_VERSION_WITHOUT_ERAS 1
 
 typedef struct
 {
+  int version;
   uint32_t topic;
   LimpetMs age_ms;    /* since the newest known read of the topic */
   GBytes *compressed; /* see limpet_state_message_compress() */
--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -261,6 +261,7 @@
   .state_age_ms = no_age,
   .pick_router = pick_router,
   .greet = ignore_router,
+  .are_records_pushed = true,
   .log_step = "test",
 };
 
@@ -383,7 +384,8 @@
   LimpetTopicState *state = limpet_topic_state_new ();
   GString *written = g_string_new (NULL);
   GString *out = g_string_new (NULL);
-  LimpetStateMessage message = { .topic = topic, .age_ms = 700 };
+  LimpetStateMessage message
+      = { .version = LIMPET_STATE_MESSAGE_VERSION, .topic = topic, .age_ms = 700 };
 
   limpet_topic_state_put (state, "k", value, strlen (value), end - 1);
   limpet_topic_state_write (state, end, written);
--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -128,7 +128,7 @@
             leave()
             for server in platform.servers[1:] * 2:
                 server.write("ready")
-            time.sleep(APPLY_S)
+            time.sleep(STABLE_S)
         ran = len(leaving.ran)
         for router in range(ROUTERS):
             platform.use_all_servers(router)
