--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -23,6 +23,7 @@
   add_brittle_tests ();
   add_platform_tests ();
   add_watch_tests ();
+  add_log_era_tests ();
 }
 
 /* Without an argument, runs all tests but the stress tests of rate limits, which the
--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -1,5 +1,7 @@
 #include "simulated_fleet.h"
 
+#include "limpetroad/log_era.h"
+
 #include <glib.h>
 
 /* Interval of limpet_quarantine_tick(). */
@@ -213,6 +215,10 @@
             *max_age_ms = MAX (*max_age_ms, age_ms);
           if (limpet_gossip_next_read_ms (router->gossip, STORE_TOPIC, now_ms) > 0)
             continue;
+          /* Of another era, a router reads a snapshot. */
+          if (limpet_log_position_era (*end)
+              != limpet_log_position_era (router->next_offset))
+            router->next_offset = batch.first_offset = *end;
           for (; batch.count < MIN (64, *end - router->next_offset); batch.count++)
             records[batch.count]
                 = (LimpetGossipRecord){ .bytes = (const uint8_t *)"record", .length = 6 };
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -23,5 +23,6 @@
 void add_limit_stress_tests (void);
 void add_platform_tests (void);
 void add_watch_tests (void);
+void add_log_era_tests (void);
 
 #endif
--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -17,15 +17,17 @@
 AWAY_S = 0.5
 LOST_S = 2.0
 POLL_S = 0.05
+KEPT_VERSIONS = 8       # more than are written within APPLY_S
 
 
 class CopiedStore(Platform):
     """Routers on a store whose records are numbered versions: each adds a route and a key and drops
-    those of the one before."""
+    those of the version kept before it."""
 
     def __init__(self, routers=ROUTERS, era=1):
         super().__init__(routers=routers, start=False)
         self.store.era = era
+        self.kept = 1
         self.add_server()
         self.add_server()
         self.number = 0
@@ -35,8 +37,9 @@
 
     def write_version(self):
         self.number += 1
-        self.configure(ROUTES + [route("new", "/new-%d/" % self.number, "safe", "plain")],
-                       keys=("key-1", "key-of-%d" % self.number))
+        kept = range(self.number - self.kept + 1, self.number + 1)
+        self.configure(ROUTES + [route("new-%d" % n, "/new-%d/" % n, "safe", "plain") for n in kept],
+                       keys=["key-1"] + ["key-of-%d" % n for n in kept])
         self.written_at[self.number] = time.monotonic()
 
     def write_versions(self, count):
@@ -54,8 +57,8 @@
         with self.client(router) as client:
             for path, key, wanted in (("/new-%d/" % number, "key-1", 200),
                                       ("/safe/", "key-of-%d" % number, 200),
-                                      ("/new-%d/" % (number - 1), "key-1", 404),
-                                      ("/safe/", "key-of-%d" % (number - 1), 401)):
+                                      ("/new-%d/" % (number - self.kept), "key-1", 404),
+                                      ("/safe/", "key-of-%d" % (number - self.kept), 401)):
                 status = client.call(path, key=key).status
                 if status != wanted:
                     wrong.append((router, path, key, status))
@@ -218,49 +221,81 @@
 
 
 class DrillSeries:
-    """Versions and servers that change, while the store is restored from copies again and again."""
+    """Versions and servers that change, while the store comes back from copies again and again."""
 
-    def __init__(self, platform, seed, lost_s, away_s, every_s, drills, disturb=None):
+    def __init__(self, platform, seed, lost_s, away_s, every_s=7, drills=3):
         self.platform, self.rng = platform, random.Random(seed)
         self.lost_s, self.away_s, self.every_s, self.drills = lost_s, away_s, every_s, drills
-        self.disturb = disturb
+        platform.kept = KEPT_VERSIONS
         self.end = threading.Event()
         self.back_at = float("-inf")
         self.is_away = False
         self.right, self.wrong = 0, []
-        self.left = {}  # server that left → time
+        self.left = []  # (server, time when its leaving was acknowledged)
+        self.runs_at_left = []
+        self.disturbed = {}  # router → time from which it is in touch again
 
     def write(self):
+        next_server_at = time.monotonic()
         while not self.end.wait(self.rng.uniform(0.35, 1.5)):
             if self.is_away:
                 continue
             self.platform.write_version()
+            if time.monotonic() > next_server_at:
+                next_server_at = time.monotonic() + 1.1
+                self.replace_server()
+
+    def replace_server(self):
+        """A server says that it leaves; it goes when the next one has left. Another one comes."""
+        server = self.platform.servers[-2]
+        self.platform.add_server()
+        server.write("draining")
+        if self.left:
+            self.left[-1][0].remove()
+        if not self.is_away:
+            self.left.append((server, time.monotonic()))
+
+    def is_in_touch(self, router, at):
+        return (not self.is_away and at > self.back_at + STABLE_S
+                and at > self.disturbed.get(router, 0))
 
     def poll(self, router):
-        """Counts the answers while the store has been back for STABLE_S and the newest version has
-        been there for APPLY_S."""
+        """Counts the answers of a router while all are in touch: each must be one that a version
+        allows which was the newest at some time in the APPLY_S before."""
+        versions = self.platform.written_at
         while not self.end.wait(POLL_S):
-            number = self.platform.number
             began_at = time.monotonic()
-            is_due = (not self.is_away and began_at > self.back_at + STABLE_S
-                      and began_at > self.platform.written_at.get(number, began_at) + APPLY_S)
-            wrong = self.platform.wrong_answers(router, number)
-            if is_due and not self.is_away and self.platform.number == number:
-                self.right += 4 - len(wrong)
-                self.wrong += [(began_at - self.back_at,) + answer for answer in wrong]
-
-    def play(self):
+            number = max((n for n, at in list(versions.items()) if at < began_at - APPLY_S), default=0)
+            left = [(server, len(server.ran)) for server, at in list(self.left)
+                    if at > self.back_at + STABLE_S and began_at > at + APPLY_S]
+            try:
+                wrong = self.platform.wrong_answers(router, number)
+            except OSError:
+                continue  # killed
+            is_kept = self.platform.number < number + self.platform.kept
+            if not number or not is_kept or not self.are_all_in_touch(began_at):
+                continue
+            self.runs_at_left += [(server.id, began_at - self.back_at) for server, ran in left
+                                  if len(server.ran) > ran]
+            self.right += 4 - len(wrong)
+            self.wrong += [(began_at - self.back_at,) + answer for answer in wrong]
+
+    def are_all_in_touch(self, at):
+        return all(self.is_in_touch(router, at) for router in range(len(self.platform.routers)))
+
+    def play(self, disturb=None):
+        """disturb: is called again and again in a thread of its own."""
         threads = [threading.Thread(target=self.write)]
         threads += [threading.Thread(target=self.poll, args=(router,))
                     for router in range(len(self.platform.routers))]
+        if disturb:
+            threads.append(threading.Thread(target=disturb, args=(self,)))
         for thread in threads:
             thread.start()
         try:
             for _ in range(self.drills):
                 time.sleep(self.every_s)
                 self.is_away = True
-                if self.disturb:
-                    self.disturb(self)
                 self.platform.store.play_drill(self.lost_s, self.away_s)
                 self.back_at = time.monotonic()
                 self.is_away = False
@@ -269,4 +304,23 @@
             self.end.set()
             for thread in threads:
                 thread.join()
-        check(self.right and not self.wrong, self.right, len(self.wrong), self.wrong[:5])
+        check(self.right and not self.wrong and not self.runs_at_left, self.right,
+              len(self.wrong), self.wrong[:5], len(self.runs_at_left), self.runs_at_left[:5])
+
+
+def stand_still(series):
+    """Stops the routers in turn, each for a moment."""
+    while not series.end.wait(series.rng.uniform(0.05, 0.2)):
+        process = series.rng.choice(series.platform.routers)["process"]
+        process.signal(signal.SIGSTOP)
+        time.sleep(series.rng.uniform(0.1, 0.5))
+        process.signal(signal.SIGCONT)
+
+
+@table([("lost_6_s_away_2_s", 1, 6, 2, None), ("lost_3_s_away_3_s", 2, 3, 3, None),
+        ("routers_that_stand_still", 3, 6, 2, stand_still)])
+def test_routers_follow_a_series_of_drills(seed, lost_s, away_s, disturb):
+    """Guards against what the other cases do not time: records that are lost, written again and added
+    while the routers read and change."""
+    with CopiedStore(routers=6) as platform:
+        DrillSeries(platform, seed, lost_s, away_s).play(disturb)
