--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -8,6 +8,7 @@
 import fleet as f
 from platform_fake import Platform, ROUTES, route
 from run_all import table
+from test_crashing_parts import PartsFleet
 from test_platform import check
 
 ROUTERS = 3
@@ -193,6 +194,44 @@
         platform.check_newest_is_in_force()
 
 
+def test_routers_that_all_start_in_a_drill_follow():
+    """Guards against a fleet that starts on the copy and stays with it."""
+    with CopiedStore() as platform:
+        settle_before_losses()
+        platform.write_versions(3)
+        platform.wait_for_version()
+        drill = threading.Thread(target=platform.store.play_drill, args=(LOST_S, 1.0),
+                                 kwargs={"write": lambda: platform.write_versions(2)})
+        drill.start()
+        for router in platform.routers:
+            router["process"].kill()
+        platform.routers.clear()
+        for _ in range(ROUTERS):
+            platform.add_router(wait=False)
+        drill.join()
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+        platform.write_version()
+        platform.wait_for_version()
+
+
+def test_a_history_that_is_dropped_in_a_drill_is_no_loss_more():
+    """Guards against a 410 that hides the new era."""
+    with CopiedStore() as platform:
+        settle_before_losses()
+        platform.write_versions(3)
+        platform.wait_for_version()
+
+        def write_and_drop():
+            platform.write_versions(2)
+            for topic in ("keyed.op", "keyed.servers"):
+                platform.store.drop_history(topic)
+
+        platform.store.play_drill(LOST_S, AWAY_S, write=write_and_drop)
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
 def test_two_drills_in_a_row_are_followed():
     """Guards against a second loss while routers catch up after the first one."""
     with CopiedStore() as platform:
@@ -220,6 +259,26 @@
                    "the routers to register again")
 
 
+def test_a_quarantined_part_is_known_after_a_loss_and_a_restart_of_all_routers():
+    """Guards against records of the routers that are lost with the store's newest ones."""
+    with PartsFleet() as fleet:
+        platform = fleet.platform
+        fleet.play(5)
+        platform.store.play_drill(60, AWAY_S)
+        f.wait_for(lambda: any(key.startswith("part:")
+                               for key, _ in platform.store.topics.get("keyed.routers", ())),
+                   "the record to be written again")
+        for router in platform.routers:
+            router["process"].kill()
+        platform.routers.clear()
+        for _ in range(ROUTERS):
+            platform.add_router()
+        time.sleep(STABLE_S)
+        restarted_at = time.monotonic()
+        fleet.play(5)
+        check(fleet.arrivals_after(restarted_at) <= 3, fleet.arrivals_after(restarted_at))
+
+
 class DrillSeries:
     """Versions and servers that change, while the store comes back from copies again and again."""
 
