Test: eras that are larger than a position holds

Cause: an era above LIMPET_LOG_MAX_ERA (22 bits) is read as none, so that the next one seems to be the same; from 4,194,303 to 4,194,304 the era counts one further, but positions end there and the number stays. Routers then skip what was written at offsets given out again, as before eras.

--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -100,6 +100,20 @@
         platform.check_newest_is_in_force()
 
 
+@table([("beyond_22_bits", 2 ** 22 - 1), ("unix_seconds", 1765000000), ("unix_milliseconds", 1765000000000)])
+def test_versions_come_into_force_however_large_the_era_is(era):
+    """Guards against a restoration that is not noticed since its era is beyond what a position holds."""
+    with CopiedStore(era=era) as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        settle_before_losses()
+        platform.write_versions(2)
+        platform.wait_for_version()
+        platform.store.play_drill(LOST_S, AWAY_S, write=lambda: platform.write_versions(1))
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
 @table([("%s_%s" % (how, time_of), how, time_of)
         for how in ("draining", "removed") for time_of in ("before", "after")])
 def test_servers_that_leave_around_a_loss_get_no_requests(how, time_of):
