Test: a late response to a read of the old era

Cause: has_lost_records compares the response with the offset that was requested, and asks only whether the records that the router has now are of an old era. A state of the new era that is taken while the read is under way hides that the request was of the old one, so that the 410 or the lower end of the one restoration counts as another one, for all routers. Ruled out: a second restoration (the stand-in names era 2 in all responses after the return).

--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -262,6 +262,29 @@
         platform.check_newest_is_in_force()
 
 
+def test_a_late_response_to_a_read_of_the_old_era_is_no_second_loss():
+    """Guards against a read from an offset of the old era whose response, of the new one, counts as lost
+    records because the state of another router was taken meanwhile."""
+    with CopiedStore(routers=1) as platform:
+        slow = platform.add_store()
+        slow.era, slow.appended = platform.store.era, platform.store.appended
+        platform.add_router(store=slow)
+        platform.wait_for_routers(2)
+        settle_before_losses()
+        for server in platform.servers * 2:
+            server.write("ready")
+        platform.write_versions(2)
+        platform.wait_for_version()
+        slow.delay_s = 0.7
+        time.sleep(1)  # reads that await their responses all the time
+        platform.store.play_drill(LOST_S + 1.5, AWAY_S)
+        slow.era = platform.store.era
+        time.sleep(STABLE_S)
+        eras = [platform.metric('limpetroad_topic_era{topic="keyed.op"}', router)
+                for router in range(2)]
+        check(eras == 2 * [platform.store.era], eras, platform.store.era)
+
+
 def test_routers_register_again_after_their_records_were_lost():
     """Guards against routers that nobody finds any more after a loss."""
     with CopiedStore() as platform:
