Test: a store without eras that is away for a moment only

Cause: without Store-Era a router compares the last known record only after its own read of that topic failed. A read of the configuration comes once in 0.7 to 1.2 s for the whole fleet, so that none fails in 0.5 s on most runs; failed reads of the servers (3 to 8 in 0.5 and 0.7 s) do not count for it.

--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -114,6 +114,20 @@
         platform.check_newest_is_in_force()
 
 
+@table([("refused", AWAY_S), ("not_seen", 0)])
+def test_versions_come_into_force_after_a_short_absence_without_eras(away_s):
+    """Guards against a loss that shows at no failed read of the configuration."""
+    with CopiedStore(era=None) as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        settle_before_losses()
+        platform.write_versions(2)
+        platform.wait_for_version()
+        platform.store.play_drill(LOST_S, away_s, write=lambda: platform.write_versions(1))
+        time.sleep(STABLE_S)
+        platform.check_newest_is_in_force()
+
+
 @table([("%s_%s" % (how, time_of), how, time_of)
         for how in ("draining", "removed") for time_of in ("before", "after")])
 def test_servers_that_leave_around_a_loss_get_no_requests(how, time_of):
