--- a/include/limpetroad/log_era.h
+++ b/include/limpetroad/log_era.h
@@ -14,13 +14,16 @@
  *  A position is an offset and its era in one number: a position of a later era is the
  *  higher one, whatever the offsets.
  *
- *  All routers have to number the eras alike. If the log names a number that is no later
- *  one, or none, its history may have been replaced as well: the routers then count one
- *  further, the first one that sees it for all others.
+ *  All routers have to number the eras alike. The number is what the log names, modulo
+ *  LIMPET_LOG_ERA_MODULUS: a log may name a time. If the log names what gives no later
+ *  number, or names none, its history may have been replaced as well: the routers then
+ *  count one further, the first one that sees it for all others.
  */
 
+/** What a log names beyond this starts at 0 again. */
+#define LIMPET_LOG_ERA_MODULUS (INT64_C (1) << 22)
 /** Highest number of an era, and highest offset in a position. */
-#define LIMPET_LOG_MAX_ERA ((INT64_C (1) << 22) - 1)
+#define LIMPET_LOG_MAX_ERA ((INT64_C (1) << 23) - 1)
 #define LIMPET_LOG_MAX_OFFSET ((INT64_C (1) << 40) - 1)
 /** A log names no era. */
 #define LIMPET_LOG_NO_ERA (-1)
@@ -48,8 +51,8 @@
   LIMPET_LOG_ERA_OUTDATED /**< the response stems from an earlier era */
 } LimpetLogEraNews;
 
-/** Records that the response to a call begun at \p called_ms names the era \p named, from
- *  0 to LIMPET_LOG_MAX_ERA, or LIMPET_LOG_NO_ERA. Times are of the monotonic clock. */
+/** Records that the response to a call begun at \p called_ms names the era \p named, which
+ *  is not negative, or LIMPET_LOG_NO_ERA. Times are of the monotonic clock. */
 LimpetLogEraNews limpet_log_era_record (LimpetLogEra *era,
                                         int64_t named,
                                         LimpetMs called_ms,
--- a/src/liblimpetroad/cluster_state/log_era.c
+++ b/src/liblimpetroad/cluster_state/log_era.c
@@ -34,7 +34,9 @@
 static int64_t
 number_of (const LimpetLogEra *era, int64_t named)
 {
-  return era->has_responded && named == era->named ? era->named_number : named;
+  if (era->has_responded && named == era->named)
+    return era->named_number;
+  return named == LIMPET_LOG_NO_ERA ? named : named % LIMPET_LOG_ERA_MODULUS;
 }
 
 LimpetLogEraNews
@@ -43,13 +45,14 @@
                        LimpetMs called_ms,
                        LimpetMs now_ms)
 {
+  int64_t number = number_of (era, named);
   uint32_t old_number = era->number;
   bool is_first = !era->has_responded;
 
-  if (called_ms <= era->since_ms && number_of (era, named) < era->number)
+  if (called_ms <= era->since_ms && number < era->number)
     return LIMPET_LOG_ERA_OUTDATED;
-  if (named > era->number)
-    set_number (era, named, now_ms);
+  if (number > era->number)
+    set_number (era, number, now_ms);
   else if (!is_first && named != era->named && era->named_number == era->number)
     limpet_log_era_advance (era, now_ms); /* no other router has told of a new one yet */
   era->named = named;
--- a/src/test_liblimpetroad/log_era_tests.c
+++ b/src/test_liblimpetroad/log_era_tests.c
@@ -13,6 +13,7 @@
 #define STABLE_WINDOW_MS 3000
 #define OLD_END 500
 #define MAX_STEPS 6
+#define UNIX_MS INT64_C (1765000000000)
 
 static void
 test_positions_of_a_later_era_are_later (void)
@@ -73,6 +74,14 @@
     { { 2, 10, SAME, 2 }, { 6, 0, SAME, 6 }, { 2, 30, SAME, 6 }, { 3, 40, NEW, 7 } } },
   { "a number that cannot be one",
     { { 5, 10, SAME, 5 }, { INT64_C (1) << 40, 0, SAME, 5 } } },
+  { "an era that is a time",
+    { { UNIX_MS, 10, SAME, UNIX_MS % LIMPET_LOG_ERA_MODULUS },
+      { UNIX_MS + 1, 20, NEW, UNIX_MS % LIMPET_LOG_ERA_MODULUS + 1 },
+      { UNIX_MS, 15, OUTDATED, UNIX_MS % LIMPET_LOG_ERA_MODULUS + 1 } } },
+  { "an era at which the numbers start over",
+    { { LIMPET_LOG_ERA_MODULUS - 1, 10, SAME, LIMPET_LOG_ERA_MODULUS - 1 },
+      { LIMPET_LOG_ERA_MODULUS, 20, NEW, LIMPET_LOG_ERA_MODULUS },
+      { LIMPET_LOG_ERA_MODULUS, 30, SAME, LIMPET_LOG_ERA_MODULUS } } },
 };
 
 static void
