--- a/include/limpetroad/log_era.h
+++ b/include/limpetroad/log_era.h
@@ -51,8 +51,8 @@
   LIMPET_LOG_ERA_OUTDATED /**< the response stems from an earlier era */
 } LimpetLogEraNews;
 
-/** Records that the response to a call begun at \p called_ms names the era \p named, which
- *  is not negative, or LIMPET_LOG_NO_ERA. Times are of the monotonic clock. */
+/** Records that the response to a call begun at \p called_ms names the era \p named,
+ * which is not negative, or LIMPET_LOG_NO_ERA. Times are of the monotonic clock. */
 LimpetLogEraNews limpet_log_era_record (LimpetLogEra *era,
                                         int64_t named,
                                         LimpetMs called_ms,
