Tests: the store's copy has its own history, and records put during a drill come last

Needed for drills beside other faults in the soak. Three faults of the stand-in, found by reading it before the soak used it: - After drop_history, a copy kept the first readable offset of the lost topic, beyond its own end, so that each read got 410 until the topic had grown past it. No store does that; the offset is now at most the copy's end. - A configuration put between the loss and the writing again came before an older one, which then was the newest record. - play_drill listened again on Store.port, which names the proxy where routers reach the store through one. It takes the port of its listener.

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -169,6 +169,7 @@
                     newest[key] = value
                 lost[topic] = list(newest.items())
                 del self.topics[topic][kept:], times[kept:]
+                self.first[topic] = min(self.first.get(topic, 0), kept)
             if self.era is not None:
                 self.era += 1
         return lost
@@ -178,13 +179,14 @@
         newest record of each lost key of topics was written again, and what write() writes."""
         self.listener.close()
         time.sleep(away_s)
-        lost = self.lose_newest(lost_s)
-        for topic in topics:
-            for key, value in lost.get(topic, ()):
-                self.put(topic, key, value)
+        with self.lock:  # a record put meanwhile comes after those written again
+            lost = self.lose_newest(lost_s)
+            for topic in topics:
+                for key, value in lost.get(topic, ()):
+                    self.put(topic, key, value)
         if write:
             write()
-        self.listener = Listener(self.serve, self.port)
+        self.listener = Listener(self.serve, self.listener.port)
 
     def drop_history(self, topic):
         """Drops the records of a topic: a read from an offset before the end gets 410. The
