--- a/include/limpetroad/log_era.h
+++ b/include/limpetroad/log_era.h
@@ -16,8 +16,9 @@
  *
  *  All routers have to number the eras alike. The number is what the log names, modulo
  *  LIMPET_LOG_ERA_MODULUS: a log may name a time. If the log names what gives no later
- *  number, or names none, its history may have been replaced as well: the routers then
- *  count one further, the first one that sees it for all others.
+ *  number, its history may have been replaced as well: the routers then count one
+ * further, the first one that sees it for all others, at most once in some seconds. A
+ * response that names none says nothing.
  */
 
 /** What a log names beyond this starts at 0 again. */
@@ -40,6 +41,7 @@
   LimpetMs since_ms;     /**< when this router learned of it */
   int64_t named;         /**< what the log named last, or LIMPET_LOG_NO_ERA */
   uint32_t named_number; /**< the number when it did */
+  LimpetMs advanced_ms;  /**< when this router counted one further itself; 0 for never */
   bool has_responded;    /**< the log has named an era, or none, before */
 } LimpetLogEra;
 
--- a/src/liblimpetroad/cluster_state/log_era.c
+++ b/src/liblimpetroad/cluster_state/log_era.c
@@ -1,6 +1,7 @@
 #include "limpetroad/log_era.h"
 
 #define OFFSET_BITS 40
+#define MIN_ADVANCE_INTERVAL_MS 5000
 
 int64_t
 limpet_log_position (uint32_t era, int64_t offset)
@@ -49,12 +50,20 @@
   uint32_t old_number = era->number;
   bool is_first = !era->has_responded;
 
+  if (!is_first && named == LIMPET_LOG_NO_ERA && era->named != LIMPET_LOG_NO_ERA)
+    return LIMPET_LOG_ERA_SAME; /* it does not say that another one has begun */
   if (called_ms <= era->since_ms && number < era->number)
     return LIMPET_LOG_ERA_OUTDATED;
   if (number > era->number)
     set_number (era, number, now_ms);
   else if (!is_first && named != era->named && era->named_number == era->number)
-    limpet_log_era_advance (era, now_ms); /* no other router has told of a new one yet */
+    {
+      /* No other router has told of a new one yet. A log that names now this one, now
+       * that one, does not make the routers read all the time. */
+      if (era->advanced_ms > 0 && now_ms - era->advanced_ms < MIN_ADVANCE_INTERVAL_MS)
+        return LIMPET_LOG_ERA_SAME;
+      limpet_log_era_advance (era, now_ms);
+    }
   era->named = named;
   era->named_number = era->number;
   era->has_responded = true;
@@ -65,7 +74,7 @@
 limpet_log_era_advance (LimpetLogEra *era, LimpetMs now_ms)
 {
   set_number (era, (int64_t)era->number + 1, now_ms);
-  era->named_number = era->number;
+  era->advanced_ms = now_ms;
 }
 
 void
