Test: an era that only some kinds of responses name

Cause: a 200 without Store-Era after one with it counts as a new era, and so does the next one with it. Ruled out: a quiet fleet: with only reads, all of one kind, two of the cases passed before the restoration was added to them.

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -137,6 +137,7 @@
         self.faulty_topic = "keyed.op"
         self.first = {}   # offset of the oldest readable record of each topic
         self.era = None   # the value of Store-Era in all responses; None: they have no such field
+        self.names_era = lambda path: True  # whether the response to a request for path has it
         self.appended = {}  # times at which the records of each topic were appended
         self.listener = Listener(self.serve)
         self.port = self.listener.port
@@ -228,7 +229,8 @@
                 while True:
                     connection.sendall(b"x" * 65536)
             status, body = (503, b"{}") if mode == "busy" else self.respond(path, message)
-            era = "" if self.era is None else "Store-Era: %s\r\n" % self.era
+            is_named = self.era is not None and self.names_era(path)
+            era = "" if not is_named else "Store-Era: %s\r\n" % self.era
             head = b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (status, era.encode(),
                                                                         len(body))
             last = head + body if "/log-read" in path else b""
--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -210,6 +210,27 @@
         platform.check_newest_is_in_force()
 
 
+@table([("reads_only", lambda path: "/log-read" in path),
+        ("not_in_appends", lambda path: "/log-append" not in path),
+        ("one_topic_only", lambda path: "topic=keyed.op" in path)])
+def test_an_era_that_only_some_responses_name_is_no_series_of_losses(is_named):
+    """Guards against a new era, reads and writes of all routers with each change of the kind of call."""
+    with CopiedStore(era=7) as platform:
+        platform.write_version()
+        platform.wait_for_version()
+        platform.store.names_era = is_named
+        platform.store.era = 8
+        time.sleep(LOST_S)  # one restoration, and the first response without an era, may be noticed
+        began = [platform.metric("limpetroad_store_restorations_total", router)
+                 for router in range(ROUTERS)]
+        calls = len(platform.store.requested_paths)
+        time.sleep(5)
+        calls = len(platform.store.requested_paths) - calls
+        ended = [platform.metric("limpetroad_store_restorations_total", router)
+                 for router in range(ROUTERS)]
+        check(ended == began, began, ended, calls)
+
+
 def test_a_router_that_starts_in_a_drill_follows():
     """Guards against a state of before the loss that a router takes from another one."""
     with CopiedStore() as platform:
