Test: records that a router writes again after a loss

Cause: platform_record_writer_repeat puts what was written lately behind the first pending write, since that one is under way. If the first one has the same key (a quarantine that was lifted, a software version that changed, whose write waited for the store), the older value is written after it and stays. Ruled out: a newer value further back: it is written last (second row, passes).

--- a/src/test_liblimpetroad/log_era_tests.c
+++ b/src/test_liblimpetroad/log_era_tests.c
@@ -3,10 +3,13 @@
 #include "limpetroad/directory.h"
 #include "limpetroad/log_era.h"
 #include "limpetroad/topic_state.h"
+#include "platform/record_writer.h"
 #include "simulated_fleet.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <uv.h>
 
 #define HEARTBEAT_MS 1200
 /* By then the users' rules apply again after a disruption of the store. */
@@ -260,6 +263,140 @@
   router_count = ROUTERS;
 }
 
+#define MAX_CONNECTIONS 16
+/* The size of a record and that of its key stand before the key. */
+#define KEY_OFFSET 5
+
+/* A store that keeps the newest value written, or responds 503. */
+typedef struct
+{
+  uv_loop_t loop;
+  uv_tcp_t listener;
+  uv_timer_t timer;
+  uv_tcp_t clients[MAX_CONNECTIONS];
+  uint32_t connections;
+  char buffer[4096];
+  char newest[64];
+  bool is_away;
+} WrittenStore;
+
+static void
+lend_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  WrittenStore *store = handle->data;
+
+  (void)suggested;
+  *buffer = uv_buf_init (store->buffer, sizeof store->buffer);
+}
+
+static void
+on_record (uv_stream_t *client, ssize_t count, const uv_buf_t *buffer)
+{
+  WrittenStore *store = client->data;
+  const char *body = count > 0 ? g_strstr_len (buffer->base, count, "\r\n\r\n") : NULL;
+  uv_buf_t response
+      = uv_buf_init (store->is_away ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+                                    : "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+                     37);
+
+  if (body == NULL)
+    return;
+  if (!store->is_away)
+    g_snprintf (store->newest, sizeof store->newest, "%.*s",
+                (int)(buffer->base + count - body - 4 - KEY_OFFSET),
+                body + 4 + KEY_OFFSET);
+  uv_try_write (client, &response, 1);
+}
+
+static void
+on_writer (uv_stream_t *listener, int status)
+{
+  WrittenStore *store = listener->data;
+  uv_tcp_t *client = &store->clients[store->connections++];
+
+  (void)status;
+  g_assert (store->connections <= MAX_CONNECTIONS);
+  uv_tcp_init (&store->loop, client);
+  client->data = store;
+  uv_accept (listener, (uv_stream_t *)client);
+  uv_read_start ((uv_stream_t *)client, lend_buffer, on_record);
+}
+
+static void
+stop_loop (uv_timer_t *timer)
+{
+  uv_stop (timer->loop);
+}
+
+static void
+run_store (WrittenStore *store, uint64_t time_ms)
+{
+  uv_timer_start (&store->timer, stop_loop, time_ms, 0);
+  uv_run (&store->loop, UV_RUN_DEFAULT);
+}
+
+static PlatformRecordWriter *
+start_store (WrittenStore *store)
+{
+  PlatformAddress address = { .address = "127.0.0.1" };
+  struct sockaddr_in socket_address;
+  int length = sizeof socket_address;
+
+  uv_loop_init (&store->loop);
+  uv_tcp_init (&store->loop, &store->listener);
+  uv_timer_init (&store->loop, &store->timer);
+  store->listener.data = store;
+  uv_ip4_addr ("127.0.0.1", 0, &socket_address);
+  uv_tcp_bind (&store->listener, (struct sockaddr *)&socket_address, 0);
+  uv_listen ((uv_stream_t *)&store->listener, 4, on_writer);
+  uv_tcp_getsockname (&store->listener, (struct sockaddr *)&socket_address, &length);
+  address.port = ntohs (socket_address.sin_port);
+  return platform_record_writer_new (&store->loop, &address, "test");
+}
+
+static void
+stop_store (WrittenStore *store, PlatformRecordWriter *writer)
+{
+  platform_record_writer_close (writer);
+  uv_close ((uv_handle_t *)&store->listener, NULL);
+  uv_close ((uv_handle_t *)&store->timer, NULL);
+  for (uint32_t i = 0; i < store->connections; i++)
+    uv_close ((uv_handle_t *)&store->clients[i], NULL);
+  uv_run (&store->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&store->loop);
+}
+
+/* Guards against writing a record again that a newer one, whose write the loss
+ * interrupted, is to replace. */
+static void
+test_a_record_written_again_does_not_replace_a_newer_one (void)
+{
+  static const char *const others[] = { NULL, "other" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      WrittenStore store = { .is_away = false };
+      PlatformRecordWriter *writer = start_store (&store);
+
+      platform_record_writer_put (writer, g_strdup ("k"), g_strdup ("old"));
+      run_store (&store, 100);
+      CU_ASSERT_STRING_EQUAL (store.newest, "kold");
+      store.is_away = true;
+      if (others[i] != NULL) /* it is being written, so that the newer one waits */
+        platform_record_writer_put (writer, g_strdup (others[i]), g_strdup ("x"));
+      platform_record_writer_put (writer, g_strdup ("k"), g_strdup ("new"));
+      run_store (&store, 100);
+      platform_record_writer_repeat (writer);
+      store.is_away = false;
+      run_store (&store, 2000);
+      CU_ASSERT_STRING_EQUAL (store.newest, "knew");
+      if (strcmp (store.newest, "knew") != 0)
+        printf ("last written: %s, behind: %s\n", store.newest,
+                others[i] != NULL ? others[i] : "none");
+      stop_store (&store, writer);
+    }
+}
+
 void
 add_log_era_tests (void)
 {
@@ -273,3 +410,11 @@
   CU_ADD_TEST (suite, test_a_target_that_a_copy_lacks_may_be_removed);
   CU_ADD_TEST (suite, test_a_fleet_follows_a_restored_store);
 }
+
+void
+add_record_writer_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("record writer", NULL, NULL);
+
+  CU_ADD_TEST (suite, test_a_record_written_again_does_not_replace_a_newer_one);
+}
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -26,8 +26,8 @@
   add_log_era_tests ();
 }
 
-/* Without an argument, runs all tests but the stress tests of rate limits, which the
- * argument --limit-stress selects. */
+/* Without an argument, runs all tests but the stress tests of rate limits and those of
+ * the record writer, which the arguments --limit-stress and --record-writer select. */
 int
 main (int argc, char **argv)
 {
@@ -37,6 +37,8 @@
     return 2;
   if (argc > 1 && strcmp (argv[1], "--limit-stress") == 0)
     add_limit_stress_tests ();
+  else if (argc > 1 && strcmp (argv[1], "--record-writer") == 0)
+    add_record_writer_tests ();
   else
     add_all_tests ();
   CU_basic_set_mode (CU_BRM_NORMAL);
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -21,6 +21,7 @@
 void add_brittle_tests (void);
 /* Run alone, by test/test_rate_limits.py. */
 void add_limit_stress_tests (void);
+void add_record_writer_tests (void);
 void add_platform_tests (void);
 void add_watch_tests (void);
 void add_log_era_tests (void);
--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import subprocess
 import threading
 import time
 
@@ -356,6 +357,13 @@
         check(fleet.arrivals_after(restarted_at) <= 3, fleet.arrivals_after(restarted_at))
 
 
+def test_a_record_written_again_does_not_replace_a_newer_one():
+    """Guards against an outdated record of a router that overwrites the one which was to replace it."""
+    result = subprocess.run([f.program("test_liblimpetroad"), "--record-writer"],
+                            capture_output=True, text=True, errors="replace")
+    check(result.returncode == 0, result.stdout)
+
+
 class DrillSeries:
     """Versions and servers that change, while the store comes back from copies again and again."""
 
