Test: claims that the log of the own interface lost

Cause: a shard notices a loss by an end before its position or by a gap. A router that starts, or takes a shard over, has no position, and a log that lost its newest records has no gap: the claim of a keyed call that ran is gone, and a retry of the caller runs it again. Ruled out: the restart alone (a scratch trial without the loss: the retry got the recorded outcome, one run), and the loss alone (second case, passes).

--- a/src/limpetfake/log.c
+++ b/src/limpetfake/log.c
@@ -1,5 +1,6 @@
 #include "fake.h"
 
+#include "limpetroad/bundle_history.h"
 #include "limpetroad/clock.h"
 
 #include <glib.h>
@@ -196,6 +197,28 @@
   return read_records (connection, name);
 }
 
+/* Goes on from a copy that lacks the newest count records of each stream but that of the
+ * bundles; their offsets are given out again. */
+static void
+lose_newest_locked (guint count)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state.streams);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      Stream *stream = value;
+      guint lost = MIN (count, stream->records->len);
+
+      if (strcmp (name, LIMPET_BUNDLE_STREAM) == 0)
+        continue;
+      g_ptr_array_set_size (stream->records, (gint)(stream->records->len - lost));
+      stream->next_offset -= lost;
+    }
+}
+
 static int
 handle_fault (struct mg_connection *connection, void *user)
 {
@@ -219,6 +242,7 @@
           g_ptr_array_set_size (((Stream *)stream)->records, 0);
         }
     }
+  lose_newest_locked ((guint)fake_number (fault, "lose_newest", 0));
   pthread_cond_broadcast (&state.appended);
   pthread_mutex_unlock (&state.lock);
   json_object_put (fault);
--- a/test/test_orders.py
+++ b/test/test_orders.py
@@ -107,6 +107,26 @@
         assert len(fleet.runs()) == 15
 
 
+@table([("router_runs_on", False), ("router_starts_again", True)])
+def test_a_key_whose_claim_the_log_lost_does_not_run_again(starts_again):
+    """Guards against a log that comes back from a copy in which no gap shows that claims are missing."""
+    with order_fleet(routers=1) as fleet:
+        router, key = fleet.routers[0], f.order_key()
+        first = f.order(router["port"], fleet.key("team-0"), key)
+        assert first.outcome == "done", first.body
+        time.sleep(1)  # so that its outcome is in the log
+        if starts_again:
+            router["process"].kill()
+        fleet.fault(fleet.log_port, lose_newest=50)
+        if starts_again:
+            router["incarnation"] = 2
+            fleet.publish_vms()
+            fleet.start_router(router)
+        f.wait_for(lambda: f.order(router["port"], fleet.key("team-0"), f.order_key()).outcome
+                   == "done", "new orders to run")
+        check_outcomes(fleet, [(key, f.order(router["port"], fleet.key("team-0"), key))])
+
+
 FAULTS = [
     ("log_responses_lost", lambda t: t.fault(t.log_port, lose_answers=3)),
     ("log_down", lambda t: t.fault(t.log_port, down=1)),
