Tests: the stand-in of the store listens on a port that no connection takes while it is closed

Cause: the port came from the range from which the kernel gives ports to connections, so another process could take it while the store was away; binding it again then failed. Seen once in 6 plays of a drill with 9 routers on a loaded machine ("Address already in use"). Ruled out: a fault of the routers; three further plays went well. Who held the port was not seen. Change: a port of the range that the other stand-ins use.

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -139,8 +139,8 @@
         self.era = None   # the value of Store-Era in all responses; None: they have no such field
         self.names_era = lambda path: True  # whether the response to a request for path has it
         self.appended = {}  # times at which the records of each topic were appended
-        self.listener = Listener(self.serve)
-        self.port = self.listener.port
+        self.port = f.free_ports(1)[0]  # of a range that no connection takes while it is closed
+        self.listener = Listener(self.serve, self.port)
 
     def put(self, topic, key, value):
         """Appends a record; the value None deletes the key, other types are written as JSON."""
