Model: routers that follow a log through restorations

Reads of one router take time (late, lost and overtaken responses), those of the others none; one message of routers is on the way, which may be lost, late or repeated.

--- a/test/test_model.py
+++ b/test/test_model.py
@@ -1,6 +1,7 @@
-"""Checks the model of the claims (model/claims.pml) with spin.
+"""Checks the models of the claims (model/claims.pml) and of the eras of a log (model/eras.pml) with
+spin.
 
-Spin must find no error in the model, and one in each version with a deliberate fault.
+Spin must find no error in a model, and one in each version with a deliberate fault.
 """
 
 import os
@@ -12,13 +13,13 @@
 from run_all import table
 
 
-def count_errors(mutation):
+def count_errors(mutation, name="claims", defines=()):
     """Returns the number of errors that spin finds in the model with a fault
     (mutation; 0: no fault)."""
     directory = tempfile.mkdtemp(prefix="limpet-")
     try:
-        model = os.path.join(f.ROOT, "model", "claims.pml")
-        subprocess.run(["spin", "-a", "-DMUTATION=%d" % mutation, model], cwd=directory, check=True,
+        model = os.path.join(f.ROOT, "model", name + ".pml")
+        subprocess.run(["spin", "-a", "-DMUTATION=%d" % mutation, *defines, model], cwd=directory, check=True,
                        capture_output=True)
         subprocess.run(["gcc", "-O2", "-DSAFETY", "-DMEMLIM=4096", "-o", "pan", "pan.c"],
                        cwd=directory, check=True, capture_output=True)
@@ -38,3 +39,14 @@
         ("runs_after_abandonment", 3)])
 def test_spin_finds_a_deliberate_fault(mutation):
     assert count_errors(mutation) > 0
+
+
+@table([("two_routers", []), ("three_routers", ["-DROUTERS=3", "-DRESTORATIONS=1", "-DRECORDS=1"])])
+def test_the_model_of_the_eras_has_no_error(defines):
+    assert count_errors(0, "eras", defines) == 0
+
+
+@table([("counts_no_eras", 1), ("applies_responses_of_earlier_eras", 2),
+        ("takes_a_read_of_an_earlier_era_for_one_of_the_next", 3)])
+def test_spin_finds_a_deliberate_fault_in_eras(mutation):
+    assert count_errors(mutation, "eras") > 0
