--- a/test/measure.py
+++ b/test/measure.py
@@ -1,20 +1,28 @@
 """Prints the tables of docs/MEASURES.md, one function for each measurement.
 
 Usage: measure.py [NAME…], all measurements by default. A measurement loads every policy with the
-same requests and seed. LIMPET_POLICIES names the policies, separated by spaces."""
+same requests and seed. LIMPET_POLICIES names the policies, separated by spaces. LIMPET_BUILDS and
+LIMPET_ROUTERS name the build directories and the numbers of routers for store_copy."""
 
+import concurrent.futures
 import json
+import multiprocessing
 import os
+import socket
 import subprocess
 import sys
 import threading
 import time
 
 import fleet as f
+from platform_fake import Message, ROUTES, route
+from test_fleet_starts import SeededFleet
 
 POLICIES = os.environ.get("LIMPET_POLICIES", "bounded rendezvous least_loaded random").split()
 ENGINE = ["--slots", "16", "--queue", "4", "--step-ms", "25", "--prefill-tokens", "512"]
 SEED = 11
+BUILDS = os.environ.get("LIMPET_BUILDS", f.BUILD).split()
+ROUTER_COUNTS = [int(n) for n in os.environ.get("LIMPET_ROUTERS", "9 85").split()]
 
 
 def make_fleet(policy="bounded", routers=6, engines=20, engine=None, workers=400, **fleet_settings):
@@ -396,6 +404,175 @@
                 len(record["data"]))
 
 
+class TimedPaths(list):
+    """Paths of requests, and the times at which they were received."""
+
+    def __init__(self):
+        super().__init__()
+        self.times = []
+
+    def append(self, path):
+        super().append(path)
+        self.times.append((time.monotonic(), path))
+
+    def between(self, start, end):
+        return [(at, path) for at, path in list(self.times) if start <= at < end]
+
+
+class DrilledFleet(SeededFleet):
+    """Routers and 12 servers on a store that comes back from a copy."""
+
+    LOST_S = 5
+    AWAY_S = 1
+    SERVERS = 12
+    WRITE_PERIOD_S = 1.2
+    IDLE_ROUTES = 250
+
+    def __init__(self, routers):
+        super().__init__(routers, self.IDLE_ROUTES)
+        network = self.ips[0].split(".")[1]
+        self.ips = ["127.%s.%d.%d" % (network, n // 250, n % 250 + 1) for n in range(routers)]
+        self.seeds = self.ips[:3]
+        self.store.era = 1
+        self.store.requested_paths = TimedPaths()
+        for _ in range(self.SERVERS - 1):
+            self.add_server()
+        self.writes = threading.Event()
+        self.writes.set()
+        self.is_ended = False
+        threading.Thread(target=self.write_entries, daemon=True).start()
+
+    def __exit__(self, *unused):
+        self.is_ended = True
+        super().__exit__()
+
+    def write_entries(self):
+        while not self.is_ended:
+            for server in self.servers:
+                self.writes.wait()
+                server.write("ready")
+                time.sleep(self.WRITE_PERIOD_S / self.SERVERS)
+
+    def start_all(self):
+        for ip in self.ips:
+            self.add_router(wait=False, ip=ip, seeds=self.seeds)
+        for router in self.routers:
+            f.wait_for(lambda: self.is_ready(router), "a router to be ready", 90)
+
+    def write_version(self):
+        self.configure(self.routes[:-1]
+                       + [route("new", "/new-%d/" % self.version, "safe", "plain")])
+
+    def drill(self):
+        """Returns the time of the store's return."""
+        returned = []
+
+        def write():
+            self.write_version()
+            returned.append(time.monotonic())
+        time.sleep(self.LOST_S)
+        for _ in range(2):
+            self.write_version()
+            time.sleep(1.5)
+        self.writes.clear()
+        self.store.play_drill(self.LOST_S, self.AWAY_S, write=write)
+        self.writes.set()
+        return returned[0]
+
+
+def router_metrics(ip):
+    """Returns (version in force, least era of the topics read) of a router."""
+    with socket.create_connection((ip, 9464), 2) as connection:
+        connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = Message(connection.makefile("rb")).body.decode()
+    values = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        values[name] = value
+    eras = [int(values.get('limpetroad_topic_era{topic="%s"}' % topic, -1))
+            for topic in ("keyed.op", "keyed.servers")]
+    return int(values["limpetroad_configuration_version"]), min(eras)
+
+
+def watch_routers(ips, version, era, seconds):
+    """Returns for each quantity (version in force, era known) the routers that have it and the time
+    at which the last of them was seen to; and the longest time between two looks at a router."""
+    ends = [dict(), dict()]
+    waiting = list(ips)
+    longest_pass = 0
+    until = time.monotonic() + seconds
+    while waiting and time.monotonic() < until:
+        started = time.monotonic()
+        for ip in list(waiting):
+            has = [known >= wanted for known, wanted in zip(router_metrics(ip), (version, era))]
+            for known, end in zip(has, ends):
+                if known:
+                    end.setdefault(ip, time.monotonic())
+            if all(has):
+                waiting.remove(ip)
+        time.sleep(0.05)
+        longest_pass = max(longest_pass, time.monotonic() - started)
+    return [(len(end), max(end.values(), default=0)) for end in ends] + [longest_pass]
+
+
+def by_topic(values):
+    return ", ".join("%s %s" % (topic.replace("keyed.", ""), "{:,}".format(value))
+                     for topic, value in sorted(values.items()) if value)
+
+
+def count_by_topic(calls):
+    counts = {}
+    for _, path in calls:
+        topic = path.split("topic=")[1].split("&")[0]
+        counts[topic] = counts.get(topic, 0) + 1
+    return counts
+
+
+def most_in_a_second(calls):
+    times = sorted(at for at, _ in calls)
+    return max((sum(start <= at < start + 1 for at in times) for start in times), default=0)
+
+
+def measure_store_copy():
+    """Calls and bytes of a store that comes back from a copy 5 s old after 1 s (12 servers, 55 KB a
+    configuration, two versions lost, one new), and the time until all routers have the newest."""
+    header("build", "routers", "MB a router", "calls in 5 s before", "calls in 5 s after the return",
+           "bytes sent in these 5 s", "most calls in a second",
+           "newest version in force, routers and last after s",
+           "newest era known, routers and last after s", "s between looks at most",
+           "stand-in's processor s in the 5 s")
+    for routers in ROUTER_COUNTS:
+        for build in BUILDS:
+            f.BUILD = os.path.join(f.ROOT, build)
+            row(build, routers, *store_copy_figures(routers))
+
+
+def store_copy_figures(routers):
+    watched_s = 20
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(1, context) as pool, \
+            DrilledFleet(routers) as fleet:
+        pool.submit(int).result()
+        fleet.start_all()
+        fleet.wait_for_routers(routers)
+        memory = max(f.memory_mb(r["process"].popen.pid) for r in fleet.routers)
+        paths, store = fleet.store.requested_paths, fleet.store
+        returned = fleet.drill()
+        sent, processor_s = dict(store.sent_bytes), time.process_time()
+        watch = pool.submit(watch_routers, fleet.ips, fleet.version, store.era, watched_s)
+        time.sleep(max(0, returned + 5 - time.monotonic()))
+        sent = {topic: size - sent.get(topic, 0) for topic, size in store.sent_bytes.items()}
+        processor_s = time.process_time() - processor_s
+        in_force, known, longest_pass = watch.result()
+        gone = returned - DrilledFleet.AWAY_S
+        calls = paths.between(returned, returned + 5)
+        ends = ["%d, %.1f" % (count, last - returned) if count else "none in %d s" % watched_s
+                for count, last in (in_force, known)]
+        return ("%.1f" % memory, by_topic(count_by_topic(paths.between(gone - 5, gone))),
+                by_topic(count_by_topic(calls)), by_topic(sent), most_in_a_second(calls), *ends,
+                "%.2f" % longest_pass, "%.2f" % processor_s)
+
+
 # Returns the measurement functions by the names that the command line takes.
 def measure_names():
     return {n[len("measure_"):]: v for n, v in globals().items() if n.startswith("measure_")
