Simulated fleet: a datagram under way is drawn for loss once

Cause: a datagram that waited for its link or for a router that stood still was drawn for loss at each step of 10 ms, so that with a loss of 0.1 nearly none came over a link of 400 ms (41 draws). Ruled out: a draw when it is sent, which changes the order of all draws in the other tests. Change: one that was kept waiting is not drawn again.

--- a/src/test_liblimpetroad/simulated_fleet.c
+++ b/src/test_liblimpetroad/simulated_fleet.c
@@ -13,6 +13,7 @@
   uint32_t from;
   uint32_t to;
   LimpetMs arrives_ms; /* 0 if it does not depend on the time */
+  bool is_kept;        /* it was drawn that it is not lost */
   GBytes *bytes;
 } Datagram;
 
@@ -96,12 +97,13 @@
       const uint8_t *data = g_bytes_get_data (datagram->bytes, &length);
 
       if (datagram->to >= 1 && datagram->to <= router_count
-          && g_rand_double (loss_random) >= loss_ratio)
+          && (datagram->is_kept || g_rand_double (loss_random) >= loss_ratio))
         {
           Router *router = &routers[datagram->to - 1];
 
           if (now_ms < MAX (router->stands_still_until_ms, datagram->arrives_ms))
             {
+              datagram->is_kept = true;
               g_queue_push_tail (&datagrams, datagram);
               continue;
             }
