--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -24,6 +24,7 @@
   add_platform_tests ();
   add_watch_tests ();
   add_log_era_tests ();
+  add_clock_tests ();
 }
 
 /* Without an argument, runs all tests but the stress tests of rate limits and those of
--- a/src/test_liblimpetroad/simulated_fleet.h
+++ b/src/test_liblimpetroad/simulated_fleet.h
@@ -3,7 +3,8 @@
 
 #include "limpetroad/gossip.h"
 
-/* Routers that exchange gossip in simulated time, with lost datagrams.
+/* Routers that exchange gossip in simulated time, with lost datagrams. Each has a clock
+ * of its own; all times below are simulated ones.
  *
  * start_routers() → run_fleet() → … → stop_routers(). */
 
@@ -17,6 +18,16 @@
 /* Hash of the target whose load reports are recorded in Router.busy_reported_ms. */
 #define BUSY_TARGET 4242
 
+/* What the clock of a VM shows that has just booted. */
+#define BOOT_MS 700
+
+/* A boot clock: the simulated time, and this beside it. */
+typedef struct
+{
+  LimpetMs offset_ms;
+  double drift; /* ms for each ms of the simulated time */
+} RouterClock;
+
 typedef struct
 {
   LimpetGossip *gossip;
@@ -30,8 +41,10 @@
   uint32_t load_reports;           /* number of load reports received */
   LimpetMs stands_still_until_ms;  /* it does nothing before; 0 if it never stood still */
   LimpetMs link_delay_ms;          /* of each datagram to and from it, beside a step */
-  LimpetMs drained_ms;             /* when no datagram waited for it any more */
-  LimpetMs busy_reported_ms;       /* time of the last received report of BUSY_TARGET */
+  LimpetMs link_jitter_ms;         /* up to this beside it, drawn for each datagram */
+  LimpetMs drained_ms;             /* when no datagram waited any more, by its clock */
+  RouterClock clock;
+  LimpetMs busy_reported_ms; /* time of the last received report of BUSY_TARGET */
 } Router;
 
 extern Router routers[LARGEST_FLEET];
@@ -42,14 +55,22 @@
 extern double disorder_ratio;
 /* Time of the last read of the topic by any router. */
 extern LimpetMs newest_read_ms;
-/* How often a router, at a step of run_fleet(), believed a read newer than that. */
+/* The longest time between two of them. */
+extern LimpetMs longest_without_read_ms;
+/* How often a router, at a step of run_fleet(), believed a read newer than the newest
+ * one, and by how much at most. */
 extern uint32_t routers_deceived;
+extern LimpetMs worst_deception_ms;
 /* Probability with which each datagram is lost. */
 extern double loss_ratio;
 /* By all routers, including IP and UDP headers. */
 extern uint64_t sent_bytes;
 
 void start_routers (uint32_t seed);
+/* The same, with one clock for each router. */
+void start_routers_with_clocks (uint32_t seed, const RouterClock *clocks);
+/* Returns what the router's clock shows at a simulated time. */
+LimpetMs router_clock_ms (const Router *router, LimpetMs time_ms);
 void stop_routers (void);
 /* Delivers the datagrams under way, and drops each with the probability loss_ratio.
  * Datagrams that routers send in response stay queued. */
@@ -58,6 +79,8 @@
 void deliver_all (LimpetMs now_ms);
 /* Replaces a router by one that knows nothing but the address of another router. */
 void restart_router (uint32_t index, uint32_t seed, LimpetMs now_ms);
+/* The same, after a reboot of its VM: the clock begins anew. */
+void reboot_router (uint32_t index, uint32_t seed, LimpetMs now_ms);
 /* Simulates the routers from from_ms to until_ms, while the store has the records of the
  * topic before offset *end. Returns the number of their reads. If max_age_ms is not NULL,
  * raises *max_age_ms to the highest limpet_gossip_topic_age_ms() of any router. */
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -25,5 +25,6 @@
 void add_platform_tests (void);
 void add_watch_tests (void);
 void add_log_era_tests (void);
+void add_clock_tests (void);
 
 #endif
