--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -724,6 +724,19 @@
     send_message (gossip, &answer, message->sender);
 }
 
+/* Records the clock of a sender, whose reads may become known by long ways only. */
+static void
+receive_clock (LimpetGossip *gossip,
+               const GossipMessage *message,
+               LimpetMs earliest_ms,
+               LimpetMs now_ms)
+{
+  if (message->start != 0 && message->clock_ms >= 0 && message->clock_ms <= MAX_CLOCK_MS
+      && now_ms - earliest_ms <= MAX_CLOCK_WAIT_MS)
+    limpet_gossip_clocks_record (gossip->clocks, message->start, message->clock_ms,
+                                 now_ms, now_ms);
+}
+
 static void send_digest (LimpetGossip *gossip, uint32_t address, LimpetMs now_ms);
 
 void
@@ -755,6 +768,7 @@
                                       message->relay_state == RELAY_STATE__RELAYS);
   for (size_t i = 0; i < message->n_members; i++)
     limpet_gossip_members_add (gossip->members, message->members[i], now_ms);
+  receive_clock (gossip, message, earliest_ms, now_ms);
   for (size_t i = 0; i < message->n_topics; i++)
     receive_topic (gossip, message->topics[i], earliest_ms, now_ms, sender);
   receive_loads (gossip, message, now_ms);
@@ -821,6 +835,8 @@
   uint32_t streams = 0;
 
   gossip_message__init (&digest->message);
+  digest->message.start = gossip->reader;
+  digest->message.clock_ms = now_ms;
   digest->message.relay_state
       = gossip->relays ? RELAY_STATE__RELAYS : RELAY_STATE__DOES_NOT_RELAY;
   limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &topic_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gossip_message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor gossip_message__field_descriptors[17] =
 {
   {
     "sender",
@@ -459,8 +459,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(GossipMessage, start),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(GossipMessage, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gossip_message__field_indices_by_name[] = {
+  16,   /* field[16] = clock_ms */
   1,   /* field[1] = leaving */
   12,   /* field[12] = leaving_targets */
   8,   /* field[8] = limits */
@@ -471,6 +496,7 @@
   4,   /* field[4] = requests_digest */
   13,   /* field[13] = rests */
   0,   /* field[0] = sender */
+  15,   /* field[15] = start */
   9,   /* field[9] = stream_origins */
   10,   /* field[10] = stream_queries */
   7,   /* field[7] = suspects */
@@ -481,7 +507,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor gossip_message__descriptor =
 {
@@ -491,7 +517,7 @@
   "GossipMessage",
   "",
   sizeof(GossipMessage),
-  15,
+  17,
   gossip_message__field_descriptors,
   gossip_message__field_indices_by_name,
   2,  gossip_message__number_ranges,
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -97,10 +97,18 @@
    * hash of the sender's availability zone; 0 if it is not known
    */
   uint32_t zone;
+  /*
+   * the sender's start, as in TopicUpdate.reader; in digests
+   */
+  uint32_t start;
+  /*
+   * the sender's clock when it sends the message; in digests
+   */
+  int64_t clock_ms;
 };
 #define GOSSIP_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gossip_message__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, RELAY_STATE__UNKNOWN, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, RELAY_STATE__UNKNOWN, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/test_liblimpetroad/clock_tests.c
+++ b/src/test_liblimpetroad/clock_tests.c
@@ -160,11 +160,17 @@
 static const Play drifting = { .drift = DRIFT };
 static const Play forward = { .jump_ms = JUMP_MS };
 static const Play some_jitter = { .some_jitter_ms = JITTER_MS };
+static const Play all_jitter = { .all_jitter_ms = JITTER_MS / 2 };
 static const Play restarting = { .drift = DRIFT, .restarts = true };
 static const Play rebooting = { .drift = DRIFT, .reboots = true };
 static const Play restored = { .drift = DRIFT, .is_restored = true };
 static const Play restarting_restored
     = { .drift = DRIFT, .loss_ratio = LOSS_RATIO, .restarts = true, .is_restored = true };
+static const Play restarting_jitter = { .drift = DRIFT,
+                                        .some_jitter_ms = JITTER_MS,
+                                        .loss_ratio = LOSS_RATIO,
+                                        .restarts = true,
+                                        .is_restored = true };
 
 static void
 test_clocks_that_differ_or_drift_delay_no_read (void)
@@ -199,6 +205,20 @@
   check_play (&some_jitter, READS);
 }
 
+/* Guards against a fault: routers knew the clock of a reader only by long ways, took its
+ * reads for newer by each delay on them, and all put off their own. */
+static void
+test_jitter_of_all_links_delays_no_read (void)
+{
+  check_play (&all_jitter, READS);
+}
+
+static void
+test_restarts_beside_jitter_delay_no_read (void)
+{
+  check_play (&restarting_jitter, READS);
+}
+
 void
 add_clock_tests (void)
 {
@@ -209,4 +229,6 @@
   CU_ADD_TEST (suite, test_a_restored_store_beside_other_clocks_delays_no_read);
   CU_ADD_TEST (suite, test_a_clock_that_jumps_forward_makes_no_read_newer);
   CU_ADD_TEST (suite, test_jitter_of_some_links_delays_no_read);
+  CU_ADD_TEST (suite, test_jitter_of_all_links_delays_no_read);
+  CU_ADD_TEST (suite, test_restarts_beside_jitter_delay_no_read);
 }
