--- a/src/test_liblimpetroad/fuzz_tests.c
+++ b/src/test_liblimpetroad/fuzz_tests.c
@@ -1,12 +1,16 @@
 #include "tests.h"
 
 #include "limpetroad/bundle_history.h"
+#include "limpetroad/gossip.h"
+#include "limpetroad/log_era.h"
 #include "limpetroad/topic_state.h"
 #include "cluster_state/peer.pb-c.h"
 #include "private/claim_record.h"
+#include "private/gossip.pb-c.h"
 #include "private/router_state.h"
 #include "private/schema.h"
 #include "private/sse.h"
+#include "private/state_message.h"
 
 #include <glib.h>
 #include <string.h>
@@ -179,6 +183,202 @@
   g_rand_free (random);
 }
 
+static const uint32_t odd_eras[]
+    = { 0, 1, LIMPET_LOG_MAX_ERA, LIMPET_LOG_MAX_ERA + 1, INT32_MAX, UINT32_MAX };
+static const int64_t odd_numbers[] = { INT64_MIN,
+                                       -LIMPET_LOG_MAX_OFFSET,
+                                       -1,
+                                       0,
+                                       1,
+                                       7,
+                                       LIMPET_LOG_MAX_OFFSET,
+                                       LIMPET_LOG_MAX_OFFSET + 1,
+                                       INT64_C (1) << 46,
+                                       INT64_MAX };
+static const uint32_t odd_ages[] = { 0, 1, 900, INT32_MAX, UINT32_MAX };
+static const uint32_t odd_topics[]
+    = { 0, 1, LIMPET_GOSSIP_TOPICS, LIMPET_GOSSIP_TOPICS + 1, UINT32_MAX };
+
+#define PICK(random, values)                                                             \
+  ((values)[g_rand_int_range (random, 0, (gint32)G_N_ELEMENTS (values))])
+
+/* What a router was given by odd messages. */
+typedef struct
+{
+  uint32_t batches;
+  uint32_t bad_batches;
+  uint32_t bad_sends; /* own messages whose ends are no positions */
+} OddGossip;
+
+static bool
+is_odd_position (uint32_t era, int64_t offset)
+{
+  return era > LIMPET_LOG_MAX_ERA || offset < 0 || offset > LIMPET_LOG_MAX_OFFSET;
+}
+
+static int64_t
+count_batch (void *user, const LimpetGossipBatch *batch)
+{
+  OddGossip *odd = user;
+
+  odd->batches++;
+  odd->bad_batches += batch->topic >= LIMPET_GOSSIP_TOPICS || batch->first_offset < 0
+                      || batch->end_offset < 0
+                      || limpet_log_position_era (batch->first_offset)
+                             != limpet_log_position_era (batch->end_offset);
+  return batch->end_offset;
+}
+
+static void
+check_sent (void *user, uint32_t address, const uint8_t *data, size_t length)
+{
+  OddGossip *odd = user;
+  GossipMessage *message = gossip_message__unpack (NULL, length, data);
+
+  (void)address;
+  for (size_t i = 0; i < message->n_topics; i++)
+    odd->bad_sends
+        += message->topics[i]->topic >= LIMPET_GOSSIP_TOPICS
+           || is_odd_position (message->topics[i]->era, message->topics[i]->end)
+           || is_odd_position (message->topics[i]->era, message->topics[i]->from);
+  gossip_message__free_unpacked (message, NULL);
+}
+
+static void
+ignore_load (void *user, const LimpetGossipLoad *load)
+{
+  (void)user;
+  (void)load;
+}
+
+static void
+receive_odd_update (LimpetGossip *gossip, GRand *random, LimpetMs now_ms)
+{
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+  TopicUpdate topic = TOPIC_UPDATE__INIT;
+  TopicUpdate *topics[] = { &topic };
+  ProtobufCBinaryData records[] = { { .data = (uint8_t *)"r", .len = 1 }, { .len = 0 } };
+  uint8_t bytes[256];
+  size_t length;
+
+  topic.topic = PICK (random, odd_topics);
+  topic.era = PICK (random, odd_eras);
+  topic.end = PICK (random, odd_numbers);
+  topic.from = PICK (random, odd_numbers);
+  topic.age_ms = PICK (random, odd_ages);
+  topic.age_range_ms = PICK (random, odd_ages);
+  topic.reader = (uint32_t)g_rand_int_range (random, 0, 3);
+  topic.read_at_ms = PICK (random, odd_numbers);
+  topic.holds_all = g_rand_boolean (random);
+  topic.records = records;
+  topic.n_records = (size_t)g_rand_int_range (random, 0, 3);
+  message.sender = 2;
+  message.topics = topics;
+  message.n_topics = 1;
+  message.start = (uint32_t)g_rand_int_range (random, 0, 3);
+  message.clock_ms = PICK (random, odd_numbers);
+  length = gossip_message__pack (&message, bytes);
+  limpet_gossip_receive (gossip, 2, bytes, length, now_ms - 10, now_ms);
+}
+
+/* Neither a number that is no position nor a read in the future goes on from there. */
+static void
+test_odd_topic_updates_are_handled_safely (void)
+{
+  static const LimpetGossipOps ops
+      = { .send = check_sent, .on_batch = count_batch, .on_load = ignore_load };
+  GRand *random = g_rand_new_with_seed (SEED);
+  OddGossip odd = { 0 };
+  uint32_t reads_in_future = 0;
+
+  for (int i = 0; i < ROUNDS / 20; i++)
+    {
+      LimpetGossip *gossip = limpet_gossip_new (&ops, &odd, 1, (uint64_t)i);
+
+      for (LimpetMs now_ms = 5000; now_ms < 7000; now_ms += 100)
+        {
+          receive_odd_update (gossip, random, now_ms);
+          limpet_gossip_tick (gossip, now_ms);
+          for (uint32_t topic = 0; topic < LIMPET_GOSSIP_TOPICS; topic++)
+            reads_in_future += limpet_gossip_topic_age_ms (gossip, topic, now_ms) < 0;
+        }
+      limpet_gossip_delete (gossip);
+    }
+  CU_ASSERT_TRUE (odd.batches > 0);
+  CU_ASSERT_EQUAL (odd.bad_batches, 0);
+  CU_ASSERT_EQUAL (odd.bad_sends, 0);
+  CU_ASSERT_EQUAL (reads_in_future, 0);
+  g_rand_free (random);
+}
+
+/* Changes one byte of a written state in half of the rounds, else one of the message. */
+static bool
+read_odd_message (const GString *state, int version, bool in_header, GRand *random)
+{
+  GString *written = g_string_new_len (state->str, (gssize)state->len);
+  GString *out = g_string_new (NULL);
+  LimpetStateMessage message = { .version = version, .topic = 1, .age_ms = 700 };
+  LimpetStateMessage received;
+  LimpetTopicState *merged = limpet_topic_state_new ();
+  const char *reason = NULL;
+  GBytes *read;
+  bool is_read;
+  gsize length = 0;
+  int64_t end;
+
+  if (!in_header)
+    written->str[g_rand_int_range (random, 0, (gint32)written->len)]
+        = (char)g_rand_int (random);
+  message.compressed = limpet_state_message_compress (written->str, written->len);
+  limpet_state_message_write (&message, out);
+  if (in_header)
+    out->str[g_rand_int_range (random, 0, (gint32)out->len)] = (char)g_rand_int (random);
+  read = limpet_state_message_read (out->str, out->len, &received, &reason);
+  is_read = read != NULL;
+  if (read != NULL)
+    {
+      const char *data = g_bytes_get_data (read, &length);
+
+      if (limpet_topic_state_check (data, length, &end))
+        limpet_topic_state_merge (merged, data, length);
+      g_bytes_unref (received.compressed);
+      g_bytes_unref (read);
+    }
+  else
+    CU_ASSERT_PTR_NOT_NULL (reason);
+  limpet_topic_state_delete (merged);
+  g_bytes_unref (message.compressed);
+  g_string_free (written, TRUE);
+  g_string_free (out, TRUE);
+  return is_read;
+}
+
+static void
+test_corrupted_state_messages_are_handled_safely (void)
+{
+  LimpetTopicState *state = limpet_topic_state_new ();
+  GRand *random = g_rand_new_with_seed (SEED);
+
+  for (int version = 0; version <= LIMPET_STATE_MESSAGE_VERSION + 1; version++)
+    {
+      bool is_known = version >= LIMPET_STATE_MESSAGE_VERSION_WITHOUT_ERAS
+                      && version <= LIMPET_STATE_MESSAGE_VERSION;
+      uint32_t era = version == LIMPET_STATE_MESSAGE_VERSION_WITHOUT_ERAS ? 0 : 5;
+      GString *written = g_string_new (NULL);
+
+      limpet_topic_state_put (state, "i-1", "abc", 3, limpet_log_position (era, 4));
+      limpet_topic_state_write (state, limpet_log_position (era, 5), written);
+      for (int i = 0; i < ROUNDS / 10; i++)
+        {
+          CU_ASSERT_EQUAL (read_odd_message (written, version, false, random), is_known);
+          read_odd_message (written, version, true, random);
+        }
+      g_string_free (written, TRUE);
+    }
+  g_rand_free (random);
+  limpet_topic_state_delete (state);
+}
+
 void
 add_fuzz_tests (void)
 {
@@ -190,4 +390,6 @@
                test_corrupted_router_states_are_handled_safely);
   CU_add_test (suite, "corrupted topic states are handled safely",
                test_corrupted_topic_states_are_handled_safely);
+  CU_ADD_TEST (suite, test_odd_topic_updates_are_handled_safely);
+  CU_ADD_TEST (suite, test_corrupted_state_messages_are_handled_safely);
 }
