--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -527,13 +527,9 @@
                uint32_t sender)
 {
   LimpetGossipRecord records[MAX_RECORDS];
-  LimpetGossipBatch batch
-      = { .topic = received->topic,
-          .first_offset = limpet_log_position (
-              received->era, received->n_records > 0 ? received->from : received->end),
-          .records = records,
-          .end_offset = limpet_log_position (received->era, received->end),
-          .sender = received->holds_all ? sender : 0 };
+  LimpetGossipBatch batch = { .topic = received->topic,
+                              .records = records,
+                              .sender = received->holds_all ? sender : 0 };
   Read read;
   Topic *known;
   int64_t old_end;
@@ -544,6 +540,9 @@
       || !is_position (received->era, received->end)
       || !is_position (received->era, received->from))
     return;
+  batch.first_offset = limpet_log_position (
+      received->era, received->n_records > 0 ? received->from : received->end);
+  batch.end_offset = limpet_log_position (received->era, received->end);
   known = &gossip->topics[received->topic];
   read = decode_read (gossip, received, earliest_ms, now_ms);
   if (batch.end_offset < known->end)
