--- a/test/soak/checks.py
+++ b/test/soak/checks.py
@@ -11,6 +11,7 @@
 EVENTS = 8          # number of events of each stream
 DRAIN_S = 2.0       # time after which a server marked as leaving gets no new request (drain_ms)
 APPLY_S = 2.0       # time within which a configuration applies (config_apply_ms)
+STABLE_S = 3.0      # time after which a store that returned is stable (stable_window_ms)
 MARGIN_S = 0.3      # scheduling delays of the test threads on a busy machine
 # Rule LIMIT of the users: in any 5 s at most 3 % of the requests may meet an engine that holds more
 # than 2 times the mean of all engines plus 3. Fewer than 20 such requests are not reported.
@@ -65,6 +66,15 @@
             if c["kind"] in ("unsafe", "stream") and c["status"] in NOT_RUN and c["id"] in ran]
 
 
+def binding_times(at, drills, bound_s):
+    """Returns the times from which an acknowledgement of the store at a time (at) binds, as pairs
+    (time, drill): it binds at once, and its bound (bound_s) ends again STABLE_S after each later
+    return of the store from a copy, in which the record was written again. drills: (begin, return).
+    """
+    return [(at, None)] + [(max(at, drill[1] + STABLE_S - bound_s), drill) for drill in drills
+                           if at < drill[1] + STABLE_S]
+
+
 def leaving_servers(leaves, arrivals):
     """Checks that a leaving server gets no new request after DRAIN_S.
 
@@ -98,7 +108,10 @@
 def dropped_routes(versions, probes):
     """Checks that routers stop serving the route and key of version N once version N + 2, which
     removes them, applies. probes: (N, router, time of the request, status)."""
-    published_at = {number: at for number, at, undisturbed in versions if undisturbed}
+    published_at = {}
+    for number, at, undisturbed in versions:
+        if undisturbed:
+            published_at[number] = min(at, published_at.get(number, at))
     return ["%s still served version %d" % (router, asked) for asked, router, at, status in probes
             if status == 200 and asked + 2 in published_at
             and at > published_at[asked + 2] + APPLY_S + MARGIN_S]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -39,12 +39,14 @@
         self.inflight = collections.Counter()  # requests in flight at each engine
         self.disturbances = [0.0]      # times of faults of the store and of routers
         self.link_disturbances = [0.0]  # times of faults of links and of server crashes
+        self.drills = []                 # [begin, return or None] of each drill of the store
         self.stream_runs = []            # see checks.streams_of_one_version()
         self.aborted_by_server = set()   # requests whose server closed the connection early
         self.stop = threading.Event()
         self.leave_lock = threading.Lock()
         super().__init__(routers=routers, start=False)
         self.newest_version = 0
+        self.store.era = 1
         self.start_proxy()
         for i in range(6):
             self.add_soak_server(i)
@@ -317,6 +319,8 @@
             ("link %s silent" % link, link == "store", lambda: self.proxy(link, silence=1), None),
             ("link %s refuses" % link, link == "store", lambda: self.proxy(link, refuse=1, cut=1),
              lambda: self.proxy(link, refuse=0)),
+            ("store drill", False, lambda lost_s=rng.uniform(0.5, 6), away_s=rng.uniform(0.2, 3):
+             self.start_drill(lost_s, away_s), None),
             ("router stopped", True, router["process"].freeze, router["process"].thaw),
             ("router killed", True, lambda: self.replace(router, signal.SIGKILL), None),
             ("router terminated", False, lambda: self.replace(router, signal.SIGTERM), None),
@@ -328,6 +332,25 @@
                                          for _ in range(4)], None),
         ])
 
+    def start_drill(self, lost_s, away_s):
+        """Lets the store refuse connections for away_s and come back from a copy made lost_s before
+        that, unless it is away already."""
+        if self.drills and self.drills[-1][1] is None:
+            return
+        drill = [time.monotonic(), None]
+        self.drills.append(drill)
+
+        def play():
+            self.proxy("store", refuse=1, cut=1)
+            self.store.play_drill(lost_s + away_s, away_s)
+            self.proxy("store", refuse=0)
+            drill[1] = time.monotonic()
+
+        threading.Thread(target=play, daemon=True).start()
+
+    def wait_for_drill(self):
+        f.wait_for(lambda: not self.drills or self.drills[-1][1], "the store to return")
+
     # Sends a signal to a router and starts a new process when it has ended.
     def replace(self, router, number):
         process = router["process"]
@@ -357,8 +380,8 @@
     def position_of(self, server):
         return int(server.id[1])
 
-    # Marks a server as draining; after 3 s removes its entry and adds a new server at its address.
-    def leave(self, server):
+    # Marks a server as draining; later removes its entry and adds a new server at its address.
+    def leave(self, server, stay_s=3):
         with self.leave_lock:
             if server not in self.current_servers():
                 return
@@ -366,7 +389,7 @@
             self.leaves.append([server.id, time.monotonic(), None])
 
         def remove_after_drain():
-            time.sleep(3)
+            time.sleep(stay_s)
             self.record_leave_end(server)
             server.remove()
             with self.leave_lock:
@@ -387,9 +410,11 @@
                 self.add_soak_server(self.position_of(server))
         server.remove()
 
-    # Whether no fault affected the store or routers from start to end; a fault lasts up to 3 s.
-    def was_undisturbed(self, start, end):
-        return not any(start - 3 < at < end for at in self.disturbances)
+    # Whether no fault but drill (None: none) affected the store or routers from start to end;
+    # a fault lasts up to 3 s.
+    def was_undisturbed(self, start, end, drill=None):
+        return not any(start - 3 < at < end for at in self.disturbances) and not any(
+            start - checks.STABLE_S < d[1] and d[0] < end for d in self.drills if d is not drill)
 
 
 # Runs one soak; returns the names of its faults, the platform and the violations of each check.
@@ -426,6 +451,7 @@
                     undo_actions.remove(due)
             for _, _, undo in undo_actions:
                 undo()
+            platform.wait_for_drill()
             platform.record_disturbance()
             for server in platform.servers:
                 server.mode = "ok"
@@ -440,15 +466,41 @@
 SETTLE_S = 3.5  # time limits hold from this time after the last fault (stable_window_ms)
 
 
+def run_drill_phase(platform):
+    """Publishes versions, writes entries and lets servers leave before and after a drill, without
+    other faults, so that the time limits hold from STABLE_S after the return of the store.
+
+    After the return about as many records are written as were lost: a router that goes on from its
+    old offset reads without an error and lacks them."""
+    rng = platform.rng
+    lost_s, away_s, before_s = rng.uniform(0.5, 6), rng.uniform(0.2, 3), rng.uniform(0, 2.5)
+    lost_count = rng.randint(2, 4)
+    written_count = lost_count - rng.randint(0, 2)  # one more is written again by the drill
+    for _ in range(lost_count):
+        platform.put_version()
+    leaving, later_leaving = [platform.current_servers()[i] for i in (1, 4)]
+    for _ in range(rng.randint(1, 3)):
+        later_leaving.write("ready")
+    platform.leave(leaving, before_s + away_s + 6)
+    time.sleep(before_s)
+    platform.start_drill(lost_s, away_s)
+    platform.wait_for_drill()
+    for _ in range(written_count):
+        platform.put_version()
+    platform.leave(later_leaving, 6)
+    time.sleep(6)
+
+
 def run_undisturbed_phase(platform):
-    """Lets two servers leave, publishes a version and stops a router, all without other faults, so
-    that the time limits hold for them."""
+    """Plays a drill, then lets two servers leave, publishes a version and stops a router, all
+    without other faults, so that the time limits hold for them."""
     try:
         f.wait_for(lambda: all(r["process"].popen.poll() is None and platform.is_ready(r)
                                for r in platform.routers), "", 15)
     except AssertionError:
         return  # evaluate() reports that a router is not ready
     time.sleep(SETTLE_S)
+    run_drill_phase(platform)
     for position in (0, 3):
         platform.leave(platform.current_servers()[position])
     platform.put_version()
@@ -477,9 +529,13 @@
     for leave in platform.leaves:
         leave[2] = leave[2] or time.monotonic()
     calls, runs, arrivals = list(platform.calls), list(platform.runs), list(platform.arrivals)
-    undisturbed_leaves = [l for l in platform.leaves if platform.was_undisturbed(l[1], l[2])]
-    versions = [(n, at, platform.was_undisturbed(at, at + checks.APPLY_S + 2))
-                for n, at, _ in platform.versions]
+    undisturbed_leaves = [
+        (server, start, end) for server, at, end in platform.leaves
+        for start, drill in checks.binding_times(at, platform.drills, checks.DRAIN_S)
+        if platform.was_undisturbed(start, end, drill)]
+    versions = [(n, start, platform.was_undisturbed(start, start + checks.APPLY_S + 2, drill))
+                for n, at, _ in platform.versions
+                for start, drill in checks.binding_times(at, platform.drills, checks.APPLY_S)]
     stops = [(r, at, platform.was_undisturbed(at, at + 2)
               and not any(at - 4 < t < at + 3 for t in platform.link_disturbances))
              for r, at, _ in platform.stops]
--- a/test/test_soak_checks.py
+++ b/test/test_soak_checks.py
@@ -16,6 +16,12 @@
 
 COMPLETE_STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n)
                            for n in range(1, checks.EVENTS + 1))
+DRILL = (11, 13)
+# Version 3 was lost and written again; version 4 has an offset that version 2 had before the drill.
+VERSIONS = [(number, start, True) for number, at in ((3, 10), (4, 13.1))
+            for start, drill in checks.binding_times(at, [DRILL], checks.APPLY_S) if drill]
+LEAVES = [("s", start, 20) for start, drill in checks.binding_times(10, [DRILL], checks.DRAIN_S)
+          if drill]
 FIFTY_CALLS = [call(id="c%d" % n, sent=10 + n * 0.01) for n in range(50)]
 
 
@@ -44,6 +50,15 @@
      ([], [(3, "r", 11, 200), (3, "r", 12, 404)])),
     ("key_late", checks.configurations, ([(3, 10, True)], [(3, "r", 11, 401)]),
      ([(3, 10, True)], [(3, "r", 12.5, 401)])),
+    ("version_after_a_drill", checks.configurations, (VERSIONS, [(3, "r", 16.2, 404)]),
+     (VERSIONS, [(3, "r", 16.4, 404)])),
+    ("old_offset_after_a_drill", checks.configurations,
+     (VERSIONS, [(3, "r", 13.5, 200), (4, "r", 16.2, 404), (4, "r", 16.4, 200)]),
+     (VERSIONS, [(3, "r", 13.5, 200), (4, "r", 16.2, 404), (4, "r", 16.4, 404)])),
+    ("dropped_after_a_drill", checks.dropped_routes, (VERSIONS, [(2, "r", 16.2, 200)]),
+     (VERSIONS, [(2, "r", 16.4, 200)])),
+    ("leaving_after_a_drill", checks.leaving_servers, (LEAVES, [("a", "s", 16.2)]),
+     (LEAVES, [("a", "s", 16.4)])),
     ("dropped", checks.dropped_routes, ([(5, 10, True)], [(3, "r", 11.9, 200), (3, "r", 13, 401)]),
      ([(5, 10, True)], [(3, "r", 12.5, 200)])),
     ("ready", checks.ready_means_serving, ([("r", 200), ("r", 503)],), ([("r", None)],)),
