Directory: a target that registers late after a loss is used again

An entry that the copy lacked, was given up after 1.7 s and then written again with its old sequence was taken for one from before its removal, until the next heartbeat (test_a_server_that_the_copy_lacks on a busy machine, 503). Only an entry that was removed is.

--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -85,8 +85,7 @@
   if (vm->incarnation != entry->vm.incarnation)
     return vm->incarnation < entry->vm.incarnation;
   return is_late_write (entry, sequence)
-         || (sequence == entry->sequence && entry->remove_at_ms > 0
-             && (entry->is_tombstone || !entry->is_lost));
+         || (sequence == entry->sequence && entry->remove_at_ms > 0 && !entry->is_lost);
 }
 
 /* A target that leaves does not come back in its incarnation, however late that is told.
