--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -27,8 +27,8 @@
   add_clock_tests ();
 }
 
-/* Without an argument, runs all tests but the stress tests of rate limits and those of
- * the record writer, which the arguments --limit-stress and --record-writer select. */
+/* Without an argument, runs all tests but those that the arguments --limit-stress,
+ * --record-writer and --clock-limits select. */
 int
 main (int argc, char **argv)
 {
@@ -40,6 +40,8 @@
     add_limit_stress_tests ();
   else if (argc > 1 && strcmp (argv[1], "--record-writer") == 0)
     add_record_writer_tests ();
+  else if (argc > 1 && strcmp (argv[1], "--clock-limits") == 0)
+    add_clock_limit_tests ();
   else
     add_all_tests ();
   CU_basic_set_mode (CU_BRM_NORMAL);
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -26,5 +26,7 @@
 void add_watch_tests (void);
 void add_log_era_tests (void);
 void add_clock_tests (void);
+/* Run alone, by test/test_versions_in_force.py. */
+void add_clock_limit_tests (void);
 
 #endif
--- a/test/test_versions_in_force.py
+++ b/test/test_versions_in_force.py
@@ -4,9 +4,11 @@
 import signal
 import socket
 import struct
+import subprocess
 import threading
 import time
 
+import fleet as f
 from platform_fake import Platform, ROUTES, route
 from run_all import table
 from test_platform import check
@@ -146,3 +148,10 @@
             series.end.set()
             for thread in threads:
                 thread.join()
+
+
+def test_clocks_that_jump_and_jitter_mislead_no_simulated_router():
+    """Guards against reads put off or believed to be newer, 20 seeds of simulated fleets each."""
+    result = subprocess.run([f.program("test_liblimpetroad"), "--clock-limits"],
+                            capture_output=True, text=True, errors="replace")
+    check(result.returncode == 0, result.stdout[-2000:])
