--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -19,6 +19,8 @@
 AWAY_S = 0.5
 LOST_S = 2.0
 POLL_S = 0.05
+SLOW_READS = 8
+ERA_METRIC = 'limpetroad_topic_era{topic="keyed.op"}'
 KEPT_S = 1.5            # about the time that servers have to write their entries again
 KEPT_VERSIONS = 8       # more than are written within APPLY_S
 
@@ -469,3 +471,33 @@
     while the routers read and change."""
     with CopiedStore(routers=6, era=era) as platform:
         DrillSeries(platform, seed, lost_s, away_s).play(disturb)
+
+
+def test_a_read_across_a_restoration_counts_no_further_era():
+    """Guards against taking a response for one of the era that other routers told of during the read."""
+    with CopiedStore() as platform:
+        slow = platform.add_store()
+        slow.era, slow.delay_s = platform.store.era, 0.6
+        platform.add_router(store=slow)
+        platform.wait_for_routers(ROUTERS + 1)
+        for _ in range(SLOW_READS):
+            platform.write_version()
+            platform.wait_for_version(STABLE_S)
+            platform.store.mode = "busy"  # so that the router with the slow store reads
+            settle_before_losses()
+            platform.write_versions(4)
+            time.sleep(random.uniform(0.3, 1))
+            with slow.lock:
+                lost = platform.store.lose_newest(LOST_S)
+                slow.era = platform.store.era
+            for key, value in lost["keyed.op"]:
+                platform.store.put("keyed.op", key, value)
+            platform.store.mode = "ok"
+            for router in range(ROUTERS + 1):
+                f.wait_for(lambda: platform.metric(ERA_METRIC, router) >= platform.store.era,
+                           "the era at router %d" % router, STABLE_S)
+            platform.write_version()
+            platform.wait_for_version(STABLE_S)
+            for router in range(ROUTERS + 1):
+                era = platform.metric(ERA_METRIC, router)
+                check(era == platform.store.era, router, era, platform.store.era)
