--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -51,6 +51,12 @@
         for _ in range(count):
             self.write_version()
 
+    def write_versions_to_lose(self, count):
+        """Writes versions that all routers have in force, and that a copy LOST_S old lacks."""
+        settle_before_losses()
+        self.write_versions(count)
+        self.wait_for_version()
+
     def wait_for_version(self, limit_s=APPLY_S):
         for router in range(len(self.routers)):
             f.wait_for(lambda: self.metric("limpetroad_configuration_version", router)
@@ -239,9 +245,7 @@
     with CopiedStore() as platform:
         platform.write_version()
         platform.wait_for_version()
-        settle_before_losses()
-        platform.write_versions(3)
-        platform.wait_for_version()
+        platform.write_versions_to_lose(3)
         drill = threading.Thread(target=platform.store.play_drill, args=(LOST_S, 1.0),
                                  kwargs={"write": lambda: platform.write_versions(2)})
         drill.start()
@@ -254,9 +258,7 @@
 def test_routers_that_all_start_in_a_drill_follow():
     """Guards against a fleet that starts on the copy and stays with it."""
     with CopiedStore() as platform:
-        settle_before_losses()
-        platform.write_versions(3)
-        platform.wait_for_version()
+        platform.write_versions_to_lose(3)
         drill = threading.Thread(target=platform.store.play_drill, args=(LOST_S, 1.0),
                                  kwargs={"write": lambda: platform.write_versions(2)})
         drill.start()
@@ -275,9 +277,7 @@
 def test_a_history_that_is_dropped_in_a_drill_is_no_loss_more():
     """Guards against a 410 that hides the new era."""
     with CopiedStore() as platform:
-        settle_before_losses()
-        platform.write_versions(3)
-        platform.wait_for_version()
+        platform.write_versions_to_lose(3)
 
         def write_and_drop():
             platform.write_versions(2)
@@ -294,9 +294,7 @@
     with CopiedStore() as platform:
         platform.write_version()
         platform.wait_for_version()
-        settle_before_losses()
-        platform.write_versions(3)
-        platform.wait_for_version()
+        platform.write_versions_to_lose(3)
         platform.store.play_drill(LOST_S, AWAY_S)
         platform.write_versions(2)
         time.sleep(0.3)
