Test: responses without end are timed in a process of their own

Cause: the callers of the test, in Python, shared one interpreter with the stand-ins of two other cases. Evidence: [body], [chunks] and [chunk_size] beside two threads that compute in the same process fail alike (chunks 2.2 to 3.1 s, chunk_size 2.3 to 2.7 s instead of 0.7; 2 of 2 runs), and the log of the router has total_ms of 1,999 to 2,002 for each of these calls.

Change: the cases have a process of their own, like those of test_endless_bytes. Bounds and checks stay.

--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -7,7 +7,7 @@
 
 import fleet as f
 from platform_fake import Message, ROUTES, Platform, break_off, chunk, event, reset, route
-from run_all import table
+from run_all import own_process, table
 
 
 def check(condition, *details):
@@ -643,6 +643,7 @@
         ("event", "/stream/", RESPONSE_HEAD, chunk(b"x" * 60000)),
         ("event_lines", "/stream/", RESPONSE_HEAD, chunk(b"data: x\n" * 8000)),
         ("trailer", "/stream/", RESPONSE_HEAD, b"0\r\n" + b"X-Field: 1\r\n" * 5000)])
+@own_process
 def test_a_response_without_end(path, head, repeated):
     """Twenty callers get a final response in time, in bounded memory, and other requests are
     served meanwhile."""
