Watch: an end that routers have announced is not lowered by an outdated read

Cause: the end in a response replaced the known one unless other routers had told of a later one while the read was under way. That served stores that go back; since offsets have an era, an end only rises within one.

Ruled out: gossip (a read with an earlier end than the own one is not counted by its receivers already).

--- a/test/test_stale_reads.py
+++ b/test/test_stale_reads.py
@@ -19,14 +19,15 @@
 class StaleStore(Store):
     """Answers a part of the reads of a store by the records that it had STALE_S ago."""
 
-    def __init__(self, store, seed):
+    def __init__(self, store, seed, part=STALE_PART):
         super().__init__(store.topics)
         self.era, self.appended = store.era, store.appended
         self.rng = random.Random(seed)
+        self.part = part
         self.is_stale = False
 
     def respond(self, path, message):
-        if not self.is_stale or "/log-append" in path or self.rng.random() >= STALE_PART:
+        if not self.is_stale or "/log-append" in path or self.rng.random() >= self.part:
             return super().respond(path, message)
         topic = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(path).query))["topic"]
         with self.lock:
@@ -58,3 +59,17 @@
         series = DrillSeries(platform, seed, 0, 0, every_s=PLAY_S, drills=0)
         platform.store.is_stale = True
         series.play()
+
+
+@table([("no_eras", None), ("eras", 1)])
+def test_routers_that_get_stale_reads_only_follow_the_others(era):
+    """Guards against a stale read that counts for more than what other routers have announced."""
+    with CopiedStore(routers=ROUTERS // 2, era=era) as platform:
+        stale = StaleStore(platform.store, 1, part=1)
+        platform.second_store = stale
+        for _ in range(ROUTERS // 2):
+            platform.add_router(store=stale)
+        platform.wait_for_routers(ROUTERS)
+        series = DrillSeries(platform, 1, 0, 0, every_s=PLAY_S / 2, drills=0)
+        stale.is_stale = True
+        series.play()
