--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -136,6 +136,8 @@
         self.faults = []
         self.faulty_topic = "keyed.op"
         self.first = {}   # offset of the oldest readable record of each topic
+        self.page_keys = 0  # most keys of one response to log-newest; 0: all
+        self.on_next_page = None  # called once before the second page of a snapshot is made
         self.era = None   # the value of Store-Era in all responses; None: they have no such field
         self.names_era = lambda path: True  # whether the response to a request for path has it
         self.appended = {}  # times at which the records of each topic were appended
@@ -257,6 +259,9 @@
         url = urllib.parse.urlparse(path)
         query = dict(urllib.parse.parse_qsl(url.query))
         topic = query["topic"]
+        if self.on_next_page and "after" in query:
+            called, self.on_next_page = self.on_next_page, None
+            called()
         with self.lock:
             records = self.topics.get(topic, [])
             if url.path.endswith("/log-newest"):
@@ -264,8 +269,10 @@
                 for offset, (key, value) in enumerate(records):
                     newest[key] = (value, offset)
                 items = [{"key": k, "value": base64.b64encode(v).decode(), "offset": o}
-                         for k, (v, o) in newest.items() if v is not None]
-                return 200, json.dumps({"items": items, "truncated": False,
+                         for k, (v, o) in sorted(newest.items())
+                         if v is not None and k > query.get("after", "")]
+                page = items[:self.page_keys or len(items)]
+                return 200, json.dumps({"items": page, "truncated": len(page) < len(items),
                                         "end": len(records)}).encode()
             if url.path.endswith("/log-append"):
                 # A record: size (4 bytes, big-endian), length of the key (1 byte), key, value.
