--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -49,10 +49,10 @@
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
-/* Rate limits in a regular digest, and the number of loads that take as many bytes as all
+/* Rate limits in a regular digest, and the number of loads that take as many bytes as one
  * of them. */
 #define MAX_DIGEST_LIMITS 6
-#define LOADS_PER_LIMITS 14
+#define LOADS_PER_LIMIT 4
 /* Suspects in a regular digest, and the number of loads that take as many bytes
  * as one of them. */
 #define MAX_DIGEST_SUSPECTS 1
@@ -162,7 +162,7 @@
   gossip->random = g_rand_new_with_seed_array (seeds, 2);
   gossip->members = limpet_gossip_members_new (own_address);
   gossip->loads = limpet_gossip_loads_new ();
-  gossip->limits = limpet_gossip_limits_new ();
+  gossip->limits = limpet_gossip_limits_new (gossip->reader);
   gossip->clocks = limpet_gossip_clocks_new ();
   return gossip;
 }
@@ -840,10 +840,10 @@
       = gossip->relays ? RELAY_STATE__RELAYS : RELAY_STATE__DOES_NOT_RELAY;
   limpet_gossip_suspects_encode (&digest->suspects, records, suspects, now_ms,
                                  &digest->message);
-  if (limpet_gossip_limits_collect_next (gossip->limits, &digest->limits,
-                                         MAX_DIGEST_LIMITS, now_ms, &digest->message)
-      > 0)
-    replaced_loads += LOADS_PER_LIMITS;
+  replaced_loads += LOADS_PER_LIMIT
+                    * limpet_gossip_limits_collect_next (gossip->limits, &digest->limits,
+                                                         MAX_DIGEST_LIMITS, now_ms,
+                                                         &digest->message);
   if (gossip->origins != NULL)
     streams = limpet_gossip_streams_collect (gossip->origins, &digest->streams,
                                              &digest->message);
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -575,7 +575,7 @@
   (ProtobufCMessageInit) stream_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor target_limit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor target_limit__field_descriptors[7] =
 {
   {
     "target",
@@ -637,18 +637,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reporter",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, reporter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(TargetLimit, report),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned target_limit__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   1,   /* field[1] = lifted */
   2,   /* field[2] = per_s */
   4,   /* field[4] = refusals */
+  6,   /* field[6] = report */
+  5,   /* field[5] = reporter */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange target_limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor target_limit__descriptor =
 {
@@ -658,7 +684,7 @@
   "TargetLimit",
   "",
   sizeof(TargetLimit),
-  5,
+  7,
   target_limit__field_descriptors,
   target_limit__field_indices_by_name,
   1,  target_limit__number_ranges,
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -150,10 +150,18 @@
    */
   uint32_t age_ms;
   protobuf_c_boolean refusals;
+  /*
+   * start of the router that got the response; 0 from older builds
+   */
+  uint32_t reporter;
+  /*
+   * number of the response among the reporter's
+   */
+  uint32_t report;
 };
 #define TARGET_LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&target_limit__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  TargetRest
--- a/src/liblimpetroad/private/gossip_limits.h
+++ b/src/liblimpetroad/private/gossip_limits.h
@@ -9,7 +9,7 @@
 typedef struct LimpetGossipLimits LimpetGossipLimits;
 
 /* Most limits in one message, which keeps it within one packet. */
-#define LIMPET_GOSSIP_MAX_LIMITS 60
+#define LIMPET_GOSSIP_MAX_LIMITS 37
 
 /* The encoded limits of a message. */
 typedef struct
@@ -18,15 +18,17 @@
   TargetLimit *pointers[LIMPET_GOSSIP_MAX_LIMITS];
 } LimpetGossipEncodedLimits;
 
-LimpetGossipLimits *limpet_gossip_limits_new (void);
+/* The reporter identifies this start of the router in messages; not 0. */
+LimpetGossipLimits *limpet_gossip_limits_new (uint32_t reporter);
 void limpet_gossip_limits_delete (LimpetGossipLimits *limits);
 
 /* Stores a limit, or its end, from a response to this router. Returns whether other
  * routers have to be told. */
 bool limpet_gossip_limits_record_own (LimpetGossipLimits *limits,
                                       const LimpetGossipLimit *limit);
-/* Decodes a received limit. Stores it and returns true if it is newer than the known one.
- */
+/* Decodes a received limit. Stores it and returns true if it is newer than the known one
+ * and neither a copy of a report that has come before nor older than one from the same
+ * router. */
 bool limpet_gossip_limits_receive (LimpetGossipLimits *limits,
                                    const TargetLimit *received,
                                    LimpetMs now_ms,
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -3,8 +3,10 @@
 
 #include "limpetroad/backoff.h"
 #include "limpetroad/directory.h"
+#include "limpetroad/limits.h"
 #include "private/gossip.pb-c.h"
 #include "private/gossip_clocks.h"
+#include "private/gossip_limits.h"
 
 #include <glib.h>
 #include <string.h>
@@ -450,6 +452,206 @@
   router_count = ROUTERS;
 }
 
+/* Returns the time of the newest report of a limit that any router received in 60 s. One
+ * router named it at 5,000 ms; if is_lifted, another one reports its end 300 ms later. */
+static LimpetMs
+newest_limit_report_ms (LimpetMs delay_ms, bool is_lifted, bool is_of_refusals)
+{
+  int64_t end = 0;
+  LimpetMs newest_ms = 0;
+  LimpetGossipLimit limit = { .target_hash = BUSY_TARGET,
+                              .is_of_refusals = is_of_refusals,
+                              .is_set = true,
+                              .per_s = 1,
+                              .at_ms = 5000 };
+
+  start_routers (300);
+  run_fleet (1, 5000, &end, NULL);
+  routers[0].link_delay_ms = delay_ms;
+  limpet_gossip_publish_limit (routers[1].gossip, &limit);
+  run_fleet (5000, 5300, &end, NULL);
+  limit.is_set = false;
+  limit.at_ms = 5300;
+  if (is_lifted)
+    limpet_gossip_publish_limit (routers[2].gossip, &limit);
+  run_fleet (5300, 65000, &end, NULL);
+  for (uint32_t i = 0; i < router_count; i++)
+    {
+      const Router *router = &routers[i];
+      const LimpetGossipLimit *received
+          = is_of_refusals ? &router->refusal_limit : &router->limit;
+
+      newest_ms = MAX (newest_ms, received->at_ms);
+      if (i != (is_lifted ? 2 : 1))
+        CU_ASSERT_EQUAL (received->is_set, !is_lifted);
+    }
+  stop_routers ();
+  return newest_ms;
+}
+
+/* Guards against a fault: copies of a limit, or of its end, that came by a slow link
+ * counted as new reports, so that it did not expire. */
+static void
+test_slow_links_keep_no_limit_alive (void)
+{
+  router_count = 9;
+  for (LimpetMs delay_ms = 0; delay_ms <= 600; delay_ms += 150)
+    for (int kind = 0; kind < 4; kind++)
+      {
+        bool is_lifted = kind % 2 == 1;
+        LimpetMs newest_ms = newest_limit_report_ms (delay_ms, is_lifted, kind >= 2);
+
+        printf ("newest report of a limit%s%s, links of %ld ms: %ld ms\n",
+                kind >= 2 ? " of refusals" : "", is_lifted ? ", lifted" : "",
+                (long)delay_ms, (long)newest_ms);
+        CU_ASSERT_TRUE (newest_ms <= (is_lifted ? 5300 : 5000) + 2 * delay_ms + 100);
+      }
+  router_count = ROUTERS;
+}
+
+#define SLOW_LINK_MS 600
+
+/* Reports of a limit in one simulated fleet, by routers in turn from 5,000 to 6,000 ms.
+ */
+typedef struct
+{
+  uint32_t routers;
+  uint32_t slow_routers;
+  LimpetMs interval_ms;
+  bool changes; /* each names another limit */
+} LimitReports;
+
+/* Guards against a fault: copies of more reports than a router could tell apart replaced
+ * each other. A report looks newer by each slow router on its way. */
+static void
+test_slow_links_keep_none_of_many_limit_reports_alive (void)
+{
+  static const LimitReports cases[] = {
+    { 9, 1, 50, false },   { 9, 1, 50, true },   { 9, 3, 10, false },
+    { 9, 3, 10, true },    { 85, 9, 10, false }, { 85, 9, 10, true },
+    { 85, 40, 10, false }, { 85, 40, 10, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int64_t end = 0;
+      LimpetMs newest_ms = 0;
+      LimpetGossipLimit limit
+          = { .target_hash = BUSY_TARGET, .is_set = true, .per_s = 1, .at_ms = 5000 };
+
+      router_count = cases[i].routers;
+      start_routers (310);
+      run_fleet (1, 5000, &end, NULL);
+      for (uint32_t j = 0; j < cases[i].slow_routers; j++)
+        routers[j].link_delay_ms = SLOW_LINK_MS;
+      for (uint32_t j = 0; limit.at_ms < 6000; j++)
+        {
+          limit.per_s += cases[i].changes;
+          limpet_gossip_publish_limit (routers[j % router_count].gossip, &limit);
+          run_fleet (limit.at_ms, limit.at_ms + cases[i].interval_ms, &end, NULL);
+          limit.at_ms += cases[i].interval_ms;
+        }
+      run_fleet (6000, 80000, &end, NULL);
+      for (uint32_t j = 0; j < router_count; j++)
+        newest_ms = MAX (newest_ms, routers[j].limit.at_ms);
+      printf (
+          "newest of %ld reports of a limit until 6000 ms%s, %u of %u links of 600 ms: "
+          "%ld ms\n",
+          1000 / (long)cases[i].interval_ms, cases[i].changes ? ", which changes" : "",
+          cases[i].slow_routers, cases[i].routers, (long)newest_ms);
+      CU_ASSERT_TRUE (newest_ms <= 6000 + 2 * SLOW_LINK_MS * cases[i].slow_routers + 100);
+      stop_routers ();
+    }
+  router_count = ROUTERS;
+}
+
+/* Returns whether a received limit of 1 a second is taken over. */
+static bool
+takes_over (LimpetGossipLimits *limits,
+            uint32_t reporter,
+            uint32_t report,
+            LimpetMs at_ms)
+{
+  TargetLimit received = TARGET_LIMIT__INIT;
+  LimpetGossipLimit limit;
+
+  received.target = BUSY_TARGET;
+  received.per_s = 1;
+  received.reporter = reporter;
+  received.report = report;
+  return limpet_gossip_limits_receive (limits, &received, at_ms, &limit);
+}
+
+static void
+test_copies_of_a_limit_are_told_from_new_reports (void)
+{
+  LimpetGossipLimits *limits = limpet_gossip_limits_new (9);
+  LimpetGossipLimit own = { .target_hash = BUSY_TARGET, .is_set = true, .per_s = 1 };
+
+  CU_ASSERT_TRUE (takes_over (limits, 7, 1, 1000));
+  CU_ASSERT_FALSE (takes_over (limits, 7, 1, 2000));
+  CU_ASSERT_FALSE (takes_over (limits, 8, 4, 1100)); /* hardly newer; known from now on */
+  CU_ASSERT_FALSE (takes_over (limits, 8, 4, 2000));
+  CU_ASSERT_TRUE (takes_over (limits, 8, 5, 2000));
+  CU_ASSERT_TRUE (takes_over (limits, 7, 2, 3000));
+  own.at_ms = 4000;
+  limpet_gossip_limits_record_own (limits, &own);
+  CU_ASSERT_FALSE (takes_over (limits, 9, 1, 5000)); /* the own one comes back */
+  CU_ASSERT_FALSE (takes_over (limits, 8, 5, 5000));
+  /* After it has expired, a copy is still one, and a new report counts. */
+  CU_ASSERT_FALSE (takes_over (limits, 7, 2, 4000 + LIMPET_RATE_LIMIT_VALIDITY_MS + 100));
+  CU_ASSERT_TRUE (takes_over (limits, 7, 3, 4000 + LIMPET_RATE_LIMIT_VALIDITY_MS + 200));
+  limpet_gossip_limits_delete (limits);
+}
+
+/* They name no reporter: the time alone counts. */
+static void
+test_limits_from_older_builds_are_taken_over (void)
+{
+  LimpetGossipLimits *limits = limpet_gossip_limits_new (9);
+
+  CU_ASSERT_TRUE (takes_over (limits, 0, 0, 1000));
+  CU_ASSERT_FALSE (takes_over (limits, 0, 0, 1200));
+  CU_ASSERT_TRUE (takes_over (limits, 0, 0, 1201));
+  CU_ASSERT_TRUE (takes_over (limits, 7, 1, 2000));
+  CU_ASSERT_TRUE (takes_over (limits, 0, 0, 3000));
+  limpet_gossip_limits_delete (limits);
+}
+
+/* With numbers that take as many bytes as they can. */
+static void
+test_a_message_with_limits_fits_into_a_packet (void)
+{
+  LimpetGossipLimits *limits = limpet_gossip_limits_new (9);
+  LimpetGossipEncodedLimits encoded;
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+  uint32_t total = 0;
+  uint32_t count;
+
+  message.sender = message.zone = UINT32_MAX;
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      TargetLimit received = TARGET_LIMIT__INIT;
+      LimpetGossipLimit limit;
+
+      received.target = UINT32_MAX - i;
+      received.per_s = 1;
+      received.age_ms = LIMPET_RATE_LIMIT_VALIDITY_MS - 100;
+      received.refusals = true;
+      received.reporter = received.report = UINT32_MAX;
+      CU_ASSERT_TRUE (limpet_gossip_limits_receive (limits, &received, 100000, &limit));
+    }
+  while (
+      (count = limpet_gossip_limits_collect_changed (limits, &encoded, 100000, &message))
+      > 0)
+    {
+      total += count;
+      CU_ASSERT_TRUE (gossip_message__get_packed_size (&message) <= 1100);
+    }
+  CU_ASSERT_EQUAL (total, 200);
+  limpet_gossip_limits_delete (limits);
+}
+
 static void
 test_records_lost_in_gossip_are_read_from_the_store (void)
 {
@@ -707,5 +909,10 @@
   CU_ADD_TEST (suite, test_the_fastest_message_tells_another_clock);
   CU_ADD_TEST (suite, test_slow_links_make_no_read_newer);
   CU_ADD_TEST (suite, test_slow_links_keep_no_load_alive);
+  CU_ADD_TEST (suite, test_slow_links_keep_no_limit_alive);
+  CU_ADD_TEST (suite, test_slow_links_keep_none_of_many_limit_reports_alive);
+  CU_ADD_TEST (suite, test_copies_of_a_limit_are_told_from_new_reports);
+  CU_ADD_TEST (suite, test_limits_from_older_builds_are_taken_over);
+  CU_ADD_TEST (suite, test_a_message_with_limits_fits_into_a_packet);
   CU_ADD_TEST (suite, test_random_datagrams_are_handled_safely);
 }
--- a/src/test_liblimpetroad/fuzz_tests.c
+++ b/src/test_liblimpetroad/fuzz_tests.c
@@ -2,6 +2,7 @@
 
 #include "limpetroad/bundle_history.h"
 #include "limpetroad/gossip.h"
+#include "limpetroad/limits.h"
 #include "limpetroad/log_era.h"
 #include "limpetroad/topic_state.h"
 #include "cluster_state/peer.pb-c.h"
@@ -13,6 +14,7 @@
 #include "private/state_message.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #define ROUNDS 20000
@@ -311,6 +313,94 @@
   g_rand_free (random);
 }
 
+static const float odd_rates[]
+    = { 0, 1, -1, 1e-45f, 3.4e38f, (float)INFINITY, -(float)INFINITY, (float)NAN };
+static const uint32_t odd_reports[] = { 0, 1, 2, INT32_MAX, 1u << 31, UINT32_MAX };
+
+typedef struct
+{
+  LimpetMs now_ms;
+  uint32_t limits;
+  uint32_t bad_limits;
+  uint32_t bad_sends;
+} OddLimits;
+
+static void
+count_limit (void *user, const LimpetGossipLimit *limit)
+{
+  OddLimits *odd = user;
+
+  odd->limits++;
+  odd->bad_limits += !isfinite (limit->per_s) || limit->per_s < 0
+                     || limit->at_ms >= odd->now_ms
+                     || odd->now_ms - limit->at_ms > LIMPET_RATE_LIMIT_VALIDITY_MS;
+}
+
+static void
+check_sent_limits (void *user, uint32_t address, const uint8_t *data, size_t length)
+{
+  OddLimits *odd = user;
+  GossipMessage *message = gossip_message__unpack (NULL, length, data);
+
+  (void)address;
+  for (size_t i = 0; i < message->n_limits; i++)
+    odd->bad_sends += !isfinite (message->limits[i]->per_s)
+                      || message->limits[i]->per_s < 0
+                      || message->limits[i]->age_ms > LIMPET_RATE_LIMIT_VALIDITY_MS;
+  gossip_message__free_unpacked (message, NULL);
+}
+
+static void
+receive_odd_limit (LimpetGossip *gossip, GRand *random, LimpetMs now_ms)
+{
+  GossipMessage message = GOSSIP_MESSAGE__INIT;
+  TargetLimit limit = TARGET_LIMIT__INIT;
+  TargetLimit *limits[] = { &limit };
+  uint8_t bytes[128];
+  size_t length;
+
+  limit.target = PICK (random, odd_reports);
+  limit.lifted = g_rand_boolean (random);
+  limit.refusals = g_rand_boolean (random);
+  limit.per_s = PICK (random, odd_rates);
+  limit.age_ms = PICK (random, odd_ages);
+  limit.reporter = PICK (random, odd_reports);
+  limit.report = PICK (random, odd_reports);
+  message.sender = 2;
+  message.limits = limits;
+  message.n_limits = 1;
+  length = gossip_message__pack (&message, bytes);
+  limpet_gossip_receive (gossip, 2, bytes, length, now_ms, now_ms);
+}
+
+/* Neither a limit that is no number nor an expired one goes on from there. */
+static void
+test_odd_limits_are_handled_safely (void)
+{
+  static const LimpetGossipOps ops = { .send = check_sent_limits,
+                                       .on_batch = count_batch,
+                                       .on_load = ignore_load,
+                                       .on_limit = count_limit };
+  GRand *random = g_rand_new_with_seed (SEED);
+  OddLimits odd = { 0 };
+
+  for (int i = 0; i < ROUNDS / 20; i++)
+    {
+      LimpetGossip *gossip = limpet_gossip_new (&ops, &odd, 1, (uint64_t)i);
+
+      for (odd.now_ms = 50000; odd.now_ms < 150000; odd.now_ms += 2500)
+        {
+          receive_odd_limit (gossip, random, odd.now_ms);
+          limpet_gossip_tick (gossip, odd.now_ms);
+        }
+      limpet_gossip_delete (gossip);
+    }
+  CU_ASSERT_TRUE (odd.limits > 0);
+  CU_ASSERT_EQUAL (odd.bad_limits, 0);
+  CU_ASSERT_EQUAL (odd.bad_sends, 0);
+  g_rand_free (random);
+}
+
 /* Changes one byte of a written state in half of the rounds, else one of the message. */
 static bool
 read_odd_message (const GString *state, int version, bool in_header, GRand *random)
@@ -391,5 +481,6 @@
   CU_add_test (suite, "corrupted topic states are handled safely",
                test_corrupted_topic_states_are_handled_safely);
   CU_ADD_TEST (suite, test_odd_topic_updates_are_handled_safely);
+  CU_ADD_TEST (suite, test_odd_limits_are_handled_safely);
   CU_ADD_TEST (suite, test_corrupted_state_messages_are_handled_safely);
 }
