Eras: a late response that does not tell its era counts as outdated

A router that had heard of a new era from another one, and had got a response since, took a response to a call begun before for one of the new era, if the store names none or a lower one than the routers count.

Cause: the number that goes with a name was that of the last response. Change: a response to a call begun before the era was known counts only if its name tells that it is of that era.

--- a/src/liblimpetroad/cluster_state/log_era.c
+++ b/src/liblimpetroad/cluster_state/log_era.c
@@ -40,6 +40,13 @@
   return named == LIMPET_LOG_NO_ERA ? named : named % LIMPET_LOG_ERA_MODULUS;
 }
 
+/* Returns whether what a response names tells that it stems from the newest known era. */
+static bool
+names_newest (const LimpetLogEra *era, int64_t named)
+{
+  return named != LIMPET_LOG_NO_ERA && named % LIMPET_LOG_ERA_MODULUS >= era->number;
+}
+
 LimpetLogEraNews
 limpet_log_era_record (LimpetLogEra *era,
                        int64_t named,
@@ -52,7 +59,7 @@
 
   if (!is_first && named == LIMPET_LOG_NO_ERA && era->named != LIMPET_LOG_NO_ERA)
     return LIMPET_LOG_ERA_SAME; /* it does not say that another one has begun */
-  if (called_ms <= era->since_ms && number < era->number)
+  if (called_ms <= era->since_ms && era->number > 0 && !names_newest (era, named))
     return LIMPET_LOG_ERA_OUTDATED;
   if (number > era->number)
     set_number (era, number, now_ms);
