Bundles: rolls at offsets that the log gives out again come into force

Seen by callers and operators of the own interface, if the log comes back from a copy without its newest records: limpetctl reports a roll as done, but no router puts it in force, nor any later one that is built on it; a bundle that the copy lacks is in force until the routers start again, and then nowhere.

Cause: a router asks for what follows its own offset and did not compare it with the log's end, so it skips what stands below. A roll at an offset not above the version in force counted as a duplicate, and a draft on the version that the copy has as outdated. Once new records had passed the old offset, changes were applied to a parent that is not theirs.

Ruled out: versions that are positions with an era. Whoever reads the log later, limpetctl too, cannot tell in which era a record was written, and would number the same rolls otherwise than routers that run on. The version follows from the records alone: the offset of the roll, or one more than its parent if that is higher.

The bundle in force stays so; a record of the new type "restoration" puts it into the log again, or, if the log has a later roll, gives that one a version above all lost ones. A restoration names the version that it replaces, so that it cannot supersede a roll appended just before it. limpetctl roll prints the version, and rollback looks for a version in place of an offset. The log's stand-in can lose its newest records of bundles and name any era.

--- a/include/limpetroad/bundle.h
+++ b/include/limpetroad/bundle.h
@@ -74,7 +74,7 @@
 /** A bundle. Its typed fields are valid after limpet_bundle_check(). */
 struct LimpetBundle
 {
-  int64_t version; /**< offset of its roll record in the log; 0 if not rolled yet */
+  int64_t version; /**< see limpetroad/bundle_history.h; 0 if not rolled yet */
   char root[LIMPET_HASH_HEX_SIZE]; /**< BLAKE2b-256 of all parts, in hexadecimal */
   LimpetPart *parts;               /**< ordered by name */
   uint32_t parts_count;
--- a/include/limpetroad/bundle_history.h
+++ b/include/limpetroad/bundle_history.h
@@ -17,8 +17,13 @@
  *  repeats the bundle in force in full. Replay is deterministic, so every reader of the
  *  same records gets the same result: a roll is effective if its draft is approved and
  *  the parent of the draft is the bundle in force. Of several such rolls with the same
- *  parent, the one with the lowest offset is therefore effective. The version only
- *  increases.
+ *  parent, the one with the lowest offset is therefore effective.
+ *
+ *  The version only increases. It is the offset of the roll, or one more than the parent
+ *  if the offset is not higher: a log that lost its newest records gives out their
+ *  offsets again. A restoration record names the version that it replaces, and has an
+ *  effect only while this is in force. It puts in force a bundle that the log lost, or
+ *  gives the bundle in force a version that is higher than all lost ones.
  *
  *  A history is not thread-safe.
  */
@@ -36,6 +41,7 @@
   LIMPET_BUNDLE_EVENT_APPROVED,   /**< a valid approval was added */
   LIMPET_BUNDLE_EVENT_ROLLED,     /**< a new bundle is in force */
   LIMPET_BUNDLE_EVENT_CHECKPOINT, /**< the bundle of a checkpoint is in force */
+  LIMPET_BUNDLE_EVENT_RESTORED,   /**< the bundle of a restoration is in force */
   LIMPET_BUNDLE_EVENT_REJECTED,   /**< no effect; the error contains the reason */
   LIMPET_BUNDLE_EVENT_GAP, /**< no effect: parent missing; request it from a peer */
   LIMPET_BUNDLE_EVENT_COUNT
@@ -111,6 +117,13 @@
                                              LimpetPart **changes,
                                              uint32_t *count);
 
+/** Returns the wall-clock time at which the log appended the roll of the bundle in force;
+ *  0 if it was not read from the log. */
+LimpetMs limpet_bundle_history_roll_time (const LimpetBundleHistory *history);
+/** Returns whether both histories have the same bundle in force, under any version. */
+bool limpet_bundle_history_same_bundle (const LimpetBundleHistory *history,
+                                        const LimpetBundleHistory *other);
+
 /** Returns the number of rolled bundles in the history. */
 uint32_t limpet_bundle_history_length (const LimpetBundleHistory *history);
 /** Returns the rolled bundle at \p index, owned by the history; 0 is the oldest. */
@@ -150,5 +163,10 @@
                                      const char *signature);
 char *limpet_bundle_format_roll (const char *id, const char *by);
 char *limpet_bundle_format_checkpoint (const LimpetBundleHistory *history);
+/** The record puts the bundle in force of \p history in force as \p version, in place of
+ *  \p base_version. */
+char *limpet_bundle_format_restoration (const LimpetBundleHistory *history,
+                                        int64_t version,
+                                        int64_t base_version);
 
 #endif
--- a/include/limpetroad/log_client.h
+++ b/include/limpetroad/log_client.h
@@ -2,6 +2,7 @@
 #define LIMPETROAD_LOG_CLIENT_H
 
 #include "limpetroad/clock.h"
+#include "limpetroad/log_era.h"
 #include "limpetroad/status.h"
 
 #include <stddef.h>
@@ -33,6 +34,8 @@
   uint32_t count;
   int64_t first_offset; /**< oldest retained offset; next_offset if there is none */
   int64_t next_offset;  /**< offset of the next record to be appended */
+  int64_t era;          /**< era that the log names, or LIMPET_LOG_NO_ERA */
+  bool era_is_invalid;  /**< the log names what is no era; era is LIMPET_LOG_NO_ERA */
 } LimpetLogBatch;
 
 /** Operations of a log client. */
--- a/src/liblimpetroad/log_state/bundle_history.c
+++ b/src/liblimpetroad/log_state/bundle_history.c
@@ -10,6 +10,8 @@
 /* Limits a history, and how far back limpet_bundle_history_changes_since() reaches. */
 #define MAX_ROLLED_BUNDLES 64
 #define MAX_DRAFTS 256
+/* One more is the version of a successor. */
+#define MAX_OFFSET (INT64_MAX - 1)
 
 const char *const limpet_bundle_event_string[LIMPET_BUNDLE_EVENT_COUNT] = {
   [LIMPET_BUNDLE_EVENT_NONE] = "none",
@@ -17,6 +19,7 @@
   [LIMPET_BUNDLE_EVENT_APPROVED] = "approved",
   [LIMPET_BUNDLE_EVENT_ROLLED] = "rolled",
   [LIMPET_BUNDLE_EVENT_CHECKPOINT] = "checkpoint",
+  [LIMPET_BUNDLE_EVENT_RESTORED] = "restored",
   [LIMPET_BUNDLE_EVENT_REJECTED] = "rejected",
   [LIMPET_BUNDLE_EVENT_GAP] = "gap",
 };
@@ -43,6 +46,9 @@
   GPtrArray *rolled; /* of LimpetRolledBundle, oldest first */
   LimpetBundle *current;
   LimpetBundleProof proof;
+  /* Records up to this offset were considered when the bundle came into force. */
+  int64_t in_force_offset;
+  LimpetMs roll_time_ms; /* of the bundle in force; 0 if it was not read from the log */
 };
 
 /* Parsed fields of a record. Each type of record uses some of them. */
@@ -51,6 +57,7 @@
   char id[LIMPET_HASH_HEX_SIZE];
   int64_t version;
   int64_t parent;
+  int64_t base;
   char root[LIMPET_HASH_HEX_SIZE];
   char author[LIMPET_NAME_SIZE];
   char approver[LIMPET_NAME_SIZE];
@@ -70,7 +77,7 @@
   }
 #define OFFSET_FIELD(key_, member_)                                                      \
   {                                                                                      \
-    key_, LIMPET_FIELD_INT, offsetof (RecordFields, member_), true, 0, INT64_MAX, NULL   \
+    key_, LIMPET_FIELD_INT, offsetof (RecordFields, member_), true, 0, MAX_OFFSET, NULL  \
   }
 
 static const LimpetField draft_fields[] = {
@@ -98,15 +105,26 @@
   { .key = NULL },
 };
 
+/* clang-format off */
+#define CHECKPOINT_FIELDS                                                                \
+  CUSTOM_FIELD ("type"),                                                                 \
+  OFFSET_FIELD ("version", version),                                                     \
+  OFFSET_FIELD ("parent", parent),                                                       \
+  TEXT_FIELD ("root", LIMPET_FIELD_HEX, root),                                           \
+  TEXT_FIELD ("author", LIMPET_FIELD_NAME, author),                                      \
+  TEXT_FIELD ("approver", LIMPET_FIELD_NAME, approver),                                  \
+  TEXT_FIELD ("signature", LIMPET_FIELD_STRING, signature),                              \
+  CUSTOM_FIELD ("changes")
+/* clang-format on */
+
 static const LimpetField checkpoint_fields[] = {
-  CUSTOM_FIELD ("type"),
-  OFFSET_FIELD ("version", version),
-  OFFSET_FIELD ("parent", parent),
-  TEXT_FIELD ("root", LIMPET_FIELD_HEX, root),
-  TEXT_FIELD ("author", LIMPET_FIELD_NAME, author),
-  TEXT_FIELD ("approver", LIMPET_FIELD_NAME, approver),
-  TEXT_FIELD ("signature", LIMPET_FIELD_STRING, signature),
-  CUSTOM_FIELD ("changes"),
+  CHECKPOINT_FIELDS,
+  { .key = NULL },
+};
+
+static const LimpetField restoration_fields[] = {
+  CHECKPOINT_FIELDS,
+  OFFSET_FIELD ("base", base),
   { .key = NULL },
 };
 
@@ -165,6 +183,26 @@
   return &history->proof;
 }
 
+LimpetMs
+limpet_bundle_history_roll_time (const LimpetBundleHistory *history)
+{
+  return history->roll_time_ms;
+}
+
+static bool
+proves_same_bundle (const LimpetBundleProof *a, const LimpetBundleProof *b)
+{
+  return a->parent == b->parent && strcmp (a->root, b->root) == 0
+         && strcmp (a->author, b->author) == 0;
+}
+
+bool
+limpet_bundle_history_same_bundle (const LimpetBundleHistory *history,
+                                   const LimpetBundleHistory *other)
+{
+  return proves_same_bundle (&history->proof, &other->proof);
+}
+
 uint32_t
 limpet_bundle_history_length (const LimpetBundleHistory *history)
 {
@@ -434,10 +472,9 @@
   LimpetBundle *bundle;
   LimpetBundleProof proof;
 
-  if (offset <= history->current->version)
-    return LIMPET_BUNDLE_EVENT_NONE;
   if (draft == NULL || draft->parent < history->current->version)
-    return reject_roll (history, fields->id, error);
+    return offset <= history->in_force_offset ? LIMPET_BUNDLE_EVENT_NONE
+                                              : reject_roll (history, fields->id, error);
   if (draft->parent > history->current->version)
     {
       limpet_error_set (error, LIMPET_STATUS_NOT_FOUND, "roll", NULL,
@@ -455,12 +492,17 @@
                          draft->root, error);
   if (bundle == NULL)
     return LIMPET_BUNDLE_EVENT_REJECTED;
-  proof = (LimpetBundleProof){ .version = offset, .parent = draft->parent };
+  proof = (LimpetBundleProof){
+    .version = MAX (offset, draft->parent + 1),
+    .parent = draft->parent,
+  };
   g_strlcpy (proof.root, draft->root, sizeof proof.root);
   g_strlcpy (proof.author, draft->author, sizeof proof.author);
   g_strlcpy (proof.approver, draft->approver, sizeof proof.approver);
   g_strlcpy (proof.signature, draft->signature, sizeof proof.signature);
   put_in_force (history, bundle, &proof);
+  history->in_force_offset = offset;
+  history->roll_time_ms = time_ms;
   add_rolled (history, fields->by, draft->note, time_ms, draft->changes,
               draft->changes_count);
   remove_stale_drafts (history);
@@ -513,29 +555,39 @@
   if (bundle == NULL)
     return LIMPET_STATUS_INVALID;
   put_in_force (history, bundle, proof);
+  history->in_force_offset = MAX (history->in_force_offset, proof->version);
+  history->roll_time_ms = 0;
   g_ptr_array_set_size (history->rolled, 0);
   add_rolled (history, "another holder", "", 0, changes, changes_count);
   remove_stale_drafts (history);
   return LIMPET_STATUS_OK;
 }
 
+static LimpetBundleProof
+read_proof (const RecordFields *fields)
+{
+  LimpetBundleProof proof = { .version = fields->version, .parent = fields->parent };
+
+  g_strlcpy (proof.root, fields->root, sizeof proof.root);
+  g_strlcpy (proof.author, fields->author, sizeof proof.author);
+  g_strlcpy (proof.approver, fields->approver, sizeof proof.approver);
+  g_strlcpy (proof.signature, fields->signature, sizeof proof.signature);
+  return proof;
+}
+
 static LimpetBundleEvent
 apply_checkpoint (LimpetBundleHistory *history,
                   json_object *record,
                   const RecordFields *fields,
                   LimpetError *error)
 {
-  LimpetBundleProof proof = { .version = fields->version, .parent = fields->parent };
+  LimpetBundleProof proof = read_proof (fields);
   LimpetPart *changes = NULL;
   uint32_t count = 0;
   LimpetBundleEvent event = LIMPET_BUNDLE_EVENT_REJECTED;
 
   if (fields->version <= history->current->version)
     return LIMPET_BUNDLE_EVENT_NONE;
-  g_strlcpy (proof.root, fields->root, sizeof proof.root);
-  g_strlcpy (proof.author, fields->author, sizeof proof.author);
-  g_strlcpy (proof.approver, fields->approver, sizeof proof.approver);
-  g_strlcpy (proof.signature, fields->signature, sizeof proof.signature);
   if (read_changes (record, &changes, &count, error) == LIMPET_STATUS_OK
       && limpet_bundle_history_adopt (history, &proof, 0, changes, count, error)
              == LIMPET_STATUS_OK)
@@ -544,6 +596,47 @@
   return event;
 }
 
+/* Gives the bundle in force a higher version. */
+static LimpetBundleEvent
+raise_version (LimpetBundleHistory *history, int64_t version, LimpetError *error)
+{
+  LimpetBundleProof proof = history->proof;
+  LimpetBundle *bundle = build_bundle (history->current, NULL, 0, proof.root, error);
+  LimpetRolledBundle *last;
+
+  if (bundle == NULL)
+    return LIMPET_BUNDLE_EVENT_REJECTED;
+  proof.version = version;
+  put_in_force (history, bundle, &proof);
+  last = g_ptr_array_index (history->rolled, history->rolled->len - 1);
+  last->proof = proof;
+  remove_stale_drafts (history);
+  return LIMPET_BUNDLE_EVENT_RESTORED;
+}
+
+static LimpetBundleEvent
+apply_restoration (LimpetBundleHistory *history,
+                   int64_t offset,
+                   json_object *record,
+                   const RecordFields *fields,
+                   LimpetError *error)
+{
+  LimpetBundleProof proof = read_proof (fields);
+  LimpetBundleEvent event;
+
+  if (fields->base != history->current->version || fields->version <= fields->base)
+    return LIMPET_BUNDLE_EVENT_NONE;
+  if (fields->base > 0 && proves_same_bundle (&proof, &history->proof))
+    event = raise_version (history, fields->version, error);
+  else
+    event = apply_checkpoint (history, record, fields, error);
+  if (event == LIMPET_BUNDLE_EVENT_CHECKPOINT)
+    event = LIMPET_BUNDLE_EVENT_RESTORED;
+  if (event == LIMPET_BUNDLE_EVENT_RESTORED)
+    history->in_force_offset = offset;
+  return event;
+}
+
 static LimpetBundleEvent
 apply_record (LimpetBundleHistory *history,
               int64_t offset,
@@ -581,6 +674,13 @@
                  ? apply_checkpoint (history, record, fields, error)
                  : LIMPET_BUNDLE_EVENT_REJECTED;
     }
+  if (g_strcmp0 (type, "restoration") == 0)
+    {
+      status = limpet_schema_read (record, restoration_fields, fields, "record", error);
+      return status == LIMPET_STATUS_OK
+                 ? apply_restoration (history, offset, record, fields, error)
+                 : LIMPET_BUNDLE_EVENT_REJECTED;
+    }
   limpet_error_set (error, LIMPET_STATUS_INVALID, "bundle", NULL,
                     "record.type: unknown value");
   return LIMPET_BUNDLE_EVENT_REJECTED;
--- a/src/liblimpetroad/log_state/bundle_record.c
+++ b/src/liblimpetroad/log_state/bundle_record.c
@@ -128,14 +128,14 @@
   return serialize_and_free (record);
 }
 
-char *
-limpet_bundle_format_checkpoint (const LimpetBundleHistory *history)
+static json_object *
+new_full_record (const char *type, const LimpetBundleHistory *history, int64_t version)
 {
   const LimpetBundle *bundle = limpet_bundle_history_current (history);
   const LimpetBundleProof *proof = limpet_bundle_history_proof (history);
-  json_object *record = new_record ("checkpoint");
+  json_object *record = new_record (type);
 
-  json_object_object_add (record, "version", json_object_new_int64 (proof->version));
+  json_object_object_add (record, "version", json_object_new_int64 (version));
   json_object_object_add (record, "parent", json_object_new_int64 (proof->parent));
   add_string (record, "root", proof->root);
   add_string (record, "author", proof->author);
@@ -143,5 +143,24 @@
   add_string (record, "signature", proof->signature);
   json_object_object_add (record, "changes",
                           parts_to_json (bundle->parts, bundle->parts_count));
+  return record;
+}
+
+char *
+limpet_bundle_format_checkpoint (const LimpetBundleHistory *history)
+{
+  int64_t version = limpet_bundle_history_current (history)->version;
+
+  return serialize_and_free (new_full_record ("checkpoint", history, version));
+}
+
+char *
+limpet_bundle_format_restoration (const LimpetBundleHistory *history,
+                                  int64_t version,
+                                  int64_t base_version)
+{
+  json_object *record = new_full_record ("restoration", history, version);
+
+  json_object_object_add (record, "base", json_object_new_int64 (base_version));
   return serialize_and_free (record);
 }
--- a/src/liblimpetroad/log_state/log_client.c
+++ b/src/liblimpetroad/log_state/log_client.c
@@ -79,6 +79,20 @@
   return status;
 }
 
+static void
+read_era (json_object *root, LimpetLogBatch *batch)
+{
+  json_object *era = NULL;
+
+  batch->era = LIMPET_LOG_NO_ERA;
+  if (!json_object_object_get_ex (root, "era", &era))
+    return;
+  batch->era_is_invalid
+      = !json_object_is_type (era, json_type_int) || json_object_get_int64 (era) < 0;
+  if (!batch->era_is_invalid)
+    batch->era = json_object_get_int64 (era);
+}
+
 static void
 read_records (json_object *root, LimpetLogBatch *batch)
 {
@@ -130,7 +144,10 @@
   if (status == LIMPET_STATUS_OK)
     status = parse_response (self, &response, "read", &root, error);
   if (status == LIMPET_STATUS_OK)
-    read_records (root, batch);
+    {
+      read_era (root, batch);
+      read_records (root, batch);
+    }
   json_object_put (root);
   g_free (url);
   return status;
--- a/src/limpetctl/bundle_commands.c
+++ b/src/limpetctl/bundle_commands.c
@@ -254,6 +254,10 @@
   json_object_object_add (object, "event",
                           json_object_new_string (limpet_bundle_event_string[event]));
   json_object_object_add (object, "offset", json_object_new_int64 (offset));
+  if (event == LIMPET_BUNDLE_EVENT_ROLLED)
+    json_object_object_add (
+        object, "version",
+        json_object_new_int64 (limpet_bundle_history_current (ctl->history)->version));
   ctl_print (ctl, object);
   return CTL_EXIT_OK;
 }
@@ -404,8 +408,6 @@
   return exit_code;
 }
 
-/* The version of a bundle is the offset of the record that put it in force, so the replay
- * up to this offset restores the bundle. */
 int
 ctl_rollback (Ctl *ctl, char **arguments)
 {
@@ -416,7 +418,7 @@
 
   if (!require_option (ctl->author, "--author"))
     return CTL_EXIT_USAGE;
-  if (ctl_replay (ctl, version, &error) != LIMPET_STATUS_OK)
+  if (ctl_replay_to_version (ctl, version, &error) != LIMPET_STATUS_OK)
     return ctl_report_error (&error);
   old_bundle = limpet_bundle_history_current (ctl->history);
   if (version <= 0 || old_bundle->version != version)
--- a/src/limpetctl/ctl.h
+++ b/src/limpetctl/ctl.h
@@ -55,6 +55,8 @@
 /* Applies the records of the bundle stream to the history: those up to and including
  * until_offset, or all if it is 0. */
 LimpetStatus ctl_replay (Ctl *ctl, int64_t until_offset, LimpetError *error);
+/* Likewise, until a version is in force, or all if it never is. */
+LimpetStatus ctl_replay_to_version (Ctl *ctl, int64_t version, LimpetError *error);
 
 int ctl_keygen (Ctl *ctl, char **arguments);
 int ctl_peer_keygen (Ctl *ctl, char **arguments);
--- a/src/limpetctl/main.c
+++ b/src/limpetctl/main.c
@@ -74,8 +74,10 @@
   json_object_put (object);
 }
 
-LimpetStatus
-ctl_replay (Ctl *ctl, int64_t until_offset, LimpetError *error)
+/* Applies records up to and including until_offset, or until until_version is in force;
+ * 0 for no such limit. */
+static LimpetStatus
+replay (Ctl *ctl, int64_t until_offset, int64_t until_version, LimpetError *error)
 {
   LimpetLogBatch batch;
   LimpetStatus status;
@@ -92,7 +94,10 @@
         {
           const LimpetLogRecord *record = &batch.records[i];
 
-          if (until_offset != 0 && record->offset > until_offset)
+          if ((until_offset != 0 && record->offset > until_offset)
+              || (until_version != 0
+                  && limpet_bundle_history_current (ctl->history)->version
+                         == until_version))
             {
               has_more = false;
               break;
@@ -106,6 +111,18 @@
   return LIMPET_STATUS_OK;
 }
 
+LimpetStatus
+ctl_replay (Ctl *ctl, int64_t until_offset, LimpetError *error)
+{
+  return replay (ctl, until_offset, 0, error);
+}
+
+LimpetStatus
+ctl_replay_to_version (Ctl *ctl, int64_t version, LimpetError *error)
+{
+  return replay (ctl, 0, version, error);
+}
+
 static char *
 describe_commands (void)
 {
--- a/src/limpetfake/log.c
+++ b/src/limpetfake/log.c
@@ -33,6 +33,7 @@
   FakeOptions options;
   bool down;        /* respond with 503, without appending or reading */
   int lose_answers; /* number of upcoming appends that are stored but get no response */
+  char *era;        /* JSON value that reads name as the log's era; NULL for none */
   LimpetMs window_start_ms;
   int window_appends;
   int64_t appends_total;
@@ -154,6 +155,8 @@
   json_object_object_add (response, "first", json_object_new_int64 (first));
   json_object_object_add (response, "next", json_object_new_int64 (stream->next_offset));
   json_object_object_add (response, "records", array);
+  if (state.era != NULL)
+    json_object_object_add (response, "era", json_tokener_parse (state.era));
   return response;
 }
 
@@ -197,10 +200,20 @@
   return read_records (connection, name);
 }
 
-/* Goes on from a copy that lacks the newest count records of each stream but that of the
- * bundles; their offsets are given out again. */
 static void
-lose_newest_locked (guint count)
+lose_newest_of (Stream *stream, guint count)
+{
+  guint lost = MIN (count, stream->records->len);
+
+  g_ptr_array_set_size (stream->records, (gint)(stream->records->len - lost));
+  stream->next_offset -= lost;
+}
+
+/* Goes on from a copy that lacks the newest bundle_records records of the stream of the
+ * bundles and the newest other_records of each other stream; their offsets are given out
+ * again. */
+static void
+lose_newest_locked (guint bundle_records, guint other_records)
 {
   GHashTableIter iter;
   gpointer name;
@@ -208,15 +221,20 @@
 
   g_hash_table_iter_init (&iter, state.streams);
   while (g_hash_table_iter_next (&iter, &name, &value))
-    {
-      Stream *stream = value;
-      guint lost = MIN (count, stream->records->len);
+    lose_newest_of (value, strcmp (name, LIMPET_BUNDLE_STREAM) == 0 ? bundle_records
+                                                                    : other_records);
+}
 
-      if (strcmp (name, LIMPET_BUNDLE_STREAM) == 0)
-        continue;
-      g_ptr_array_set_size (stream->records, (gint)(stream->records->len - lost));
-      stream->next_offset -= lost;
-    }
+/* Sets the era that reads name from now on, if the fault has one; null names none. */
+static void
+set_era_locked (json_object *fault)
+{
+  json_object *era = NULL;
+
+  if (!json_object_object_get_ex (fault, "era", &era))
+    return;
+  g_free (state.era);
+  state.era = era != NULL ? g_strdup (json_object_to_json_string (era)) : NULL;
 }
 
 static int
@@ -242,7 +260,9 @@
           g_ptr_array_set_size (((Stream *)stream)->records, 0);
         }
     }
-  lose_newest_locked ((guint)fake_number (fault, "lose_newest", 0));
+  lose_newest_locked ((guint)fake_number (fault, "lose_newest_bundles", 0),
+                      (guint)fake_number (fault, "lose_newest", 0));
+  set_era_locked (fault);
   pthread_cond_broadcast (&state.appended);
   pthread_mutex_unlock (&state.lock);
   json_object_put (fault);
--- a/src/test_liblimpetroad/bundle_tests.c
+++ b/src/test_liblimpetroad/bundle_tests.c
@@ -121,6 +121,56 @@
                    LIMPET_BUNDLE_EVENT_ROLLED);
 }
 
+/* A log that lost its newest records gives out their offsets again. */
+static void
+test_rolls_below_the_version_in_force_raise_it (void)
+{
+  Fixture fixture;
+
+  set_up (&fixture);
+  roll (&fixture, 1, 10);
+  CU_ASSERT_EQUAL (
+      apply (&fixture, 4, limpet_bundle_format_restoration (fixture.history, 20, 3)),
+      LIMPET_BUNDLE_EVENT_RESTORED);
+  CU_ASSERT_EQUAL (current_version (&fixture), 20);
+  roll (&fixture, 5, 20);
+  CU_ASSERT_EQUAL (current_version (&fixture), 21);
+  CU_ASSERT_EQUAL (limpet_bundle_history_proof (fixture.history)->parent, 20);
+  roll (&fixture, 28, 30);
+  CU_ASSERT_EQUAL (current_version (&fixture), 30);
+  limpet_bundle_history_delete (fixture.history);
+}
+
+/* Guards against a restoration that supersedes a roll appended just before it. */
+static void
+test_a_restoration_has_no_effect_on_another_version_than_its_base (void)
+{
+  Fixture fixture;
+  LimpetBundleHistory *copy;
+  char *lost;
+  char id[LIMPET_HASH_HEX_SIZE];
+
+  set_up (&fixture);
+  roll (&fixture, 1, 10);
+  copy = limpet_bundle_history_new (&fixture.settings);
+  lost = limpet_bundle_format_checkpoint (fixture.history);
+  CU_ASSERT_EQUAL (limpet_bundle_history_apply (copy, 1, 1, lost, strlen (lost), NULL),
+                   LIMPET_BUNDLE_EVENT_CHECKPOINT);
+  g_free (lost);
+  roll (&fixture, 4, 20);
+  roll (&fixture, 7, 30);
+  lost = limpet_bundle_format_restoration (fixture.history, 9, 3);
+  limpet_bundle_history_delete (fixture.history);
+  fixture.history = copy;
+  draft_and_approve (&fixture, 2, 40, id);
+  CU_ASSERT_EQUAL (apply (&fixture, 4, limpet_bundle_format_roll (id, "b")),
+                   LIMPET_BUNDLE_EVENT_ROLLED);
+  CU_ASSERT_EQUAL (apply (&fixture, 5, g_strdup (lost)), LIMPET_BUNDLE_EVENT_NONE);
+  CU_ASSERT_EQUAL (current_version (&fixture), 4);
+  g_free (lost);
+  limpet_bundle_history_delete (fixture.history);
+}
+
 /* The second update has only the part that differs from the version of the outdated
  * history. */
 static void
@@ -231,6 +281,10 @@
                test_only_the_first_roll_on_a_parent_takes_effect);
   CU_add_test (suite, "changes update an outdated history",
                test_changes_update_an_outdated_history);
+  CU_add_test (suite, "rolls below the version in force raise it",
+               test_rolls_below_the_version_in_force_raise_it);
+  CU_add_test (suite, "a restoration has no effect on another version than its base",
+               test_a_restoration_has_no_effect_on_another_version_than_its_base);
   CU_add_test (suite, "an old bundle with a raised version is rejected",
                test_an_old_bundle_with_a_raised_version_is_rejected);
   CU_add_test (suite, "a checkpoint replaces missing records",
