Bundles: one from a peer that the log lost before it was read is superseded

Seen by operators of the own interface: a router that could not read the log for a while, and got its bundle from a peer meanwhile, stays on that bundle for good if the log loses it: all later rolls are rejected there.

Cause: the router's history of the log took the peer's bundle in, so a roll that follows the log's own last bundle no longer fitted. The router's read position lies before the loss, so it has none to notice.

Ruled out: the era and the newest known record; both are as before at the router's own position.

Change: a bundle from a peer is kept beside the history of the log, as a bundle is after a loss that was noticed, until the log has it or a higher version.

--- a/include/limpetroad/bundle_history.h
+++ b/include/limpetroad/bundle_history.h
@@ -78,6 +78,10 @@
 
 /** Returns an empty history. The approval rules in \p settings are copied. */
 LimpetBundleHistory *limpet_bundle_history_new (const LimpetSettings *settings);
+/** Returns a history that has the bundle in force of \p history, without its roll. */
+LimpetBundleHistory *
+limpet_bundle_history_new_in_force (const LimpetSettings *settings,
+                                    const LimpetBundleHistory *history);
 /** Frees the history and releases its bundle. \p history may be NULL. */
 void limpet_bundle_history_delete (LimpetBundleHistory *history);
 
--- a/src/liblimpetroad/log_state/bundle_controller.c
+++ b/src/liblimpetroad/log_state/bundle_controller.c
@@ -47,8 +47,9 @@
   LimpetWorker writer;
   pthread_mutex_t lock;         /* guards the fields below */
   LimpetBundleHistory *history; /* of the records in the log */
-  /* After the log lost records: the history before, until the bundle in force of the log
-   * supersedes that of this history, which is in force until then. Otherwise NULL. */
+  /* After the log lost records, the history before; after a bundle from a peer, a history
+   * with it. Its bundle is in force until that of the log supersedes it. Otherwise NULL.
+   */
   LimpetBundleHistory *kept;
   LimpetMs kept_until_ms;      /* time of the newest record read before the loss */
   LimpetMs restoration_due_ms; /* monotonic; 0 for never */
@@ -126,13 +127,20 @@
                                 uint32_t count,
                                 LimpetError *error)
 {
+  LimpetBundleHistory *adopted;
   LimpetStatus status;
 
   pthread_mutex_lock (&self->lock);
-  status = limpet_bundle_history_adopt (history_in_force (self), proof, base_version,
-                                        changes, count, error);
+  adopted = self->kept != NULL
+                ? self->kept
+                : limpet_bundle_history_new_in_force (self->settings, self->history);
+  status
+      = limpet_bundle_history_adopt (adopted, proof, base_version, changes, count, error);
+  if (status != LIMPET_STATUS_OK && adopted != self->kept)
+    limpet_bundle_history_delete (adopted);
   if (status == LIMPET_STATUS_OK)
     {
+      self->kept = adopted;
       limpet_counter_add (LIMPET_COUNTER_BUNDLE_FROM_PEER, 1);
       publish_locked (self);
     }
--- a/src/liblimpetroad/log_state/bundle_history.c
+++ b/src/liblimpetroad/log_state/bundle_history.c
@@ -160,6 +160,18 @@
   return history;
 }
 
+LimpetBundleHistory *
+limpet_bundle_history_new_in_force (const LimpetSettings *settings,
+                                    const LimpetBundleHistory *history)
+{
+  LimpetBundleHistory *copy = limpet_bundle_history_new (settings);
+
+  limpet_bundle_unref (copy->current);
+  copy->current = limpet_bundle_ref (history->current);
+  copy->proof = history->proof;
+  return copy;
+}
+
 void
 limpet_bundle_history_delete (LimpetBundleHistory *history)
 {
--- a/test/test_bundle_losses.py
+++ b/test/test_bundle_losses.py
@@ -166,3 +166,68 @@
         rolled = json.loads(fleet.limpetctl("--json", "--by", "baraka", "roll", draft))
         wait_in_force(fleet, 30)
         assert shown(fleet)["version"] == rolled["version"] == old + 2
+
+
+def lose_and_roll(fleet, routers, lost, share):
+    """Loses rolls and rolls another bundle while the routers stand still."""
+    for router in routers:
+        router["process"].freeze()
+    fleet.fault(fleet.log_port, lose_newest_bundles=lost * RECORDS_OF_A_ROLL)
+    roll_again(fleet, share)
+    for router in routers:
+        router["process"].thaw()
+
+
+def one_router_behind(fleet):
+    fleet.routers[2]["process"].freeze()
+    fleet.roll(bundle_with_share(fleet, 23))
+    f.wait_for(lambda: len(set(versions(fleet, fleet.routers[:2]))) == 1, "the roll")
+    lose_and_roll(fleet, fleet.routers, 2, 30)
+
+
+def one_router_has_bundles_from_peers(fleet):
+    fleet.proxy("log-r02", refuse=1, cut=1)
+    version = fleet.roll(bundle_with_share(fleet, 23))
+    f.wait_for(lambda: versions(fleet) == [version] * 3, "the bundle at the router cut off")
+    lose_and_roll(fleet, fleet.routers[:2], 1, 30)
+    f.wait_for(lambda: min(versions(fleet, fleet.routers[:2])) > version, "the new bundle")
+    fleet.proxy("log-r02", refuse=0)
+
+
+def one_router_starts_during_the_loss(fleet):
+    fleet.routers[2]["process"].kill()
+    lose_and_roll(fleet, fleet.routers[:2], 2, 30)
+    fleet.start_router(fleet.routers[2])
+
+
+def lost_again_at_once(fleet):
+    lose_and_roll(fleet, fleet.routers, 2, 31)
+    lose_and_roll(fleet, fleet.routers, 2, 30)
+
+
+def lost_again_after_the_restoration(fleet):
+    lose_and_roll(fleet, fleet.routers, 2, 31)
+    wait_in_force(fleet, 31)
+    lose_and_roll(fleet, fleet.routers, 2, 30)
+
+
+def appends_refused_for_a_second(fleet):
+    lose_and_roll(fleet, fleet.routers, 2, 30)
+    fleet.fault(fleet.log_port, down=1)
+    time.sleep(1)
+    fleet.fault(fleet.log_port, down=0)
+
+
+@table([(case.__name__, case) for case in (
+    one_router_behind, one_router_has_bundles_from_peers, one_router_starts_during_the_loss,
+    lost_again_at_once, lost_again_after_the_restoration, appends_refused_for_a_second)])
+def test_a_roll_after_a_loss_holds_beside_another_fault(lose):
+    with f.Fleet(routers=3, engines=1, proxied=["log"]).start() as fleet:
+        for share in (20, 21, 22):
+            fleet.roll(bundle_with_share(fleet, share))
+        wait_in_force(fleet, 22)
+        lose(fleet)
+        wait_in_force(fleet, 30)
+        fleet.roll(bundle_with_share(fleet, 40))
+        wait_in_force(fleet, 40)
+        check_versions_only_increase(fleet)
