Gossip: a router whose clock is set back forgets what it knew by it

A router whose boot clock was set back by 5 s put off its reads of the store for as long, told the others of reads that it took for up to 5 s newer, and sent no digests meanwhile. When the clocks of a third of the routers are set back in turn, most of a fleet lacks new records: callers there get answers by the version before.

Cause: the known reads, the time of the last digest and the differences to other routers' clocks were by the clock before. The others kept the difference to it as well, so that its reads looked 5 s old.

Change: after a tick that is earlier than the last one, the router forgets the reads and the differences, and names itself a new reader, so that nobody takes its new clock for the old one. It reads the topics at once. The number that names a reader has the same size, and digests are as long as before.

Ruled out: to correct the times by the step instead of forgetting them: it is known to a tick only, and too small a correction makes a read newer.

--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -14,6 +14,7 @@
 #include "private/gossip_suspects.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <math.h>
 #include <string.h>
 #include <xxhash.h>
@@ -102,7 +103,8 @@
   const LimpetGossipOps *ops;
   void *user;
   uint32_t own_address;
-  uint32_t reader; /* identifies this start of the router */
+  uint64_t seed;   /* of the reader */
+  uint32_t reader; /* identifies this start of the router and of its clock */
   uint32_t zone;   /* 0 if it is not known */
   LimpetMs max_staleness_ms;
   GRand *random;
@@ -145,6 +147,12 @@
       limpet_gossip_router_count (gossip), g_rand_double (gossip->random));
 }
 
+static uint32_t
+draw_reader (uint64_t seed, uint32_t own_address)
+{
+  return MAX (1, (uint32_t)XXH64 (&seed, sizeof seed, own_address));
+}
+
 LimpetGossip *
 limpet_gossip_new (const LimpetGossipOps *ops,
                    void *user,
@@ -157,7 +165,8 @@
   gossip->ops = ops;
   gossip->user = user;
   gossip->own_address = own_address;
-  gossip->reader = MAX (1, (uint32_t)XXH64 (&seed, sizeof seed, own_address));
+  gossip->seed = seed;
+  gossip->reader = draw_reader (seed, own_address);
   gossip->max_staleness_ms = DEFAULT_MAX_STALENESS_MS;
   gossip->random = g_rand_new_with_seed_array (seeds, 2);
   gossip->members = limpet_gossip_members_new (own_address);
@@ -755,6 +764,8 @@
         gossip_message__free_unpacked (message, NULL);
       return;
     }
+  /* This router's clock may have been set back since then. */
+  earliest_ms = MIN (earliest_ms, now_ms);
   gossip->heard_ms = now_ms;
   limpet_counter_add (LIMPET_COUNTER_DIGESTS_RECEIVED, 1);
   limpet_counter_add (LIMPET_COUNTER_PEER_RECEIVED_BYTES, length);
@@ -913,6 +924,22 @@
   send_message (gossip, &message, address);
 }
 
+/* Forgets what is known by a clock that has been set back: all of it would seem newer
+ * than it is. The others know of the new clock by a new reader. */
+static void
+begin_clock (LimpetGossip *gossip, LimpetMs now_ms)
+{
+  limpet_log (LIMPET_LOG_WARNING, "gossip", NULL, "clock_set_back_ms=%" PRId64,
+              gossip->last_tick_ms - now_ms);
+  gossip->reader = draw_reader (++gossip->seed, gossip->own_address);
+  limpet_gossip_clocks_clear (gossip->clocks);
+  for (uint32_t i = 0; i < LIMPET_GOSSIP_TOPICS; i++)
+    gossip->topics[i].read = gossip->topics[i].announced_read = (Read){ .read_ms = 0 };
+  gossip->last_digest_ms = MIN (gossip->last_digest_ms, now_ms - DIGEST_PERIOD_MS);
+  gossip->heard_ms = MIN (gossip->heard_ms, now_ms);
+  gossip->resumed_ms = MIN (gossip->resumed_ms, now_ms);
+}
+
 void
 limpet_gossip_tick (LimpetGossip *gossip, LimpetMs now_ms)
 {
@@ -922,6 +949,8 @@
 
   if (gossip->last_tick_ms > 0 && now_ms - gossip->last_tick_ms > MAX_SILENCE_MS)
     gossip->resumed_ms = now_ms + QUEUED_DATAGRAMS_MS;
+  if (now_ms < gossip->last_tick_ms)
+    begin_clock (gossip, now_ms);
   gossip->last_tick_ms = now_ms;
   if (gossip->quarantine != NULL)
     push_suspects (gossip, now_ms);
--- a/src/liblimpetroad/cluster_state/gossip_clocks.c
+++ b/src/liblimpetroad/cluster_state/gossip_clocks.c
@@ -34,6 +34,12 @@
   g_free (clocks);
 }
 
+void
+limpet_gossip_clocks_clear (LimpetGossipClocks *clocks)
+{
+  g_hash_table_remove_all (clocks->clocks);
+}
+
 static gboolean
 is_outdated (gpointer key, gpointer value, gpointer now_ms)
 {
--- a/src/liblimpetroad/private/gossip_clocks.h
+++ b/src/liblimpetroad/private/gossip_clocks.h
@@ -24,6 +24,8 @@
                                   LimpetMs stamp_ms,
                                   LimpetMs local_ms,
                                   LimpetMs now_ms);
+/* Forgets all clocks. */
+void limpet_gossip_clocks_clear (LimpetGossipClocks *clocks);
 /* Sets local_ms to the time of this router's clock at stamp_ms of another one's,
  * which it does not exceed by more than the shortest way of a message from there. Returns
  * false if nothing is known of that clock. */
--- a/src/test_liblimpetroad/clock_tests.c
+++ b/src/test_liblimpetroad/clock_tests.c
@@ -26,6 +26,7 @@
 {
   double drift;            /* of the clocks, ahead and behind in turn */
   LimpetMs jump_ms;        /* of the clock of one router, in the second round */
+  LimpetMs all_jump_ms;    /* of the clocks of a third in each round, in turn */
   LimpetMs some_jitter_ms; /* of the links of a ninth of the routers */
   LimpetMs all_jitter_ms;  /* of those of all routers */
   double loss_ratio;       /* of datagrams */
@@ -81,10 +82,13 @@
   if (round == 1)
     routers[0].clock.offset_ms += play->jump_ms;
   for (uint32_t i = round % 3; i < router_count; i += 3)
-    if (play->reboots)
-      reboot_router (i, seed * 1000 + round * 100, now_ms);
-    else if (play->restarts)
-      restart_router (i, seed * 1000 + round * 100, now_ms);
+    {
+      routers[i].clock.offset_ms += play->all_jump_ms;
+      if (play->reboots)
+        reboot_router (i, seed * 1000 + round * 100, now_ms);
+      else if (play->restarts)
+        restart_router (i, seed * 1000 + round * 100, now_ms);
+    }
 }
 
 static void
@@ -162,6 +166,7 @@
 static const Play drifting = { .drift = DRIFT };
 static const Play forward = { .jump_ms = JUMP_MS };
 static const Play back = { .jump_ms = -JUMP_MS };
+static const Play all_back = { .all_jump_ms = -JUMP_MS };
 static const Play some_jitter = { .some_jitter_ms = JITTER_MS };
 static const Play all_jitter = { .all_jitter_ms = JITTER_MS / 2 };
 static const Play restarting = { .drift = DRIFT, .restarts = true };
@@ -254,6 +259,14 @@
   check_play (&back, BELIEFS);
 }
 
+/* Guards against a fault: a router took what it knew by the clock before the jump for
+ * newer, and put off its reads. */
+static void
+test_clocks_that_all_jump_back_delay_no_read (void)
+{
+  check_play (&all_back, ALL);
+}
+
 static void
 test_jitter_of_some_links_makes_no_read_newer (void)
 {
@@ -279,14 +292,22 @@
   return 0;
 }
 
+void
+add_clock_jump_tests (void)
+{
+  CU_pSuite suite = CU_add_suite ("clock jumps", use_more_seeds, NULL);
+
+  CU_ADD_TEST (suite, test_a_clock_that_jumps_back_delays_no_read);
+  CU_ADD_TEST (suite, test_a_clock_that_jumps_back_makes_no_read_newer);
+  CU_ADD_TEST (suite, test_clocks_that_all_jump_back_delay_no_read);
+}
+
 void
 add_clock_limit_tests (void)
 {
   CU_pSuite suite = CU_add_suite ("clock limits", use_more_seeds, NULL);
 
   CU_ADD_TEST (suite, test_a_clock_that_jumps_forward_delays_no_read);
-  CU_ADD_TEST (suite, test_a_clock_that_jumps_back_delays_no_read);
-  CU_ADD_TEST (suite, test_a_clock_that_jumps_back_makes_no_read_newer);
   CU_ADD_TEST (suite, test_jitter_of_some_links_makes_no_read_newer);
   CU_ADD_TEST (suite, test_jitter_of_all_links_makes_no_read_newer);
   CU_ADD_TEST (suite, test_restarts_beside_jitter_make_no_read_newer);
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -28,7 +28,7 @@
 }
 
 /* Without an argument, runs all tests but those that the arguments --limit-stress,
- * --record-writer and --clock-limits select. */
+ * --record-writer, --clock-jumps and --clock-limits select. */
 int
 main (int argc, char **argv)
 {
@@ -40,6 +40,8 @@
     add_limit_stress_tests ();
   else if (argc > 1 && strcmp (argv[1], "--record-writer") == 0)
     add_record_writer_tests ();
+  else if (argc > 1 && strcmp (argv[1], "--clock-jumps") == 0)
+    add_clock_jump_tests ();
   else if (argc > 1 && strcmp (argv[1], "--clock-limits") == 0)
     add_clock_limit_tests ();
   else
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -27,6 +27,7 @@
 void add_log_era_tests (void);
 void add_clock_tests (void);
 /* Run alone, by test/test_versions_in_force.py. */
+void add_clock_jump_tests (void);
 void add_clock_limit_tests (void);
 
 #endif
--- a/test/test_versions_in_force.py
+++ b/test/test_versions_in_force.py
@@ -150,8 +150,17 @@
                 thread.join()
 
 
-def test_clocks_that_jump_and_jitter_mislead_no_simulated_router():
-    """Guards against reads put off or believed to be newer, 20 seeds of simulated fleets each."""
-    result = subprocess.run([f.program("test_liblimpetroad"), "--clock-limits"],
+def play_simulated_fleets(tests):
+    result = subprocess.run([f.program("test_liblimpetroad"), tests],
                             capture_output=True, text=True, errors="replace")
     check(result.returncode == 0, result.stdout[-2000:])
+
+
+def test_clocks_that_are_set_back_mislead_no_simulated_router():
+    """Guards against reads put off or believed to be newer, 20 seeds of simulated fleets each."""
+    play_simulated_fleets("--clock-jumps")
+
+
+def test_clocks_that_jump_and_jitter_mislead_no_simulated_router():
+    """Guards against reads believed to be newer, 20 seeds of simulated fleets each."""
+    play_simulated_fleets("--clock-limits")
