Bundles: restorations without effect are appended more and more rarely

Found by reading, no failure seen: a restoration that the log accepted and readers ignored would have been appended once a second by each router, and one that the log refused five times a second, with a line each.

Change: the time between two doubles from 1 s to a minute if they had no effect; a refused one is tried again after 1 to 1.5 s, with a line for the first only. A raised version no longer assumes that the history has the roll.

--- a/src/liblimpetroad/log_state/bundle_controller.c
+++ b/src/liblimpetroad/log_state/bundle_controller.c
@@ -28,8 +28,10 @@
 /* A router appends a restoration after a random time of up to this long, so that most
  * routers read that of another one before. */
 #define MAX_RESTORATION_DELAY_MS 500
-/* A restoration that is not read back within this time is appended again. */
-#define RESTORATION_REPEAT_MS 1000
+/* A restoration that was appended without effect is appended again after this time, which
+ * doubles each time. */
+#define MIN_RESTORATION_INTERVAL_MS 1000
+#define MAX_RESTORATION_INTERVAL_MS 60000
 
 /* A version that this process put in force, kept for the dump. */
 typedef struct
@@ -53,6 +55,8 @@
   LimpetBundleHistory *kept;
   LimpetMs kept_until_ms;      /* time of the newest record read before the loss */
   LimpetMs restoration_due_ms; /* monotonic; 0 for never */
+  LimpetMs restoration_interval_ms;
+  bool restoration_failed; /* the last append of one; of the writer's thread */
   LimpetLogEra era;
   bool era_is_invalid;
   int64_t next_offset;
@@ -300,6 +304,7 @@
     }
   if (self->restoration_due_ms != 0)
     return;
+  self->restoration_interval_ms = MIN_RESTORATION_INTERVAL_MS;
   self->restoration_due_ms
       = limpet_clock_mono_ms () + randombytes_uniform (MAX_RESTORATION_DELAY_MS);
   limpet_worker_wake (&self->writer);
@@ -427,7 +432,6 @@
   if (self->kept == NULL || self->restoration_due_ms == 0
       || now_ms < self->restoration_due_ms)
     return NULL;
-  self->restoration_due_ms = now_ms + RESTORATION_REPEAT_MS;
   base_version = limpet_bundle_history_current (self->history)->version;
   version = limpet_bundle_history_current (self->kept)->version;
   if (base_version > 0 && log_has_newer_roll_locked (self))
@@ -437,11 +441,29 @@
                                            base_version);
 }
 
+static void
+schedule_restoration (LimpetBundleController *self, bool was_appended)
+{
+  LimpetMs wait_ms = MIN_RESTORATION_INTERVAL_MS;
+
+  pthread_mutex_lock (&self->lock);
+  if (was_appended)
+    {
+      wait_ms = self->restoration_interval_ms;
+      self->restoration_interval_ms = MIN (2 * wait_ms, MAX_RESTORATION_INTERVAL_MS);
+    }
+  if (self->restoration_due_ms != 0)
+    self->restoration_due_ms = limpet_clock_mono_ms () + wait_ms
+                               + randombytes_uniform (MAX_RESTORATION_DELAY_MS);
+  pthread_mutex_unlock (&self->lock);
+}
+
 static void
 write_restoration (LimpetBundleController *self, LimpetLogClient *client)
 {
   char *record;
   int64_t offset = 0;
+  LimpetStatus status;
   LimpetError error;
 
   pthread_mutex_lock (&self->lock);
@@ -449,14 +471,16 @@
   pthread_mutex_unlock (&self->lock);
   if (record == NULL)
     return;
-  if (client->ops->append (client, LIMPET_BUNDLE_STREAM, record, strlen (record), &offset,
-                           &error)
-      == LIMPET_STATUS_OK)
+  status = client->ops->append (client, LIMPET_BUNDLE_STREAM, record, strlen (record),
+                                &offset, &error);
+  schedule_restoration (self, status == LIMPET_STATUS_OK);
+  if (status == LIMPET_STATUS_OK)
     limpet_log (LIMPET_LOG_NOTICE, "bundle", "log",
                 "restoration appended at offset %" PRId64, offset);
-  else
+  else if (!self->restoration_failed)
     limpet_log (LIMPET_LOG_WARNING, "bundle", "log", "restoration not appended: %s",
                 error.message);
+  self->restoration_failed = status != LIMPET_STATUS_OK;
   g_free (record);
 }
 
--- a/src/liblimpetroad/log_state/bundle_history.c
+++ b/src/liblimpetroad/log_state/bundle_history.c
@@ -614,14 +614,14 @@
 {
   LimpetBundleProof proof = history->proof;
   LimpetBundle *bundle = build_bundle (history->current, NULL, 0, proof.root, error);
-  LimpetRolledBundle *last;
+  GPtrArray *rolled = history->rolled;
 
   if (bundle == NULL)
     return LIMPET_BUNDLE_EVENT_REJECTED;
   proof.version = version;
   put_in_force (history, bundle, &proof);
-  last = g_ptr_array_index (history->rolled, history->rolled->len - 1);
-  last->proof = proof;
+  if (rolled->len > 0)
+    ((LimpetRolledBundle *)g_ptr_array_index (rolled, rolled->len - 1))->proof = proof;
   remove_stale_drafts (history);
   return LIMPET_BUNDLE_EVENT_RESTORED;
 }
