Bundles: a router whose bundle came from a peer leaves it to others which roll is newer

Seen by operators, after the own log lost two rolls and took another one on an older parent: that roll is superseded again by the lost bundle.

Cause: a router that got the lost bundle from a peer does not know when it was rolled. It compared the version of the log's roll with that of the lost bundle's parent, which are versions of different histories.

Ruled out: the time of the adoption by the router's own clock, as clocks may differ by 60 s from the log's.

Routers that read the lost bundle from the log have noticed the loss by then, and know by the log's own times which roll is newer.

--- a/src/liblimpetroad/log_state/bundle_controller.c
+++ b/src/liblimpetroad/log_state/bundle_controller.c
@@ -28,6 +28,9 @@
 /* A router appends a restoration after a random time of up to this long, so that most
  * routers read that of another one before. */
 #define MAX_RESTORATION_DELAY_MS 500
+/* A router whose bundle came from a peer waits this much longer, until routers that read
+ * it from the log have noticed the loss: they know which roll is newer. */
+#define PEER_BUNDLE_DELAY_MS (2 * READ_WAIT_MS)
 /* A restoration that was appended without effect is appended again after this time, which
  * doubles each time. */
 #define MIN_RESTORATION_INTERVAL_MS 1000
@@ -145,6 +148,7 @@
   if (status == LIMPET_STATUS_OK)
     {
       self->kept = adopted;
+      self->restoration_due_ms = 0;
       limpet_counter_add (LIMPET_COUNTER_BUNDLE_FROM_PEER, 1);
       publish_locked (self);
     }
@@ -307,6 +311,8 @@
   self->restoration_interval_ms = MIN_RESTORATION_INTERVAL_MS;
   self->restoration_due_ms
       = limpet_clock_mono_ms () + randombytes_uniform (MAX_RESTORATION_DELAY_MS);
+  if (limpet_bundle_history_roll_time (self->kept) == 0)
+    self->restoration_due_ms += PEER_BUNDLE_DELAY_MS;
   limpet_worker_wake (&self->writer);
 }
 
--- a/test/test_bundle_losses.py
+++ b/test/test_bundle_losses.py
@@ -194,6 +194,24 @@
     fleet.proxy("log-r02", refuse=0)
 
 
+def router_with_bundles_from_peers_reads_first(fleet):
+    """It does not know that the log's bundle is newer than its own, nor that it is no ancestor."""
+    fleet.proxy("log-r02", refuse=1, cut=1)
+    for share in (23, 24):
+        version = fleet.roll(bundle_with_share(fleet, share))
+        f.wait_for(lambda: versions(fleet) == [version] * 3, "the bundle at the router cut off")
+    others = fleet.routers[:2]
+    for router in others:
+        router["process"].freeze()
+    fleet.fault(fleet.log_port, lose_newest_bundles=2 * RECORDS_OF_A_ROLL)
+    roll_again(fleet, 30)
+    fleet.proxy("log-r02", refuse=0)
+    f.wait_for(lambda: fleet.dump(fleet.routers[2])["bundle"]["log_is_up"], "the log to be read")
+    time.sleep(1)
+    for router in others:
+        router["process"].thaw()
+
+
 def one_router_starts_during_the_loss(fleet):
     fleet.routers[2]["process"].kill()
     lose_and_roll(fleet, fleet.routers[:2], 2, 30)
@@ -219,7 +237,8 @@
 
 
 @table([(case.__name__, case) for case in (
-    one_router_behind, one_router_has_bundles_from_peers, one_router_starts_during_the_loss,
+    one_router_behind, one_router_has_bundles_from_peers,
+    router_with_bundles_from_peers_reads_first, one_router_starts_during_the_loss,
     lost_again_at_once, lost_again_after_the_restoration, appends_refused_for_a_second)])
 def test_a_roll_after_a_loss_holds_beside_another_fault(lose):
     with f.Fleet(routers=3, engines=1, proxied=["log"]).start() as fleet:
