--- a/test/test_stale_reads.py
+++ b/test/test_stale_reads.py
@@ -1,9 +1,9 @@
 """The store answers some reads as of some seconds ago, though it loses and refuses nothing."""
 
+import copy
 import random
 import threading
 import time
-import types
 import urllib.parse
 
 from platform_fake import Store
@@ -32,8 +32,8 @@
         topic = dict(urllib.parse.parse_qsl(urllib.parse.urlparse(path).query))["topic"]
         with self.lock:
             kept = sum(at < time.monotonic() - STALE_S for at in self.appended.get(topic, ()))
-            old = types.SimpleNamespace(lock=threading.Lock(), first=self.first,
-                                        topics={topic: self.topics.get(topic, [])[:kept]})
+            old = copy.copy(self)
+            old.lock, old.topics = threading.Lock(), {topic: self.topics.get(topic, [])[:kept]}
         return Store.respond(old, path, message)
 
 
