--- a/test/run_all.py
+++ b/test/run_all.py
@@ -20,6 +20,9 @@
 import fleet as f
 
 CASES_AT_ONCE = int(os.environ.get("LIMPET_CASES_AT_ONCE", "3"))
+# Of what a known failure showed, as much as tells one cause from another.
+MAX_CAUSE_LINES = 8
+MAX_CAUSE_COLUMNS = 300
 
 
 def table(rows):
@@ -79,6 +82,13 @@
         return name, traceback.format_exc(limit=-7), time.monotonic() - start
 
 
+# Returns the part of a traceback that says what was seen.
+def cause_of(trace):
+    lines = trace.rstrip().splitlines()
+    last_place = max((i for i, line in enumerate(lines) if line.startswith("  File ")), default=-2)
+    return "\n".join("    " + line[:MAX_CAUSE_COLUMNS] for line in lines[last_place + 2:][:MAX_CAUSE_LINES])
+
+
 def run_units():
     """Runs the CUnit program; returns the number of passed and of failed tests."""
     result = subprocess.run([f.program("test_liblimpetroad")], capture_output=True, text=True)
@@ -109,7 +119,7 @@
                 note = "passes now; remove it from KNOWN-RED.txt" if name in red else ""
                 print("ok    %s (%.1f s) %s" % (name, seconds, note))
             elif name in red:
-                print("red   %s, known failure (%.1f s)" % (name, seconds))
+                print("red   %s, known failure (%.1f s)\n%s" % (name, seconds, cause_of(trace)))
             else:
                 failed += 1
                 print("FAIL  %s (%.1f s)\n%s" % (name, seconds, trace))
