Tests: a router that crashes fails the test in which it runs

Polls that a router does not answer were passed over in several tests, so a router that crashed could go unnoticed as long as the others answered. Platform now looks at the exit status of its routers when a test ends.

--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import struct
 import threading
@@ -17,6 +18,8 @@
 
 HOST = "a.example"
 PEER_PORTS = 4  # of each router, for other routers
+CRASH_STATUSES = [-number for number in (signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS,
+                                         signal.SIGILL, signal.SIGFPE)]
 
 
 class Listener:
@@ -438,6 +441,8 @@
         return self
 
     def __exit__(self, *unused):
+        crashed = [router for router in self.routers
+                   if router["process"].popen.poll() in CRASH_STATUSES]
         for router in self.routers:
             router["process"].kill()
         if self.second_store:
@@ -445,6 +450,10 @@
         for server in self.servers:
             server.close()
         self.store.listener.close()
+        for router in crashed:
+            raise AssertionError("a router crashed, exit status %d, log %s:\n%s" % (
+                router["process"].popen.returncode, router["process"].log_path,
+                router["process"].log_text()[-2000:]))
 
     # Publishes a configuration with a higher version number.
     def configure(self, routes=None, **more):
