Tests: the series of drills tells what it saw, and counts polls without an answer as a failure

Its message did not tell a fault of the routers from a pause of the test's own process, which is the store's stand-in as well.

The message has now, beside the wrong answers for each router: polls that were not judged and why, polls without an answer (passed over before; nobody kills a router in these series, so each is a failure now), pauses of the process, and the routers' log lines and exit status.

--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -1,5 +1,6 @@
 """The store comes back from a copy that lacks its newest records, and gives out their offsets again."""
 
+import collections
 import random
 import signal
 import subprocess
@@ -23,6 +24,11 @@
 ERA_METRIC = 'limpetroad_topic_era{topic="keyed.op"}'
 KEPT_S = 1.5            # about the time that servers have to write their entries again
 KEPT_VERSIONS = 8       # more than are written within APPLY_S
+STALL_S = 0.2           # pauses of the test's process that are reported
+MAX_NEWS = 30           # log lines of each router in a failure
+# Log lines that tell how a router follows the store.
+LOGGED_STEPS = ("step=era", "read_failed", "records_lost", "outdated_response", "caught_up",
+                "state_taken", "state_refused", "announced_records_missing", "offset_not_found")
 
 
 class CopiedStore(Platform):
@@ -375,6 +381,10 @@
         self.back_at = float("-inf")
         self.is_away = False
         self.right, self.wrong = 0, []
+        self.not_judged = collections.Counter()  # polls by the reason why their answers do not count
+        self.unanswered = []
+        self.longest_poll_s = 0
+        self.stalls = []  # (seconds after the store's return, duration) of pauses of this process
         self.left = []  # (server, time when its leaving was acknowledged)
         self.runs_at_left = []
         self.disturbed = {}  # router → time from which it is in touch again
@@ -414,22 +424,33 @@
                     if at > self.back_at + STABLE_S and began_at > at + APPLY_S]
             try:
                 wrong = self.platform.wrong_answers(router, number)
-            except OSError:
-                continue  # killed
+            except OSError as error:
+                self.unanswered.append((router, round(began_at - self.back_at, 2), error))
+                continue
+            self.longest_poll_s = max(self.longest_poll_s, time.monotonic() - began_at)
             is_kept = self.platform.number < number + self.platform.kept
             if not number or not is_kept or not self.are_all_in_touch(began_at):
+                self.not_judged["not in touch" if number and is_kept else "versions dropped"] += 1
                 continue
             self.runs_at_left += [(server.id, began_at - self.back_at) for server, ran in left
                                   if len(server.ran) > ran]
             self.right += 4 - len(wrong)
             self.wrong += [(began_at - self.back_at,) + answer for answer in wrong]
 
+    def watch_stalls(self):
+        last = time.monotonic()
+        while not self.end.wait(POLL_S):
+            now = time.monotonic()
+            if now - last > STALL_S:
+                self.stalls.append((round(now - self.back_at, 2), round(now - last, 2)))
+            last = now
+
     def are_all_in_touch(self, at):
         return all(self.is_in_touch(router, at) for router in range(len(self.platform.routers)))
 
     def play(self, disturb=None):
         """disturb: is called again and again in a thread of its own."""
-        threads = [threading.Thread(target=self.write)]
+        threads = [threading.Thread(target=self.write), threading.Thread(target=self.watch_stalls)]
         threads += [threading.Thread(target=self.poll, args=(router,))
                     for router in range(len(self.platform.routers))]
         if disturb:
@@ -448,8 +469,27 @@
             self.end.set()
             for thread in threads:
                 thread.join()
-        check(self.right and not self.wrong and not self.runs_at_left, self.right,
-              len(self.wrong), self.wrong[:5], len(self.runs_at_left), self.runs_at_left[:5])
+        if not self.right or self.wrong or self.runs_at_left or self.unanswered:
+            raise AssertionError(self.summary())
+
+    def summary(self):
+        """What tells a fault of the routers from one of this process."""
+        at_routers = collections.defaultdict(list)
+        for answer in self.wrong:
+            at_routers[answer[1]].append(round(answer[0], 2))
+        lines = ["%d right, %d wrong: %s" % (self.right, len(self.wrong), self.wrong[:5]),
+                 "%d runs at servers that had left: %s" % (len(self.runs_at_left), self.runs_at_left[:5]),
+                 "%d polls without an answer: %s" % (len(self.unanswered), self.unanswered[:5]),
+                 "wrong answers (router: count, first and last, seconds after the return): %s"
+                 % {router: (len(ages), min(ages), max(ages)) for router, ages in at_routers.items()},
+                 "not judged: %s, longest poll %.2f s, stalls of this process: %s"
+                 % (dict(self.not_judged), self.longest_poll_s, self.stalls)]
+        for number, router in enumerate(self.platform.routers):
+            news = [line[16:] for line in self.platform.log(number).splitlines()
+                    if any(step in line for step in LOGGED_STEPS)]
+            lines.append("router %d, exit status %s, %d lines, the last ones:\n%s"
+                         % (number, router["process"].popen.poll(), len(news), "\n".join(news[-MAX_NEWS:])))
+        return "\n".join(lines)
 
 
 def stand_still(series):
