--- a/test/test_fleet_starts.py
+++ b/test/test_fleet_starts.py
@@ -11,6 +11,8 @@
 
 READY_S = 1.0
 CATCH_UP_S = 4
+FIND_S = 4              # until routers that start together know each other
+PAIRS = 12
 IDLE_ROUTES = 1000      # about 220 KB a configuration
 STATE_TOPICS = ("keyed.op", "keyed.servers")
 
@@ -136,6 +138,23 @@
         f.wait_for(lambda: platform.metric("limpetroad_routers ", 9) >= 10, "the others")
 
 
+def test_routers_that_start_together_find_each_other():
+    """Guards against routers that read the list before any other one has registered, and again only 5 s
+    later."""
+    fleets = [Platform(start=False) for _ in range(PAIRS)]
+    try:
+        for platform in fleets:
+            for _ in range(2):
+                platform.add_router(wait=False)
+        time.sleep(FIND_S)
+        counts = [platform.metric("limpetroad_routers ", router)
+                  for platform in fleets for router in range(2)]
+        check(min(counts) == 2, counts)
+    finally:
+        for platform in fleets:
+            platform.__exit__()
+
+
 def test_a_large_site_with_odd_entries_is_served_at_once():
     """2,000 servers, 1,400 routes, and entries of 1 MB that name no server."""
     with SeededFleet(3, 1400) as platform:
