Tests: streams are begun until both software versions have some

Which server a stream gets is random: of 100 fleets, eight streams each, v1 got 1 to 8 of them (8 in one fleet, 1 in three, 4 in 22), so the check of the test's own premise fails by chance about once in a hundred runs. The two tests with it begin further streams now until both versions have some; what they check of these is the same.

--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -11,6 +11,7 @@
 from test_platform import check
 
 EVENTS = 12
+MAX_BEGUN = 30   # of these, some begin at each of two versions
 EVENT_S = 0.08   # time between events; a whole stream takes about a second
 
 
@@ -80,6 +81,16 @@
             pass
         return client, request_id
 
+    def begin_at_both_versions(self, least):
+        """Starts streams at a router until there are least of them and some of each version; returns
+        {name: (client, request id)}."""
+        begun = {}
+        while len(begun) < least or len({self.runs[name][0][0] for name in begun}) < 2:
+            name = "s%d" % len(begun)
+            begun[name] = self.begin(name, 0, 5)
+            check(len(begun) <= MAX_BEGUN, begun)
+        return begun
+
     def resume(self, name, router, resumed_id, last, events=EVENTS):
         fields = [("Resumes", resumed_id), ("Last-Event-Id", str(last))]
         return self.begin(name, router, events, fields=fields)
@@ -127,7 +138,7 @@
 
 def test_a_stream_whose_version_has_left_does_not_go_on():
     with VersionedFleet() as fleet:
-        begun = {name: fleet.begin(name, 0, 5) for name in ("s%d" % n for n in range(8))}
+        begun = fleet.begin_at_both_versions(8)
         for client, _ in begun.values():
             client.close()
         f.wait_for(lambda: fleet.platform.metric("limpetroad_tasks") == 0, "the streams to end")
@@ -170,7 +181,7 @@
 def test_restarted_routers_do_not_guess_the_version_of_a_stream():
     """When they start, the servers of the other version have just left."""
     with VersionedFleet() as fleet:
-        begun = {name: fleet.begin(name, 0, 5) for name in ("s%d" % n for n in range(8))}
+        begun = fleet.begin_at_both_versions(8)
         old = [name for name in begun if fleet.runs[name][0][0] == "v1"]
         for router in fleet.platform.routers:
             router["process"].kill()
