--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -21,6 +21,7 @@
 LOST_S = 2.0
 POLL_S = 0.05
 SLOW_READS = 8
+SLOW_S = 0.3            # time of each response of a slow store
 ERA_METRIC = 'limpetroad_topic_era{topic="keyed.op"}'
 KEPT_S = 1.5            # about the time that servers have to write their entries again
 KEPT_VERSIONS = 8       # more than are written within APPLY_S
@@ -503,11 +504,13 @@
 
 @table([("lost_6_s_away_2_s", 1, 6, 2, 1, None), ("lost_3_s_away_3_s", 2, 3, 3, 1, None),
         ("routers_that_stand_still", 3, 6, 2, 1, stand_still),
-        ("no_eras", 4, 6, 2, None, None)])
-def test_routers_follow_a_series_of_drills(seed, lost_s, away_s, era, disturb):
+        ("no_eras", 4, 6, 2, None, None), ("slow_store", 5, 6, 2, 1, None, SLOW_S),
+        ("no_eras_slow_store", 6, 6, 2, None, None, SLOW_S)])
+def test_routers_follow_a_series_of_drills(seed, lost_s, away_s, era, disturb, delay_s=0):
     """Guards against what the other cases do not time: records that are lost, written again and added
     while the routers read and change."""
     with CopiedStore(routers=6, era=era) as platform:
+        platform.store.delay_s = delay_s
         DrillSeries(platform, seed, lost_s, away_s).play(disturb)
 
 
