--- a/test/test_snapshot_pages.py
+++ b/test/test_snapshot_pages.py
@@ -2,9 +2,11 @@
 
 import time
 
-from platform_fake import ROUTES, route
+from platform_fake import Platform, ROUTES, route
 from run_all import table
+from test_fleet_starts import FIND_S
 from test_platform import check
+from test_software_versions import VersionedFleet
 from test_store_copies import AWAY_S, LOST_S, STABLE_S, CopiedStore, settle_before_losses
 
 SERVERS = 12
@@ -75,3 +77,64 @@
         time.sleep(STABLE_S)
         check(platform.store.on_next_page is None)
         platform.check_servers([platform.paged[0], platform.paged[-1]])
+
+
+def fill_router_list(store, prefix):
+    """Fills several pages of the list of routers with records that are none of a router."""
+    for number in range(SERVERS):
+        store.put("keyed.routers", "%s-%02d" % (prefix, number), "no address")
+    store.page_keys = PAGE_KEYS
+
+
+def test_routers_on_a_later_page_of_the_list_are_found():
+    """Guards against a router that reads the first page of the list only."""
+    with Platform(start=False) as platform:
+        fill_router_list(platform.store, "a")
+        for _ in range(2):
+            platform.add_router(wait=False)
+        time.sleep(FIND_S)
+        counts = [platform.metric("limpetroad_routers ", router) for router in range(2)]
+        check(min(counts) == 2, counts)
+
+
+def start_beside_mark(fleet, prefix, on_next_page=None):
+    """Starts the router again beside a list of several pages."""
+    fleet.platform.routers.pop()["process"].kill()
+    fill_router_list(fleet.platform.store, prefix)
+    fleet.platform.store.on_next_page = on_next_page
+    fleet.platform.add_router()
+
+
+def mark_as_mixed(store):
+    store.put("keyed.routers", "mixed:model", {"at": int(time.time() * 1000)})
+
+
+def check_no_stream_goes_on(fleet):
+    """Resumes streams of unknown version until the list has been read for sure."""
+    ends = time.monotonic() + FIND_S
+    while time.monotonic() < ends:
+        check(fleet.resume("unknown", 0, "0123456789abcdef", 5) == 503)
+        time.sleep(0.05)
+    check(fleet.platform.store.on_next_page is None)
+
+
+def test_a_mark_on_a_later_page_of_the_list_is_known():
+    """Guards against resuming a stream at another version because a mark is not on the first page."""
+    with VersionedFleet(routers=1, versions=("v1",)) as fleet:
+        mark_as_mixed(fleet.platform.store)
+        start_beside_mark(fleet, "a")
+        check_no_stream_goes_on(fleet)
+
+
+def test_a_restoration_between_pages_of_the_list_hides_no_mark():
+    """Guards against a list whose first page is of the store before its loss."""
+    with VersionedFleet(routers=1, versions=("v1",)) as fleet:
+        store = fleet.platform.store
+        store.era = 1
+
+        def restore():
+            store.lose_newest(0)
+            mark_as_mixed(store)
+
+        start_beside_mark(fleet, "z", restore)
+        check_no_stream_goes_on(fleet)
