--- a/include/limpetroad/topic_state.h
+++ b/include/limpetroad/topic_state.h
@@ -42,8 +42,6 @@
                                      size_t key_length,
                                      const char *value,
                                      size_t length);
-/** Forgets all keys and offsets. */
-void limpet_topic_state_clear (LimpetTopicState *state);
 /** Returns the number of keys that have a value. */
 uint32_t limpet_topic_state_count (const LimpetTopicState *state);
 
--- a/src/liblimpetroad/cluster_state/topic_state.c
+++ b/src/liblimpetroad/cluster_state/topic_state.c
@@ -137,12 +137,6 @@
   return false;
 }
 
-void
-limpet_topic_state_clear (LimpetTopicState *state)
-{
-  g_hash_table_remove_all (state->entries);
-}
-
 uint32_t
 limpet_topic_state_count (const LimpetTopicState *state)
 {
--- a/test/test_stale_reads.py
+++ b/test/test_stale_reads.py
@@ -6,9 +6,11 @@
 import time
 import urllib.parse
 
-from platform_fake import Store
+import fleet as f
+from platform_fake import ROUTES, Store, route
 from run_all import table
-from test_store_copies import CopiedStore, DrillSeries
+from test_platform import check
+from test_store_copies import APPLY_S, CopiedStore, DrillSeries, LOST_S, POLL_S, STABLE_S, settle_before_losses
 
 ROUTERS = 6
 STALE_S = 3.0
@@ -73,3 +75,77 @@
         series = DrillSeries(platform, 1, 0, 0, every_s=PLAY_S / 2, drills=0)
         stale.is_stale = True
         series.play()
+
+
+class StaleSnapshots(Store):
+    """Answers the next stale_left reads of a snapshot of the servers by stale_records. tells_first: 410 names
+    the first retained offset."""
+
+    def __init__(self, store):
+        super().__init__(store.topics)
+        self.era, self.appended = store.era, store.appended
+        self.stale_left, self.stale_records = 0, []
+        self.tells_first = True
+
+    def respond(self, path, message):
+        if not self.stale_left or "/log-newest" not in path or "keyed.servers" not in path:
+            status, body = super().respond(path, message)
+            return status, body if status != 410 or self.tells_first else b"{}"
+        self.stale_left -= 1
+        old = copy.copy(self)
+        old.lock, old.topics = threading.Lock(), {"keyed.servers": self.stale_records}
+        return Store.respond(old, path, message)
+
+
+class DroppedHistory(CopiedStore):
+    """One router whose next read of the servers is from an offset that is no longer retained. The newest
+    server, the only one of its service, stands in the record before that offset."""
+
+    def __init__(self, era):
+        super().__init__(routers=1, era=era)
+        self.configure(ROUTES + [route("newest", "/newest/", "safe", "sound")])
+        self.stale_records = list(self.store.topics["keyed.servers"])
+        self.newest = self.add_server("sound")
+        f.wait_for(lambda: self.call("/newest/").status == 200, "the server to be in use", APPLY_S)
+
+    def start(self):
+        self.store.listener.close()
+        self.store = StaleSnapshots(self.store)
+        for server in self.servers:
+            server.store = self.store
+        super().start()
+
+    def drop_history(self, stale_reads):
+        with self.store.lock:
+            self.store.stale_records, self.store.stale_left = self.stale_records, stale_reads
+            for server in self.servers[:2]:
+                server.write("ready")
+            self.store.drop_history("keyed.servers")
+
+
+@table([("eras", 1), ("no_eras", None)])
+def test_an_outdated_snapshot_after_dropped_records_takes_no_server_away(era):
+    """Guards against a snapshot that ends before the records which the router had."""
+    with DroppedHistory(era) as platform:
+        platform.drop_history(stale_reads=4)
+        ends = time.monotonic() + STABLE_S
+        while time.monotonic() < ends:
+            check(platform.call("/newest/").status == 200, platform.store.stale_left)
+            time.sleep(POLL_S)
+        check(platform.store.stale_left == 0)
+        platform.newest.remove()
+        f.wait_for(lambda: platform.call("/newest/").status == 503, "the removal", APPLY_S)
+
+
+def test_a_store_that_lost_records_and_tells_no_first_offset_is_followed():
+    """Guards against refusing the snapshots of such a store for ever."""
+    with DroppedHistory(None) as platform:
+        settle_before_losses()
+        for server in platform.servers[:2] * 2:
+            server.write("ready")
+        f.wait_for(lambda: platform.metric('limpetroad_topic_end{topic="keyed.servers"}')
+                   == len(platform.store.topics["keyed.servers"]), "the entries", APPLY_S)
+        platform.store.tells_first = False
+        platform.store.lose_newest(LOST_S)
+        platform.newest.write("draining")
+        f.wait_for(lambda: platform.call("/newest/").status == 503, "the leaving", STABLE_S)
