Software versions: an older list replaces no newer version

A router took the stored version of a service from whatever list of the routers' records it read last. An older list (a late answer of the store, or one from before its own record) put an outdated version in the place of a newer one. Then the router took a service for one of a single version although streams of another one may run, or did not store a version that serves again, so that routers that start later do not notice the change.

Now a version counts only if its record stands at a later position than the known one; the position has the era of the list, so what a store has that came back from a copy still counts. Weighed: a time in the record; a version that the store has lost would then be believed to be there. Not covered: a record by another router that is older than an own one, and new to this router.

An existing test passes a position now (test_a_stored_version_that_no_longer_serves_means_mixed), with the same checks. That a late list comes by way of the store was not played.

--- a/include/limpetroad/software_mix.h
+++ b/include/limpetroad/software_mix.h
@@ -51,10 +51,12 @@
 /** Records that \p service had several versions at \p at_ms. */
 void
 limpet_software_mix_receive (LimpetSoftwareMix *mix, const char *service, LimpetMs at_ms);
-/** Records the version of \p service in durable storage. */
+/** Records the version of \p service in durable storage, where it stands at \p position
+ * (see limpetroad/log_era.h), unless a later record of it is known. */
 void limpet_software_mix_receive_version (LimpetSoftwareMix *mix,
                                           const char *service,
-                                          uint32_t software_hash);
+                                          uint32_t software_hash,
+                                          int64_t position);
 /** Records that all marks and versions have been received. */
 void limpet_software_mix_set_marks_known (LimpetSoftwareMix *mix,
                                           uint32_t routers,
--- a/src/liblimpetroad/cluster_state/software_mix.c
+++ b/src/liblimpetroad/cluster_state/software_mix.c
@@ -15,13 +15,14 @@
 
 typedef struct
 {
-  uint32_t software_hash; /* of the last target in the last view; 0 before the first */
-  bool has_several;       /* the view, or the one before it, has another one */
-  LimpetMs mixed_ms;      /* when several versions were last known; 0 if never */
-  LimpetMs mark_ms;       /* when this router last drew whether to mark the service */
-  uint32_t stored_hash;   /* version in durable storage; 0 if none is known */
-  uint32_t draws_left;    /* of VERSION_DRAWS for the version that serves */
-  uint32_t drawn_hash;    /* version that draws_left refers to */
+  uint32_t software_hash;  /* of the last target in the last view; 0 before the first */
+  bool has_several;        /* the view, or the one before it, has another one */
+  LimpetMs mixed_ms;       /* when several versions were last known; 0 if never */
+  LimpetMs mark_ms;        /* when this router last drew whether to mark the service */
+  uint32_t stored_hash;    /* version in durable storage; 0 if none is known */
+  int64_t stored_position; /* of the newest record of a version that was received */
+  uint32_t draws_left;     /* of VERSION_DRAWS for the version that serves */
+  uint32_t drawn_hash;     /* version that draws_left refers to */
   bool is_compared; /* the stored version has been compared with the one that serves */
 } Service;
 
@@ -193,9 +194,15 @@
 void
 limpet_software_mix_receive_version (LimpetSoftwareMix *mix,
                                      const char *service,
-                                     uint32_t software_hash)
+                                     uint32_t software_hash,
+                                     int64_t position)
 {
-  ensure_service (mix, service)->stored_hash = software_hash;
+  Service *known = ensure_service (mix, service);
+
+  if (known->stored_hash != 0 && position <= known->stored_position)
+    return; /* from a list that was read late, or from before an own record */
+  known->stored_hash = software_hash;
+  known->stored_position = position;
 }
 
 void
--- a/src/test_liblimpetroad/software_version_tests.c
+++ b/src/test_liblimpetroad/software_version_tests.c
@@ -271,7 +271,7 @@
 
       if (servers_first)
         show_versions (mix, new, 1000);
-      limpet_software_mix_receive_version (mix, "model", 12345);
+      limpet_software_mix_receive_version (mix, "model", 12345, 0);
       limpet_software_mix_set_marks_known (mix, 3, 1000);
       if (!servers_first)
         show_versions (mix, new, 1000);
@@ -282,6 +282,78 @@
     }
 }
 
+static void
+keep_version (void *user, const char *service, uint32_t software_hash)
+{
+  (void)service;
+  *(uint32_t *)user = software_hash;
+}
+
+static uint32_t
+hash_of (const char *const *versions)
+{
+  LimpetSoftwareMixOps ops = { .on_version = keep_version };
+  uint32_t hash = 0;
+  LimpetSoftwareMix *mix = limpet_software_mix_new (&ops, &hash, 1);
+
+  limpet_software_mix_set_marks_known (mix, 1, 1000);
+  show_versions (mix, versions, 1000);
+  limpet_software_mix_delete (mix);
+  return hash;
+}
+
+/* Guards against a list, read late, which hides a version that other streams may have. */
+static void
+test_an_older_list_does_not_replace_a_newer_version (void)
+{
+  static const char *const old[] = { "v1", NULL };
+  static const char *const new[] = { "v2", NULL };
+  static const struct
+  {
+    int64_t position; /* of the record of the old version, the other one's being 9 */
+    bool is_mixed;
+  } cases[] = { { 5, true }, { 10, false }, { 5 + (INT64_C (1) << 40), false } };
+  LimpetSoftwareMixOps ops = { .on_mark = NULL };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      LimpetSoftwareMix *mix = limpet_software_mix_new (&ops, NULL, 1);
+
+      limpet_software_mix_receive_version (mix, "model", hash_of (new), 9);
+      limpet_software_mix_receive_version (mix, "model", hash_of (old),
+                                           cases[i].position);
+      limpet_software_mix_set_marks_known (mix, 3, 1000);
+      show_versions (mix, old, 1000);
+      CU_ASSERT_EQUAL (limpet_software_mix_is_mixed (mix, "model", 1000),
+                       cases[i].is_mixed);
+      limpet_software_mix_delete (mix);
+    }
+}
+
+/* Guards against a version that a router does not store again, since a list from before
+ * its own record names it. */
+static void
+test_an_older_list_does_not_replace_the_version_a_router_has_stored (void)
+{
+  static const char *const old[] = { "v1", NULL };
+  static const char *const new[] = { "v2", NULL };
+  LimpetSoftwareMixOps ops = { .on_version = count_version };
+  uint32_t stored = 0;
+  LimpetSoftwareMix *mix = limpet_software_mix_new (&ops, &stored, 1);
+
+  limpet_software_mix_receive_version (mix, "model", hash_of (old), 5);
+  limpet_software_mix_set_marks_known (mix, 1, 1000);
+  show_versions (mix, old, 1000);
+  for (LimpetMs now_ms = 2000; now_ms < 100000; now_ms += 1000)
+    show_versions (mix, new, now_ms);
+  CU_ASSERT_EQUAL (stored, 1);
+  limpet_software_mix_receive_version (mix, "model", hash_of (old), 5);
+  for (LimpetMs now_ms = 100000; now_ms < 200000; now_ms += 1000)
+    show_versions (mix, old, now_ms);
+  CU_ASSERT_EQUAL (stored, 2);
+  limpet_software_mix_delete (mix);
+}
+
 /* Streams must not be resumed by what was known before. */
 static void
 test_a_router_that_stood_still_or_hears_nothing_is_not_current (void)
@@ -316,5 +388,8 @@
   CU_ADD_TEST (suite, test_marks_outlast_a_restart);
   CU_ADD_TEST (suite, test_a_version_is_stored_at_changes_only);
   CU_ADD_TEST (suite, test_a_stored_version_that_no_longer_serves_means_mixed);
+  CU_ADD_TEST (suite, test_an_older_list_does_not_replace_a_newer_version);
+  CU_ADD_TEST (suite,
+               test_an_older_list_does_not_replace_the_version_a_router_has_stored);
   CU_ADD_TEST (suite, test_a_router_that_stood_still_or_hears_nothing_is_not_current);
 }
