Eras: a wrong one that another router tells leaves room for later ones

A forged or wrong era of the highest number (2^23 - 1) in one datagram was taken by all routers, and nothing could pass it: when the store came back from a copy, routers could not count one further, skipped the records at offsets given out again, and served the lost versions until all of them were restarted at once.

Now a number told by others is believed up to 1.5 x 2^22, whatever the known one is: what a store names stays below 2^22, and routers count on from there, so fleets may differ by any number of eras. Beyond that it is believed if it is at most 64 above the known one, so that routers go on telling each other of restorations after a wrong number at the bound. Others are ignored before they become an end or an announcement (receive_topic), and in states.

Weighed: near the known number only (a router that starts knows what the store names, others may have counted on from any other number); until the store's own response says otherwise (the store names a lower number than the fleet's also after a real replacement); a bound without the step beyond it (a wrong number at the bound would end the telling).

That a state with such an era is refused was not played.

--- a/include/limpetroad/log_era.h
+++ b/include/limpetroad/log_era.h
@@ -26,6 +26,11 @@
 /** Highest number of an era, and highest offset in a position. */
 #define LIMPET_LOG_MAX_ERA ((INT64_C (1) << 23) - 1)
 #define LIMPET_LOG_MAX_OFFSET ((INT64_C (1) << 40) - 1)
+/** Highest number that is believed of others whatever the known one is: beyond what logs
+ * name, with room for more to be counted. */
+#define LIMPET_LOG_MAX_CREDIBLE_ERA (LIMPET_LOG_ERA_MODULUS + LIMPET_LOG_ERA_MODULUS / 2)
+/** A number beyond that is believed if it is at most this much above the known one. */
+#define LIMPET_LOG_MAX_ERA_STEP 64
 /** A log names no era. */
 #define LIMPET_LOG_NO_ERA (-1)
 
@@ -61,7 +66,11 @@
                                         LimpetMs now_ms);
 /** Records that the log lost records although it named no new era. */
 void limpet_log_era_advance (LimpetLogEra *era, LimpetMs now_ms);
-/** Records the number of an era that another router knows. */
+/** Returns whether a number that another router tells is believed, when \p known is the
+ * newest known one. Otherwise a wrong one could use up the numbers, and no later era
+ * could be told from it. */
+bool limpet_log_era_is_credible (uint32_t known, uint32_t told);
+/** Records the number of an era that another router knows, if it is believed. */
 void limpet_log_era_hear (LimpetLogEra *era, uint32_t number, LimpetMs now_ms);
 
 #endif
--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -525,9 +525,9 @@
 }
 
 static bool
-is_position (uint32_t era, int64_t offset)
+is_offset (int64_t offset)
 {
-  return era <= LIMPET_LOG_MAX_ERA && offset >= 0 && offset <= LIMPET_LOG_MAX_OFFSET;
+  return offset >= 0 && offset <= LIMPET_LOG_MAX_OFFSET;
 }
 
 static void
@@ -548,13 +548,14 @@
   bool is_announcement = false;
 
   if (received->topic >= LIMPET_GOSSIP_TOPICS || received->n_records > MAX_RECORDS
-      || !is_position (received->era, received->end)
-      || !is_position (received->era, received->from))
+      || !is_offset (received->end) || !is_offset (received->from))
+    return;
+  known = &gossip->topics[received->topic];
+  if (!limpet_log_era_is_credible (limpet_log_position_era (known->end), received->era))
     return;
   batch.first_offset = limpet_log_position (
       received->era, received->n_records > 0 ? received->from : received->end);
   batch.end_offset = limpet_log_position (received->era, received->end);
-  known = &gossip->topics[received->topic];
   read = decode_read (gossip, received, earliest_ms, now_ms);
   if (batch.end_offset < known->end)
     return; /* this router has newer records */
--- a/src/liblimpetroad/cluster_state/log_era.c
+++ b/src/liblimpetroad/cluster_state/log_era.c
@@ -1,5 +1,7 @@
 #include "limpetroad/log_era.h"
 
+#include <glib.h>
+
 #define OFFSET_BITS 40
 #define MIN_ADVANCE_INTERVAL_MS 5000
 
@@ -84,8 +86,16 @@
   era->advanced_ms = now_ms;
 }
 
+bool
+limpet_log_era_is_credible (uint32_t known, uint32_t told)
+{
+  return told <= MAX (LIMPET_LOG_MAX_CREDIBLE_ERA, known + LIMPET_LOG_MAX_ERA_STEP)
+         && told <= LIMPET_LOG_MAX_ERA;
+}
+
 void
 limpet_log_era_hear (LimpetLogEra *era, uint32_t number, LimpetMs now_ms)
 {
-  set_number (era, number, now_ms);
+  if (limpet_log_era_is_credible (era->number, number))
+    set_number (era, number, now_ms);
 }
--- a/src/test_liblimpetroad/log_era_tests.c
+++ b/src/test_liblimpetroad/log_era_tests.c
@@ -33,6 +33,7 @@
 }
 
 #define NONE LIMPET_LOG_NO_ERA
+#define CREDIBLE LIMPET_LOG_MAX_CREDIBLE_ERA
 #define SAME LIMPET_LOG_ERA_SAME
 #define NEW LIMPET_LOG_ERA_NEW
 #define OUTDATED LIMPET_LOG_ERA_OUTDATED
@@ -89,6 +90,18 @@
       { 7, 15, OUTDATED, 8 } } },
   { "a number that cannot be one",
     { { 5, 10, SAME, 5 }, { INT64_C (1) << 40, 0, SAME, 5 } } },
+  { "the highest number, told by another router",
+    { { 5, 10, SAME, 5 },
+      { LIMPET_LOG_MAX_ERA, 0, SAME, 5 },
+      { 5, 30, SAME, 5 },
+      { 6, 40, NEW, 6 } } },
+  { "the highest number that is believed, and the next ones",
+    { { 5, 10, SAME, 5 },
+      { CREDIBLE, 0, SAME, CREDIBLE },
+      { 5, 30, SAME, CREDIBLE },
+      { 6, 40, NEW, CREDIBLE + 1 },
+      { CREDIBLE + 2, 0, SAME, CREDIBLE + 2 },
+      { LIMPET_LOG_MAX_ERA, 0, SAME, CREDIBLE + 2 } } },
   { "an era that is a time",
     { { UNIX_MS, 10, SAME, UNIX_MS % LIMPET_LOG_ERA_MODULUS },
       { UNIX_MS + 1, 20, NEW, UNIX_MS % LIMPET_LOG_ERA_MODULUS + 1 },
