Quarantine: a request that may have crashed three servers is held until one is reached

Callers saw the servers of a service crash a second time: repeats of one request at one router crash all four servers within 30 ms. A crash counts once another server is reached, so none counted until new ones came, more than 3 s later, and each router then sent its repeat to one.

A router whose request broke at three servers that cannot be reached since tells the others, which refuse it meanwhile (503, not run), until its router knows more or they have a response of any server. Waiting instead of refusing was weighed: callers would wait where no server is left.

--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -59,6 +59,10 @@
   LimpetSuspectCrash crashes[LIMPET_QUARANTINE_MAX_CRASHES];
   uint32_t crash_count;
   bool is_quarantined;
+  /** Targets that such calls were sent to, as many as quarantine it, cannot be reached,
+   *  and it is unknown whether any other can. */
+  bool is_pending;
+  LimpetMs pending_ms; /**< when a router last said whether it is; 0 if none did */
 } LimpetSuspect;
 
 /** Callbacks, called from within the functions below; each may be NULL. */
@@ -103,6 +107,18 @@
                                        const LimpetFingerprints *fingerprints,
                                        LimpetMs now_ms);
 
+/** Records that enough targets for a quarantine became unreachable as they began to run
+ *  such calls, but that it is unknown whether they crashed. To be repeated at least every
+ *  100 ms for as long as it is so. */
+void limpet_quarantine_record_pending (LimpetQuarantine *quarantine,
+                                       const LimpetFingerprints *fingerprints,
+                                       LimpetMs now_ms);
+/** Returns since when any router has recorded that; 0 if none does, or if such a call was
+ *  completed. */
+LimpetMs limpet_quarantine_pending_since (const LimpetQuarantine *quarantine,
+                                          const LimpetFingerprints *fingerprints,
+                                          LimpetMs now_ms);
+
 /** Merges a record from another router or from durable storage. */
 void limpet_quarantine_receive (LimpetQuarantine *quarantine,
                                 const LimpetSuspect *received,
@@ -116,8 +132,8 @@
 uint32_t limpet_quarantine_collect_changed (LimpetQuarantine *quarantine,
                                             LimpetSuspect *records,
                                             uint32_t max_count);
-/** Fills \p records with suspects that have crashes, the quarantined ones first, and
- *  returns their number. */
+/** Fills \p records with suspects that have crashes or were pending lately, the
+ *  quarantined ones first, and returns their number. */
 uint32_t limpet_quarantine_collect_first (const LimpetQuarantine *quarantine,
                                           LimpetSuspect *records,
                                           uint32_t max_count);
--- a/src/liblimpetroad/cluster_state/gossip.pb-c.c
+++ b/src/liblimpetroad/cluster_state/gossip.pb-c.c
@@ -742,7 +742,7 @@
   (ProtobufCMessageInit) target_rest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor suspect_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor suspect_record__field_descriptors[8] =
 {
   {
     "id",
@@ -816,19 +816,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pending",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(SuspectRecord, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending_age_plus_1_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(SuspectRecord, pending_age_plus_1_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned suspect_record__field_indices_by_name[] = {
   5,   /* field[5] = crash_ages_ms */
   4,   /* field[4] = crashed_targets */
   1,   /* field[1] = depth */
   0,   /* field[0] = id */
+  6,   /* field[6] = pending */
+  7,   /* field[7] = pending_age_plus_1_ms */
   2,   /* field[2] = quarantined */
   3,   /* field[3] = success_age_plus_1_ms */
 };
 static const ProtobufCIntRange suspect_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor suspect_record__descriptor =
 {
@@ -838,7 +864,7 @@
   "SuspectRecord",
   "",
   sizeof(SuspectRecord),
-  6,
+  8,
   suspect_record__field_descriptors,
   suspect_record__field_indices_by_name,
   1,  suspect_record__number_ranges,
--- a/src/liblimpetroad/cluster_state/gossip_suspects.c
+++ b/src/liblimpetroad/cluster_state/gossip_suspects.c
@@ -34,6 +34,9 @@
       encoded->quarantined = record->is_quarantined;
       encoded->success_age_plus_1_ms
           = record->success_ms > 0 ? age_of (record->success_ms, now_ms) + 1 : 0;
+      encoded->pending = record->is_pending;
+      encoded->pending_age_plus_1_ms
+          = record->pending_ms > 0 ? age_of (record->pending_ms, now_ms) + 1 : 0;
       for (uint32_t j = 0; j < record->crash_count; j++)
         {
           suspects->targets[i][j] = record->crashes[j].target_hash;
@@ -60,10 +63,13 @@
     .id = received->id,
     .depth = received->depth,
     .is_quarantined = received->quarantined,
+    .is_pending = received->pending,
     .crash_count = (uint32_t)received->n_crashed_targets,
   };
   if (received->success_age_plus_1_ms > 0)
     record->success_ms = time_of (received->success_age_plus_1_ms - 1, now_ms);
+  if (received->pending_age_plus_1_ms > 0)
+    record->pending_ms = time_of (received->pending_age_plus_1_ms - 1, now_ms);
   for (uint32_t i = 0; i < record->crash_count; i++)
     record->crashes[i] = (LimpetSuspectCrash){
       .target_hash = received->crashed_targets[i],
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -43,6 +43,15 @@
 #define MIN_TIME_GAIN_MS 1000
 /* Times that routers tell each other are wrong by up to about this much. */
 #define MAX_TIME_ERROR_MS 100
+/* A request is pending until the router that found it so says that it no longer is, or
+ * has been silent for this time. */
+#define PENDING_VALIDITY_MS 4000
+/* Routers tell each other in this period that it still is. */
+#define PENDING_PERIOD_MS 1500
+/* A request that a router has not found pending for this time no longer is. */
+#define PENDING_END_MS 250
+/* Most requests that are pending at once. Cut links break many. */
+#define MAX_PENDING_REQUESTS 3
 #define MAX_SUSPECTS 512
 /* Number of fingerprints whose last success is remembered. One may displace another. */
 #define SUCCESS_SLOTS 8192
@@ -52,6 +61,8 @@
   LimpetSuspect record;
   LimpetMs sufficient_ms;    /* when the crashes became sufficient; 0 if they are not */
   LimpetMs changed_ms;       /* last change of the record */
+  LimpetMs pending_since_ms; /* when the request became pending; 0 if it never was */
+  LimpetMs own_pending_ms;   /* when this router last found it so; 0 if it does not */
   LimpetMs own_crash_ms;     /* last crash that this router observed; 0 if none */
   LimpetMs probe_ms;         /* when a call was last admitted after the quarantine */
   LimpetMs release_delay_ms; /* random time added to the quarantine */
@@ -351,6 +362,88 @@
   return suspect;
 }
 
+static bool
+is_pending (const Suspect *suspect, LimpetMs now_ms)
+{
+  return suspect->record.is_pending
+         && suspect->record.pending_ms + PENDING_VALIDITY_MS > now_ms;
+}
+
+/* Returns whether the request is pending, or fewer than the most others are. */
+static bool
+may_be_pending (const LimpetQuarantine *quarantine,
+                const Suspect *suspect,
+                LimpetMs now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  if (is_pending (suspect, now_ms))
+    return true;
+  g_hash_table_iter_init (&iter, quarantine->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += is_pending (value, now_ms);
+  return count < MAX_PENDING_REQUESTS;
+}
+
+static void
+end_pending (Suspect *suspect, LimpetMs ended_ms, LimpetMs now_ms)
+{
+  suspect->record.is_pending = false;
+  suspect->record.pending_ms = ended_ms;
+  suspect->own_pending_ms = 0;
+  record_change (suspect, now_ms);
+}
+
+/* Calls that were completed recently break beside others when the links are cut. */
+static void
+add_pending (LimpetQuarantine *quarantine,
+             Suspect *suspect,
+             LimpetMs pending_ms,
+             LimpetMs now_ms)
+{
+  LimpetSuspect *record = &suspect->record;
+  bool was_pending = is_pending (suspect, now_ms);
+
+  if (pending_ms < record->pending_ms + (was_pending ? PENDING_PERIOD_MS : 1)
+      || pending_ms + PENDING_VALIDITY_MS <= now_ms
+      || is_cleared_by (record->success_ms, pending_ms)
+      || is_cleared_by (own_success_ms (quarantine, record->id), pending_ms)
+      || !may_be_pending (quarantine, suspect, now_ms))
+    return;
+  if (!was_pending)
+    suspect->pending_since_ms = pending_ms;
+  record->is_pending = true;
+  record->pending_ms = pending_ms;
+  record_change (suspect, now_ms);
+}
+
+void
+limpet_quarantine_record_pending (LimpetQuarantine *quarantine,
+                                  const LimpetFingerprints *fingerprints,
+                                  LimpetMs now_ms)
+{
+  Suspect *suspect = ensure_suspect (quarantine, fingerprints->request,
+                                     LIMPET_QUARANTINE_REQUEST_DEPTH, now_ms);
+
+  if (suspect == NULL)
+    return;
+  add_pending (quarantine, suspect, now_ms, now_ms);
+  if (is_pending (suspect, now_ms))
+    suspect->own_pending_ms = now_ms;
+}
+
+LimpetMs
+limpet_quarantine_pending_since (const LimpetQuarantine *quarantine,
+                                 const LimpetFingerprints *fingerprints,
+                                 LimpetMs now_ms)
+{
+  const Suspect *suspect = find_suspect (quarantine, fingerprints->request);
+
+  return suspect != NULL && is_pending (suspect, now_ms) ? suspect->pending_since_ms : 0;
+}
+
 /* Returns the time until calls with the suspect are admitted again; 0 or less if they
  * are. */
 static LimpetMs
@@ -461,7 +554,11 @@
 
       *success_slot (quarantine, id) = (Success){ .id = id, .at_ms = now_ms };
       if (suspect != NULL)
-        add_success (quarantine, suspect, now_ms, now_ms);
+        {
+          if (is_pending (suspect, now_ms))
+            end_pending (suspect, now_ms, now_ms);
+          add_success (quarantine, suspect, now_ms, now_ms);
+        }
       if (was_quarantined && !suspect->record.is_quarantined
           && quarantine->ops->on_cleared != NULL)
         quarantine->ops->on_cleared (quarantine->user, &suspect->record);
@@ -557,7 +654,7 @@
   bool is_quarantined_request
       = received->is_quarantined && received->depth == LIMPET_QUARANTINE_REQUEST_DEPTH;
 
-  if (suspect == NULL && received->crash_count == 0)
+  if (suspect == NULL && received->crash_count == 0 && !received->is_pending)
     return;
   suspect = ensure_suspect (quarantine, received->id, received->depth, now_ms);
   if (suspect == NULL)
@@ -567,6 +664,11 @@
     add_crash (quarantine, suspect, &received->crashes[i], is_quarantined_request,
                now_ms);
   add_success (quarantine, suspect, own_success_ms (quarantine, received->id), now_ms);
+  if (received->is_pending)
+    add_pending (quarantine, suspect, received->pending_ms, now_ms);
+  else if (is_pending (suspect, now_ms)
+           && received->pending_ms > suspect->record.pending_ms)
+    end_pending (suspect, received->pending_ms, now_ms);
   if (lacks_success (received, suspect->record.success_ms))
     suspect->is_changed = true;
   if (received->is_quarantined && !suspect->record.is_quarantined
@@ -631,8 +733,14 @@
 
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (expire (quarantine, value, now_ms))
-      g_hash_table_iter_remove (&iter);
+    {
+      suspect = value;
+      if (suspect->own_pending_ms > 0
+          && now_ms - suspect->own_pending_ms > PENDING_END_MS)
+        end_pending (suspect, now_ms, now_ms);
+      if (expire (quarantine, suspect, now_ms))
+        g_hash_table_iter_remove (&iter);
+    }
   while ((suspect = find_next (quarantine, now_ms)) != NULL)
     quarantine_suspect (quarantine, suspect, "own_evidence", now_ms);
 }
@@ -659,7 +767,8 @@
   return count;
 }
 
-/* Appends the suspects with crashes that are quarantined, or that are not. */
+/* Appends the suspects with crashes, or lately pending, that are quarantined, or that are
+ * not. */
 static void
 list_suspects (const LimpetQuarantine *quarantine, bool is_quarantined, GPtrArray *list)
 {
@@ -671,7 +780,7 @@
     {
       const Suspect *suspect = value;
 
-      if (suspect->record.crash_count > 0
+      if ((suspect->record.crash_count > 0 || suspect->record.pending_ms > 0)
           && suspect->record.is_quarantined == is_quarantined)
         g_ptr_array_add (list, value);
     }
--- a/src/liblimpetroad/exchange/call_filters.c
+++ b/src/liblimpetroad/exchange/call_filters.c
@@ -158,10 +158,19 @@
   return true;
 }
 
-static const CallFilter filters[] = {
-  check_stopping, acquire_table,        read_call,   find_route,      authenticate,
-  set_times,      check_remaining_time, set_context, set_fingerprint, check_quarantine
-};
+static bool
+check_pending_crashes (LimpetTask *task, LimpetRefusal *refusal)
+{
+  if (limpet_pending_crashes_hold (task))
+    return refuse (refusal, LIMPET_REFUSAL_NO_TARGET, LIMPET_NO_TARGET_RETRY_MS);
+  return true;
+}
+
+static const CallFilter filters[]
+    = { check_stopping,       acquire_table,        read_call,
+        find_route,           authenticate,         set_times,
+        check_remaining_time, set_context,          set_fingerprint,
+        check_quarantine,     check_pending_crashes };
 
 bool
 limpet_call_run_filters (LimpetTask *task, LimpetRefusal *refusal)
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -58,6 +58,7 @@
   limpet_tunnels_check (exchange);
   limpet_held_bytes_check (exchange);
   limpet_pending_crashes_check (exchange, now_ms);
+  limpet_pending_crashes_tell (exchange);
   limpet_resumption_tick (exchange);
   limpet_dispatch_tick (exchange->dispatch, now_ms);
 }
--- a/src/liblimpetroad/exchange/pending_crashes.c
+++ b/src/liblimpetroad/exchange/pending_crashes.c
@@ -1,6 +1,8 @@
+#include "limpetroad/logger.h"
 #include "private/exchange.h"
 #include "private/paths.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* Time in which it shows whether a target has crashed: the registry removes a silent
@@ -19,9 +21,10 @@
   LimpetTarget *target; /* a reference */
   LimpetFingerprints fingerprints;
   LimpetMs sent_ms;
-  LimpetMs ended_ms;   /* when the attempt ended */
-  bool is_probed;      /* after its target vanished from the registry */
-  bool is_unreachable; /* its target could not be reached after the call was sent */
+  LimpetMs ended_ms; /* when the attempt ended */
+  bool is_probed;    /* after its target vanished from the registry */
+  /* When its target was found unreachable after the call was sent; 0 if it was not. */
+  LimpetMs unreachable_ms;
   /* When an own connection to another target was established; 0 until
    * MAX_LINK_CHANGE_MS after the end. */
   LimpetMs other_connected_ms;
@@ -119,9 +122,11 @@
   LimpetTarget *target = pending->target;
   LimpetMs other_ms = limpet_paths_other_connected_ms (exchange, target);
 
-  if (atomic_load (&target->unreachable_ms) >= pending->sent_ms)
-    pending->is_unreachable = true; /* a change of the paths resets the time */
-  if (!pending->is_unreachable || pending->is_probed_directly
+  /* A change of the paths resets the time of the target. */
+  if (pending->unreachable_ms == 0
+      && atomic_load (&target->unreachable_ms) >= pending->sent_ms)
+    pending->unreachable_ms = now_ms;
+  if (pending->unreachable_ms == 0 || pending->is_probed_directly
       || now_ms < pending->ended_ms + MAX_LINK_CHANGE_MS)
     return;
   if (pending->other_connected_ms == 0
@@ -157,6 +162,78 @@
          || ended_ago_ms > VALIDITY_MS;
 }
 
+/* Returns whether it shows soon whether the target, which cannot be reached, has
+ * crashed. */
+static bool
+is_open (const PendingCrash *pending)
+{
+  return pending->unreachable_ms > 0
+         && limpet_upstream_connected_ms (pending->target) <= pending->unreachable_ms
+         && (!pending->is_probed_directly || limpet_upstream_is_probed (pending->target));
+}
+
+/* Returns whether the request broke at as many targets as quarantine it, all of which
+ * may have crashed. */
+static bool
+is_sufficient (const GQueue *list, uint64_t request)
+{
+  uint32_t targets[LIMPET_QUARANTINE_MIN_CRASHES];
+  uint32_t count = 0;
+
+  for (GList *link = list->head; link != NULL; link = link->next)
+    {
+      const PendingCrash *pending = link->data;
+      uint32_t i = 0;
+
+      if (pending->fingerprints.request != request || !is_open (pending))
+        continue;
+      while (i < count && targets[i] != pending->target->id_hash)
+        i++;
+      if (i < count)
+        continue;
+      targets[count++] = pending->target->id_hash;
+      if (count == LIMPET_QUARANTINE_MIN_CRASHES)
+        return true;
+    }
+  return false;
+}
+
+void
+limpet_pending_crashes_tell (LimpetExchange *exchange)
+{
+  const GQueue *list = &exchange->pending_crashes;
+
+  for (GList *link = list->head; link != NULL; link = link->next)
+    {
+      const PendingCrash *pending = link->data;
+
+      if (pending->fingerprints.request != 0 && is_open (pending)
+          && is_sufficient (list, pending->fingerprints.request))
+        limpet_quarantine_record_pending (exchange->quarantine, &pending->fingerprints,
+                                          limpet_clock_boot_ms ());
+    }
+}
+
+bool
+limpet_pending_crashes_hold (const LimpetTask *task)
+{
+  const LimpetExchange *exchange = task->exchange;
+  LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
+  LimpetMs now_ms = limpet_clock_boot_ms ();
+  LimpetMs since_ms;
+
+  if (exchange->quarantine == NULL)
+    return false;
+  since_ms
+      = limpet_quarantine_pending_since (exchange->quarantine, &fingerprints, now_ms);
+  if (since_ms == 0
+      || limpet_clock_mono_ms () - exchange->responded_ms < now_ms - since_ms)
+    return false;
+  limpet_log (LIMPET_LOG_INFO, "quarantine", NULL, "id=%s request=%" PRIx64 " state=held",
+              task->call.id, fingerprints.request);
+  return true;
+}
+
 void
 limpet_pending_crashes_check (LimpetExchange *exchange, LimpetMs now_ms)
 {
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -22,8 +22,6 @@
 #define MIN_RETRY_TIME_MS 20
 /* Retry delay for the caller after a target refused the call. */
 #define TARGET_FULL_RETRY_MS 300
-/* Retry delay for the caller if no target was reachable. */
-#define NO_TARGET_RETRY_MS 500
 
 static const struct
 {
@@ -118,6 +116,21 @@
   return true;
 }
 
+/* Refuses the call and returns true if it must not be sent yet. */
+static bool
+refuse_if_held (LimpetTask *task)
+{
+  if (!limpet_pending_crashes_hold (task))
+    return false;
+  if (task->head_sent)
+    limpet_relay_abort (task);
+  else if (task->may_have_run)
+    limpet_task_write_failure (task, LIMPET_REFUSAL_BROKEN, 0);
+  else
+    limpet_task_write_failure (task, LIMPET_REFUSAL_NO_TARGET, LIMPET_NO_TARGET_RETRY_MS);
+  return true;
+}
+
 /* The call may have been quarantined while it waited for a slot, or the router may be
  * stopping now. */
 static void
@@ -126,7 +139,7 @@
   LimpetTask *task = user;
   LimpetDispatch *dispatch = task->exchange->dispatch;
 
-  if (refuse_if_quarantined (task, false))
+  if (refuse_if_quarantined (task, false) || refuse_if_held (task))
     limpet_dispatch_release (dispatch, target);
   else if (task->sent_count == 0 && !limpet_task_can_end (task))
     {
@@ -554,7 +567,7 @@
 static void
 resubmit (LimpetTask *task, const char *cause)
 {
-  if (refuse_if_quarantined (task, true))
+  if (refuse_if_quarantined (task, true) || refuse_if_held (task))
     return;
   limpet_log (LIMPET_LOG_INFO, "repeat",
               task->attempted_count > 0
@@ -593,7 +606,7 @@
   else if (!sent && has_path && ++task->connect_failures < MAX_CONNECT_FAILURES)
     resubmit (task, "unreachable");
   else if (!sent && !task->may_have_run && !task->head_sent)
-    limpet_task_write_failure (task, LIMPET_REFUSAL_NO_TARGET, NO_TARGET_RETRY_MS);
+    limpet_task_write_failure (task, LIMPET_REFUSAL_NO_TARGET, LIMPET_NO_TARGET_RETRY_MS);
   else if (sent && limpet_call_is_idempotent (&task->call) && acquire_retry (task))
     resubmit (task, "broken");
   else if (task->head_sent)
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -426,6 +426,7 @@
 use_connection (LimpetUpstream *upstream)
 {
   upstream->is_connected = true;
+  pool_of (upstream->target)->connected_ms = limpet_clock_mono_ms ();
   uv_timer_stop (&upstream->timer);
   if (upstream->is_path_probe)
     uv_timer_start (&upstream->timer, on_idle_or_connect_timeout, PATH_PROBE_HOLD_MS, 0);
@@ -609,6 +610,22 @@
   return pool != NULL ? pool->failed_probe_began_ms : 0;
 }
 
+LimpetMs
+limpet_upstream_connected_ms (const LimpetTarget *target)
+{
+  const LimpetUpstreamPool *pool = target->pool;
+
+  return pool != NULL ? pool->connected_ms : 0;
+}
+
+bool
+limpet_upstream_is_probed (const LimpetTarget *target)
+{
+  const LimpetUpstreamPool *pool = target->pool;
+
+  return pool != NULL && pool->is_probed;
+}
+
 void
 limpet_upstream_probe_path (LimpetExchange *exchange, LimpetTarget *target)
 {
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -33,6 +33,8 @@
 /* Retry delay while the router stops; short, because another router can take the request
  * at once. */
 #define LIMPET_STOPPING_RETRY_MS 20
+/* Retry delay for the caller if no target was reachable. */
+#define LIMPET_NO_TARGET_RETRY_MS 500
 
 /* Times from the arrival of a call, in ms, for one kind of route. */
 typedef struct
@@ -311,6 +313,12 @@
  * is told if the target proves to be unreachable or vanishes from the registry. Does
  * nothing if the request has not been sent. */
 void limpet_pending_crashes_add_silence (const LimpetTask *task);
+/* Tells the quarantine of the requests that may have crashed as many targets as
+ * quarantine them. To be called every 100 ms. */
+void limpet_pending_crashes_tell (LimpetExchange *exchange);
+/* Returns whether the call must not be sent yet: such calls may have crashed several
+ * targets, and this router has reached none since. */
+bool limpet_pending_crashes_hold (const LimpetTask *task);
 /* Tells the quarantine of the targets that have crashed, and drops the calls whose target
  * has responded to another call since. */
 void limpet_pending_crashes_check (LimpetExchange *exchange, LimpetMs now_ms);
@@ -343,6 +351,11 @@
 /* Returns when the last probe of the target on the own links that failed began; 0 if none
  * failed. */
 LimpetMs limpet_upstream_failed_probe_began_ms (const LimpetTarget *target);
+/* Returns when a connection to the target was last established, over other routers as
+ * well; 0 if none was. */
+LimpetMs limpet_upstream_connected_ms (const LimpetTarget *target);
+/* Returns whether a probe of the target is under way. */
+bool limpet_upstream_is_probed (const LimpetTarget *target);
 /* Connects on the own links, to find out whether they work. The result goes to
  * limpet_paths_record_probe(). */
 void limpet_upstream_probe_path (LimpetExchange *exchange, LimpetTarget *target);
--- a/src/liblimpetroad/private/gossip.pb-c.h
+++ b/src/liblimpetroad/private/gossip.pb-c.h
@@ -201,10 +201,18 @@
    */
   size_t n_crash_ages_ms;
   uint32_t *crash_ages_ms;
+  /*
+   * the request may have crashed targets that cannot be reached
+   */
+  protobuf_c_boolean pending;
+  /*
+   * time since a router said whether it is, plus 1; 0 if none did
+   */
+  uint32_t pending_age_plus_1_ms;
 };
 #define SUSPECT_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&suspect_record__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -47,6 +47,8 @@
   bool is_probed; /* a probe has not ended */
   LimpetMs probe_began_ms;
   LimpetMs failed_probe_began_ms; /* of the last one on the own links; 0 if none failed */
+  LimpetMs connected_ms; /* when a connection was last established, over other routers as
+                          * well; 0 if none was */
 } LimpetUpstreamPool;
 
 /* Closes the idle connections of a target. */
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -674,6 +674,88 @@
   stop_routers ();
 }
 
+static bool
+is_pending (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+
+  return limpet_quarantine_pending_since (quarantine, &fingerprints, now_ms) > 0;
+}
+
+static void
+record_pending (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
+{
+  LimpetFingerprints fingerprints = plain (request);
+
+  limpet_quarantine_record_pending (quarantine, &fingerprints, now_ms);
+}
+
+static uint32_t
+count_routers_that_hold (uint64_t request, LimpetMs now_ms)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < ROUTERS; i++)
+    count += is_pending (routers[i].quarantine, request, now_ms);
+  return count;
+}
+
+/* One router saw eight such requests, as if its links were cut, and stops saying so 5 s
+ * later. */
+static void
+test_a_request_that_may_crash_targets_is_held_by_all_routers_while_it_is_unknown (void)
+{
+  int64_t end = 1;
+  uint64_t before;
+
+  start_routers (40);
+  run_fleet (1, 20000, &end, NULL);
+  loss_ratio = 0.2;
+  before = sent_bytes;
+  for (LimpetMs now_ms = 20000; now_ms < 25000; now_ms += 100)
+    {
+      for (uint64_t request = 0; request < 8; request++)
+        record_pending (routers[5].quarantine, CRASHING_REQUEST + request, now_ms);
+      report_all_loads (now_ms);
+      run_fleet (now_ms, now_ms + 100, &end, NULL);
+      if (now_ms >= 21000)
+        CU_ASSERT_EQUAL (count_routers_that_hold (CRASHING_REQUEST, now_ms + 100),
+                         ROUTERS);
+    }
+  printf ("bytes per router and second with pending requests=%lu\n",
+          (unsigned long)((sent_bytes - before) / 5 / ROUTERS));
+  CU_ASSERT_TRUE ((sent_bytes - before) / 5 / ROUTERS < 4096);
+  for (uint64_t request = 3; request < 8; request++)
+    CU_ASSERT_EQUAL (count_routers_that_hold (CRASHING_REQUEST + request, 25000), 0);
+  run_fleet (25000, 26000, &end, NULL);
+  CU_ASSERT_EQUAL (count_routers_that_hold (CRASHING_REQUEST, 26000), 0);
+  CU_ASSERT_EQUAL (limpet_quarantine_count (routers[5].quarantine, true), 0);
+  stop_routers ();
+}
+
+/* The links of the router that says so are cut. */
+static void
+test_a_request_completed_lately_is_not_held (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetQuarantine *other = limpet_quarantine_new (&quarantine_ops, NULL, 2);
+  LimpetFingerprints fingerprints = plain (SOUND_REQUEST);
+  LimpetSuspect record;
+
+  limpet_quarantine_record_success (other, &fingerprints, 15000);
+  record_pending (quarantine, SOUND_REQUEST, 20000);
+  CU_ASSERT_TRUE (is_pending (quarantine, SOUND_REQUEST, 20000));
+  CU_ASSERT_EQUAL (limpet_quarantine_collect_changed (quarantine, &record, 1), 1);
+  limpet_quarantine_receive (other, &record, 20100);
+  CU_ASSERT_FALSE (is_pending (other, SOUND_REQUEST, 20100));
+  limpet_quarantine_record_success (quarantine, &fingerprints, 20200);
+  CU_ASSERT_FALSE (is_pending (quarantine, SOUND_REQUEST, 20200));
+  record_pending (quarantine, SOUND_REQUEST, 20300);
+  CU_ASSERT_FALSE (is_pending (quarantine, SOUND_REQUEST, 20300));
+  limpet_quarantine_delete (quarantine);
+  limpet_quarantine_delete (other);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -706,4 +788,8 @@
   CU_ADD_TEST (suite,
                test_a_quarantine_is_written_by_a_router_that_saw_one_of_the_last_crashes);
   CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
+  CU_ADD_TEST (
+      suite,
+      test_a_request_that_may_crash_targets_is_held_by_all_routers_while_it_is_unknown);
+  CU_ADD_TEST (suite, test_a_request_completed_lately_is_not_held);
 }
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -234,6 +234,34 @@
             check(fleet.request("900d", index), index)
 
 
+@table([("one_router", 1), ("three_routers", 3)])
+def test_a_request_that_broke_when_all_links_were_cut_is_served_soon_after_the_cut(count):
+    """No other request comes, whose response would show that servers are reached."""
+    with CutFleet(count) as fleet:
+        calls = [threading.Thread(target=fleet.request, args=("900d", number % count), daemon=True)
+                 for number in range(4 * SERVERS)]
+        for call in calls:
+            call.start()
+        time.sleep(0.2)
+        fleet.cut()
+        time.sleep(2)
+        fleet.restore(0)
+        restored = time.monotonic()
+        served = []
+
+        def repeat(index):
+            while not fleet.request("900d", index):
+                time.sleep(0.05)
+            served.append(time.monotonic() - restored)
+
+        callers = [threading.Thread(target=repeat, args=(index,), daemon=True) for index in range(count)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(10)
+        check(len(served) == count and max(served) <= fleet.CALL_S + 2, served)
+
+
 @table([("stream", STREAM), ("resumable", RESUMABLE)])
 def test_a_request_that_crashes_servers_after_its_first_events_is_kept_from_them(kind):
     with RequestsFleet(kind, events=2) as fleet:
