Quarantine: crashes that count already and those that cannot yet are added up

A request that crashed four servers was not held: a response of another server between the crashes let two of them count at once, so that two were left whose servers could not be told from unreachable ones, and three are needed to hold it. Each router sent its repeat to the new servers.

New unit test (known_and_pending_crashes_of_a_request_are_added_up), for an interface that is new.

--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -107,11 +107,14 @@
                                        const LimpetFingerprints *fingerprints,
                                        LimpetMs now_ms);
 
-/** Records that enough targets for a quarantine became unreachable as they began to run
- *  such calls, but that it is unknown whether they crashed. To be repeated at least every
+/** Records that targets became unreachable as they began to run such calls, but that it
+ *  is unknown whether they crashed. Does nothing if they are too few for a quarantine,
+ *  together with those that are known to have crashed. To be repeated at least every
  *  100 ms for as long as it is so. */
 void limpet_quarantine_record_pending (LimpetQuarantine *quarantine,
                                        const LimpetFingerprints *fingerprints,
+                                       const uint32_t *targets,
+                                       uint32_t count,
                                        LimpetMs now_ms);
 /** Returns since when any router has recorded that; 0 if none does, or if such a call was
  *  completed. */
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -422,12 +422,17 @@
 void
 limpet_quarantine_record_pending (LimpetQuarantine *quarantine,
                                   const LimpetFingerprints *fingerprints,
+                                  const uint32_t *targets,
+                                  uint32_t count,
                                   LimpetMs now_ms)
 {
   Suspect *suspect = ensure_suspect (quarantine, fingerprints->request,
                                      LIMPET_QUARANTINE_REQUEST_DEPTH, now_ms);
+  uint32_t crashes = suspect != NULL ? suspect->record.crash_count : 0;
 
-  if (suspect == NULL)
+  for (uint32_t i = 0; suspect != NULL && i < count; i++)
+    crashes += !limpet_suspect_has_crash_of (&suspect->record, targets[i]);
+  if (crashes < LIMPET_QUARANTINE_MIN_CRASHES)
     return;
   add_pending (quarantine, suspect, now_ms, now_ms);
   if (is_pending (suspect, now_ms))
--- a/src/liblimpetroad/exchange/pending_crashes.c
+++ b/src/liblimpetroad/exchange/pending_crashes.c
@@ -172,15 +172,17 @@
          && (!pending->is_probed_directly || limpet_upstream_is_probed (pending->target));
 }
 
-/* Returns whether the request broke at as many targets as quarantine it, all of which
- * may have crashed. */
-static bool
-is_sufficient (const GQueue *list, uint64_t request)
+/* Fills targets with different ones at which the request broke and that may have crashed,
+ * and returns their number. */
+static uint32_t
+collect_targets (const GQueue *list,
+                 uint64_t request,
+                 uint32_t targets[LIMPET_QUARANTINE_MIN_CRASHES])
 {
-  uint32_t targets[LIMPET_QUARANTINE_MIN_CRASHES];
   uint32_t count = 0;
 
-  for (GList *link = list->head; link != NULL; link = link->next)
+  for (GList *link = list->head; link != NULL && count < LIMPET_QUARANTINE_MIN_CRASHES;
+       link = link->next)
     {
       const PendingCrash *pending = link->data;
       uint32_t i = 0;
@@ -189,28 +191,27 @@
         continue;
       while (i < count && targets[i] != pending->target->id_hash)
         i++;
-      if (i < count)
-        continue;
-      targets[count++] = pending->target->id_hash;
-      if (count == LIMPET_QUARANTINE_MIN_CRASHES)
-        return true;
+      if (i == count)
+        targets[count++] = pending->target->id_hash;
     }
-  return false;
+  return count;
 }
 
 void
 limpet_pending_crashes_tell (LimpetExchange *exchange)
 {
-  const GQueue *list = &exchange->pending_crashes;
-
-  for (GList *link = list->head; link != NULL; link = link->next)
+  for (GList *link = exchange->pending_crashes.head; link != NULL; link = link->next)
     {
       const PendingCrash *pending = link->data;
+      uint32_t targets[LIMPET_QUARANTINE_MIN_CRASHES];
+      uint32_t count;
 
-      if (pending->fingerprints.request != 0 && is_open (pending)
-          && is_sufficient (list, pending->fingerprints.request))
-        limpet_quarantine_record_pending (exchange->quarantine, &pending->fingerprints,
-                                          limpet_clock_boot_ms ());
+      if (pending->fingerprints.request == 0 || !is_open (pending))
+        continue;
+      count = collect_targets (&exchange->pending_crashes, pending->fingerprints.request,
+                               targets);
+      limpet_quarantine_record_pending (exchange->quarantine, &pending->fingerprints,
+                                        targets, count, limpet_clock_boot_ms ());
     }
 }
 
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -685,9 +685,10 @@
 static void
 record_pending (LimpetQuarantine *quarantine, uint64_t request, LimpetMs now_ms)
 {
+  static const uint32_t targets[] = { 1, 2, 3 };
   LimpetFingerprints fingerprints = plain (request);
 
-  limpet_quarantine_record_pending (quarantine, &fingerprints, now_ms);
+  limpet_quarantine_record_pending (quarantine, &fingerprints, targets, 3, now_ms);
 }
 
 static uint32_t
@@ -756,6 +757,23 @@
   limpet_quarantine_delete (other);
 }
 
+/* A response between the crashes made two of them count at once. */
+static void
+test_known_and_pending_crashes_of_a_request_are_added_up (void)
+{
+  static const uint32_t targets[] = { 2, 3, 4 };
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetFingerprints fingerprints = plain (CRASHING_REQUEST);
+
+  limpet_quarantine_record_crash (quarantine, &fingerprints, 1, 20000);
+  limpet_quarantine_record_crash (quarantine, &fingerprints, 2, 20000);
+  limpet_quarantine_record_pending (quarantine, &fingerprints, targets, 1, 20100);
+  CU_ASSERT_FALSE (is_pending (quarantine, CRASHING_REQUEST, 20100));
+  limpet_quarantine_record_pending (quarantine, &fingerprints, targets, 2, 20200);
+  CU_ASSERT_TRUE (is_pending (quarantine, CRASHING_REQUEST, 20200));
+  limpet_quarantine_delete (quarantine);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -792,4 +810,5 @@
       suite,
       test_a_request_that_may_crash_targets_is_held_by_all_routers_while_it_is_unknown);
   CU_ADD_TEST (suite, test_a_request_completed_lately_is_not_held);
+  CU_ADD_TEST (suite, test_known_and_pending_crashes_of_a_request_are_added_up);
 }
