--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -39,6 +39,7 @@
   const char *awaited_values;   /* NULL if the test does not wait for them */
   uint32_t checks;              /* of stop_timer */
   GString *values;              /* values that the watch passed to on_record */
+  LimpetMs state_age_ms;        /* of the newest read that the watch is told of */
   char buffer[4096];
 } StoreServer;
 
@@ -226,11 +227,10 @@
 }
 
 static LimpetMs
-no_age (void *user, uint32_t topic)
+state_age_ms (void *user, uint32_t topic)
 {
-  (void)user;
   (void)topic;
-  return 0;
+  return ((StoreServer *)user)->state_age_ms;
 }
 
 /* No state of another router is recent if the store responds, so that the watch reads a
@@ -258,7 +258,7 @@
   .router_count = many_routers,
   .first_read_delay_ms = no_delay,
   .max_state_age_ms = max_state_age_ms,
-  .state_age_ms = no_age,
+  .state_age_ms = state_age_ms,
   .pick_router = pick_router,
   .greet = ignore_router,
   .are_records_pushed = true,
@@ -364,6 +364,49 @@
   close_watch (&server);
 }
 
+/* Writes the state for a router that has no records; returns its age and sets end. */
+static LimpetMs
+written_age_ms (PlatformWatch *watch, int64_t *end)
+{
+  LimpetStateRequest request = { .format = LIMPET_STATE_MESSAGE_VERSION };
+  LimpetStateMessage message = { .age_ms = -1 };
+  GString *out = g_string_new (NULL);
+  const char *reason = NULL;
+  GBytes *state;
+
+  CU_ASSERT_TRUE (platform_watch_write_state (watch, &request, out));
+  state = limpet_state_message_read (out->str, out->len, &message, &reason);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (state);
+  CU_ASSERT_TRUE (limpet_topic_state_check (g_bytes_get_data (state, NULL),
+                                            g_bytes_get_size (state), end));
+  g_bytes_unref (state);
+  g_bytes_unref (message.compressed);
+  g_string_free (out, TRUE);
+  return message.age_ms;
+}
+
+/* Guards against a compressed state that is sent again with the age of a later read,
+ * whose records it lacks. */
+static void
+test_a_state_is_not_sent_as_newer_than_its_read (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
+  LimpetGossipBatch batch
+      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
+  int64_t end = 0;
+
+  run_watch (&server);
+  server.state_age_ms = 700;
+  CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 700);
+  CU_ASSERT_EQUAL (end, 3);
+  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  server.state_age_ms = 0;
+  CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 700);
+  CU_ASSERT_EQUAL (end, 3);
+  close_watch (&server);
+}
+
 /* Guards against a fault: after an outage, a router waited for its next retry although
  * another router had read that there is a new record. */
 static void
@@ -673,4 +716,5 @@
   CU_ADD_TEST (suite, test_an_old_state_is_taken_only_if_nothing_newer_can_be_had);
   CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
+  CU_ADD_TEST (suite, test_a_state_is_not_sent_as_newer_than_its_read);
 }
