--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -18,6 +18,9 @@
 # In touch again this long after the store's return (stable_window_ms).
 STABLE_S = 3.0
 AWAY_S = 0.5
+LONG_AWAY_S = 4.0
+LOST_RESPONSES = 3 * ROUTERS    # of a read, and of its two repetitions, at each router
+LOST_READ_S = 1.4               # until such a read has failed
 LOST_S = 2.0
 POLL_S = 0.05
 SLOW_READS = 8
@@ -296,6 +299,21 @@
         platform.check_newest_is_in_force()
 
 
+def test_a_lost_response_after_an_absence_is_soon_asked_for_again():
+    """Guards against pauses of retries that go on growing after the store's return."""
+    with CopiedStore() as platform:
+        platform.write_version()
+        platform.wait_for_version()
+
+        def write():
+            platform.write_version()
+            platform.store.faulty_topic = "keyed.op"
+            platform.store.faults = ["lost"] * LOST_RESPONSES
+
+        platform.store.play_drill(LOST_S, LONG_AWAY_S, write=write)
+        platform.wait_for_version(LOST_READ_S + 0.8)
+
+
 def test_two_drills_in_a_row_are_followed():
     """Guards against a second loss while routers catch up after the first one."""
     with CopiedStore() as platform:
