--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -403,6 +403,8 @@
         self.not_judged = collections.Counter()  # polls by the reason why their answers do not count
         self.unanswered = []
         self.longest_poll_s = 0
+        self.began_at = time.monotonic()
+        self.polls = collections.Counter()  # by the second in which they ended
         self.stalls = []  # (seconds after the store's return, duration) of pauses of this process
         self.left = []  # (server, time when its leaving was acknowledged)
         self.runs_at_left = []
@@ -447,6 +449,7 @@
                 self.unanswered.append((router, round(began_at - self.back_at, 2), error))
                 continue
             self.longest_poll_s = max(self.longest_poll_s, time.monotonic() - began_at)
+            self.polls[int(time.monotonic() - self.began_at)] += 1
             is_kept = self.platform.number < number + self.platform.kept
             if not number or not is_kept or not self.are_all_in_touch(began_at):
                 self.not_judged["not in touch" if number and is_kept else "versions dropped"] += 1
@@ -502,7 +505,8 @@
                  "wrong answers (router: count, first and last, seconds after the return): %s"
                  % {router: (len(ages), min(ages), max(ages)) for router, ages in at_routers.items()},
                  "not judged: %s, longest poll %.2f s, stalls of this process: %s"
-                 % (dict(self.not_judged), self.longest_poll_s, self.stalls)]
+                 % (dict(self.not_judged), self.longest_poll_s, self.stalls),
+                 "polls in each second: %s" % [self.polls[second] for second in range(max(self.polls) + 1)]]
         for number, router in enumerate(self.platform.routers):
             news = [line[16:] for line in self.platform.log(number).splitlines()
                     if any(step in line for step in LOGGED_STEPS)]
