--- a/test/test_store_copies.py
+++ b/test/test_store_copies.py
@@ -9,7 +9,7 @@
 
 import fleet as f
 from platform_fake import Platform, ROUTES, route
-from run_all import table
+from run_all import own_process, table
 from test_crashing_parts import PartsFleet
 from test_platform import check
 
@@ -524,6 +524,7 @@
         process.signal(signal.SIGCONT)
 
 
+@own_process
 @table([("lost_6_s_away_2_s", 1, 6, 2, 1, None), ("lost_3_s_away_3_s", 2, 3, 3, 1, None),
         ("routers_that_stand_still", 3, 6, 2, 1, stand_still),
         ("no_eras", 4, 6, 2, None, None), ("slow_store", 5, 6, 2, 1, None, SLOW_S),
