Tests: what two tests of cut links, and two of forged eras, began with stands once

The read of the whole change found the same lines twice in test_crashing_requests and in test_forged_eras: the begin of equal requests, and an era that never began. They are CutFleet.begin_requests and follow_false_era now.

--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -199,6 +199,15 @@
         for server in self.platform.servers:
             server.listener.close()
 
+    # Returns the threads of equal requests that are under way at the first count routers.
+    def begin_requests(self, count):
+        calls = [threading.Thread(target=self.request, args=("900d", number % count), daemon=True)
+                 for number in range(4 * SERVERS)]
+        for call in calls:
+            call.start()
+        time.sleep(0.2)
+        return calls
+
     # Restores the links to one server after the other.
     def restore(self, interval_s):
         for server in self.platform.servers:
@@ -211,11 +220,7 @@
 def test_a_request_that_breaks_when_all_links_are_cut_is_not_quarantined(count, stands_still, interval_s):
     """It is under way at three servers or more, and no other one comes."""
     with CutFleet(count) as fleet:
-        calls = [threading.Thread(target=fleet.request, args=("900d", number % count), daemon=True)
-                 for number in range(4 * SERVERS)]
-        for call in calls:
-            call.start()
-        time.sleep(0.2)
+        calls = fleet.begin_requests(count)
         broken = sum(len(server.seen) > 0 for server in fleet.platform.servers)
         check(broken >= 3, broken)  # so many crashes quarantine a request
         if stands_still:
@@ -238,11 +243,7 @@
 def test_a_request_that_broke_when_all_links_were_cut_is_served_soon_after_the_cut(count):
     """No other request comes, whose response would show that servers are reached."""
     with CutFleet(count) as fleet:
-        calls = [threading.Thread(target=fleet.request, args=("900d", number % count), daemon=True)
-                 for number in range(4 * SERVERS)]
-        for call in calls:
-            call.start()
-        time.sleep(0.2)
+        fleet.begin_requests(count)
         fleet.cut()
         time.sleep(2)
         fleet.restore(0)
--- a/test/test_forged_eras.py
+++ b/test/test_forged_eras.py
@@ -30,14 +30,18 @@
             sender.sendto(message, (router["ip"], platform.peer_port))
 
 
+def follow_false_era(platform, era):
+    platform.write_version()
+    platform.wait_for_version()
+    announce_era(platform, era)
+    time.sleep(STABLE_S)
+
+
 @table([("highest", HIGHEST_ERA), ("half", HIGHEST_ERA // 2), ("three_quarters", 3 * 2 ** 21)])
 def test_restorations_are_noticed_after_an_era_that_never_began(era):
     """Guards against an era that no later one can pass, so that offsets given out again are skipped."""
     with CopiedStore() as platform:
-        platform.write_version()
-        platform.wait_for_version()
-        announce_era(platform, era)
-        time.sleep(STABLE_S)
+        follow_false_era(platform, era)
         for _ in range(2):
             platform.write_versions_to_lose(2)
             platform.store.play_drill(LOST_S, AWAY_S, write=lambda: platform.write_versions(1))
@@ -49,10 +53,7 @@
 def test_a_router_that_starts_after_an_era_that_never_began_follows(era):
     """Guards against a router that believes neither the others nor the store."""
     with CopiedStore() as platform:
-        platform.write_version()
-        platform.wait_for_version()
-        announce_era(platform, era)
-        time.sleep(STABLE_S)
+        follow_false_era(platform, era)
         for _ in range(2):
             platform.write_versions_to_lose(2)
             platform.store.play_drill(LOST_S, AWAY_S, write=lambda: platform.write_versions(1))
