--- a/include/limpetroad/counters.h
+++ b/include/limpetroad/counters.h
@@ -41,6 +41,8 @@
   LIMPET_COUNTER_RELAYED,         /**< attempts sent through another router */
   LIMPET_COUNTER_TUNNELS,         /**< connections to targets relayed for other routers */
   LIMPET_COUNTER_RELAY_FAILED,    /**< other routers that failed to relay an attempt */
+  LIMPET_COUNTER_CLOSE_ENDED,     /**< responses that only the end of the target's
+                                     connection ended, in order or not */
   LIMPET_COUNTER_TOKENS,          /**< token events received from targets */
   LIMPET_COUNTER_OFF_FIRST_CHOICE, /**< exposed but never incremented */
   LIMPET_COUNTER_SLOW_MARKS,       /**< times that a target was marked as slow */
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -1,9 +1,11 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
 #include "private/paths.h"
+#include "private/stream_end.h"
 #include "private/tunnel.h"
 #include "private/upstream.h"
 
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <string.h>
 
@@ -293,6 +295,24 @@
     }
 }
 
+/* Logs the end of a response that only the close of the connection ends: the caller
+ * cannot tell whether it is complete. */
+static void
+log_end (const LimpetUpstream *upstream, ssize_t code)
+{
+  const LimpetTask *task = upstream->task;
+
+  if (!upstream->reader.head_done || !task->ends_with_close)
+    return;
+  limpet_counter_add (LIMPET_COUNTER_CLOSE_ENDED, 1);
+  limpet_log (LIMPET_LOG_INFO, "end", upstream->target->vm.id,
+              "id=%s status=%d received_bytes=%" PRIu64 " call=%u skipped=%u relayed=%d "
+              "ended_by=\"%s\"",
+              task->call.id, task->response.status, task->received_bytes,
+              upstream->call_count, upstream->skipped_count, upstream->relay_address != 0,
+              code == UV_EOF ? "close" : uv_strerror ((int)code));
+}
+
 /* Handles a close by the target or a read error. A close completes a response whose head
  * does not state the length of the body. */
 static void
@@ -310,6 +330,7 @@
       limpet_upstream_close (upstream);
       return;
     }
+  log_end (upstream, limpet_stream_end_code ((uv_stream_t *)&upstream->tcp, code));
   if (code == UV_EOF && upstream->reader.head_done
       && limpet_http_reader_end (&upstream->reader) == LIMPET_HTTP_COMPLETE)
     {
--- a/src/liblimpetroad/shared/counters.c
+++ b/src/liblimpetroad/shared/counters.c
@@ -32,6 +32,7 @@
   [LIMPET_COUNTER_RELAYED] = "relayed_attempts_total",
   [LIMPET_COUNTER_TUNNELS] = "tunnels_total",
   [LIMPET_COUNTER_RELAY_FAILED] = "relay_failures_total",
+  [LIMPET_COUNTER_CLOSE_ENDED] = "close_ended_responses_total",
   [LIMPET_COUNTER_TOKENS] = "tokens_total",
   [LIMPET_COUNTER_OFF_FIRST_CHOICE] = "off_first_choice_total",
   [LIMPET_COUNTER_SLOW_MARKS] = "slow_marks_total",
