--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -69,9 +69,9 @@
 
 
 def reset(connection):
-    """Closes a connection with a TCP reset."""
+    """Resets a connection at once, though a file made of the socket may still be open."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    connection.close()
+    socket.close(connection.detach())
 
 
 def break_off(connection):
--- /dev/null
+++ b/test/test_responses_ended_by_close.py
@@ -0,0 +1,163 @@
+"""Responses that only the end of the server's connection ends: one that is reset on the way does not look complete."""
+
+import contextlib
+import glob
+import signal
+import socket
+import threading
+import time
+
+import fleet as f
+from platform_fake import Platform, event, reset, route
+from run_all import table
+from test_answer_ends import read_all
+from test_isolated_routers import Caller, IsolatedFleet
+from test_platform import check
+
+# In each, the last part and the end of the connection reach the router at once.
+SMALL = [b"a" * 3000, b"b" * 3000]
+LARGE = [b"a" * 400000, b"b" * 4000]
+EVENTS = [event(number) for number in range(1, 21)]
+UPLOAD_BYTES = 4000000
+CLOSE = [("Connection", "close")]
+ROUTES = [route("safe", "/safe/", "safe", "plain", max_attempts=1),
+          route("unsafe", "/unsafe/", "unsafe", "plain", max_attempts=1),
+          route("stream", "/stream/", "streaming", "model", max_attempts=1)]
+
+
+def is_stopped(pid):
+    """Returns whether all threads of the process have stopped."""
+    for path in glob.glob("/proc/%d/task/*/stat" % pid):
+        with open(path) as file:
+            if file.read().rsplit(")", 1)[1].split()[0] != "T":
+                return False
+    return True
+
+
+@contextlib.contextmanager
+def stopped(router):
+    """The router stands still; what it is sent meanwhile it finds at once."""
+    router["process"].signal(signal.SIGSTOP)
+    f.wait_for(lambda: is_stopped(router["process"].popen.pid), "the router to stop")
+    yield
+    time.sleep(0.05)
+    router["process"].signal(signal.SIGCONT)
+
+
+def end_connection(connection, end):
+    """end: reset, close, or close_then_reset, by which the peer has the whole response."""
+    if end != "reset":
+        connection.shutdown(socket.SHUT_WR)
+    if end != "close":
+        reset(connection)
+
+
+def send_parts(server, message, connection, router, parts, end):
+    """Sends a response without a length, whose last part and end the router finds at once."""
+    is_stream = server.service == "model"
+    connection.sendall(server.head(message, extra="Content-Type: text/event-stream\r\n\r\n" if is_stream else "\r\n"))
+    for part in parts[:-1]:
+        connection.sendall(part)
+        time.sleep(0.02)
+    with stopped(router):
+        connection.sendall(parts[-1])
+        end_connection(connection, end)
+    raise OSError("the response ends with the connection")
+
+
+def check_end(client, parts, end):
+    data, is_orderly = read_all(client)
+    is_complete = data.startswith(b"HTTP/1.1 200") and is_orderly
+    check(is_complete == (end != "reset"), end, len(data), data[:100], is_orderly)
+    check(not is_complete or data.endswith(b"".join(parts)), len(data))
+
+
+@table([("%s_%s_%s" % (path.strip("/"), size, end), path, parts, end)
+        for path, size, parts in (("/safe/", "small", SMALL), ("/unsafe/", "small", SMALL), ("/safe/", "large", LARGE),
+                                  ("/stream/", "events", EVENTS))
+        for end in ("reset", "close", "close_then_reset")])
+def test_a_response_that_is_reset_does_not_look_complete(path, parts, end):
+    with Platform(start=False, routes=ROUTES) as platform:
+        def respond(server, message, connection):
+            send_parts(server, message, connection, platform.routers[0], parts, end)
+        platform.add_server("plain", on_request=respond)
+        platform.add_server("model", on_request=respond)
+        platform.start()
+        for _ in range(4):
+            with platform.client() as client:
+                client.send(path, "POST", body=b"x", fields=CLOSE)
+                check_end(client, parts, end)
+
+
+def test_a_response_that_is_reset_during_the_upload_does_not_look_complete():
+    with Platform(start=False, routes=ROUTES, max_body_bytes=2 * UPLOAD_BYTES) as platform:
+        server = platform.add_server()
+
+        def serve(connection):
+            request = b""
+            while b"\r\n\r\n" not in request:
+                request += connection.recv(1024)
+            name = request.lower().split(b"request-id: ")[1].split(b"\r\n")[0].decode()
+            connection.sendall(("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal\r\n\r\n" % name).encode())
+            time.sleep(0.02)
+            with stopped(platform.routers[0]):
+                connection.sendall(SMALL[0])
+                reset(connection)
+        server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        server.listener.handle = serve
+        platform.start()
+        with platform.client() as client:
+            client.send("/unsafe/", "POST", body=b"x" * UPLOAD_BYTES, fields=CLOSE)
+            check_end(client, SMALL, "reset")
+
+
+class RelayedResponses(IsolatedFleet):
+    """Responses to a router that reaches its servers through another one only. on_relayed(server, message, connection,
+    relay) sends them."""
+
+    def __init__(self, on_relayed):
+        self.on_relayed = on_relayed
+        self.is_tested = False
+        super().__init__("reset", "unsafe")
+
+    def on_request(self, server, message, connection):
+        router = threading.current_thread().router
+        if self.is_isolated(router) or not self.is_tested:
+            return super().on_request(server, message, connection)
+        check(router != 0, "not relayed")
+        self.on_relayed(server, message, connection, self.platform.routers[router])
+
+    def isolate(self):
+        self.cut()
+        caller = Caller(0)
+        f.wait_for(lambda: self.request(caller)[0] and self.platform.metric("limpetroad_isolated") == 1, "isolation")
+        self.is_tested = True
+
+
+@table([(end, end) for end in ("reset", "close", "close_then_reset")])
+def test_a_relayed_response_that_its_server_resets_does_not_look_complete(end):
+    def respond(server, message, connection, relay):
+        send_parts(server, message, connection, relay, SMALL, end)
+    with RelayedResponses(respond) as fleet:
+        fleet.isolate()
+        for _ in range(4):
+            with fleet.platform.client(0) as client:
+                client.send("/unsafe/1", "POST", body=b"x", fields=CLOSE)
+                check_end(client, SMALL, end)
+
+
+def test_a_relayed_response_whose_relay_is_killed_does_not_look_complete():
+    def respond(server, message, connection, relay):
+        connection.sendall(server.head(message, extra="\r\n") + SMALL[0])
+        time.sleep(0.02)
+        with stopped(fleet.platform.routers[0]):
+            connection.sendall(SMALL[1])
+            time.sleep(0.02)
+            relay["process"].kill()
+        time.sleep(5)
+        raise OSError("the client has its response")
+    with RelayedResponses(respond) as fleet:
+        fleet.isolate()
+        with fleet.platform.client(0) as client:
+            client.send("/unsafe/1", "POST", body=b"x", fields=CLOSE)
+            check_end(client, SMALL, "reset")
