--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -298,7 +298,7 @@
 /* Logs the end of a response that only the close of the connection ends: the caller
  * cannot tell whether it is complete. */
 static void
-log_end (const LimpetUpstream *upstream, ssize_t code)
+log_end (const LimpetUpstream *upstream, int code)
 {
   const LimpetTask *task = upstream->task;
 
@@ -310,17 +310,17 @@
               "ended_by=\"%s\"",
               task->call.id, task->response.status, task->received_bytes,
               upstream->call_count, upstream->skipped_count, upstream->relay_address != 0,
-              code == UV_EOF ? "close" : uv_strerror ((int)code));
+              code == UV_EOF ? "close" : uv_strerror (code));
 }
 
-/* Handles a close by the target or a read error. A close completes a response whose head
- * does not state the length of the body. */
+/* Handles the end of the connection. An orderly close (UV_EOF) completes a response whose
+ * head does not state the length of the body. */
 static void
-on_stream_end (LimpetUpstream *upstream, ssize_t code)
+on_stream_end (LimpetUpstream *upstream, int code)
 {
   if (upstream->awaits_reply)
     {
-      fail_relay (upstream, uv_strerror ((int)code));
+      fail_relay (upstream, uv_strerror (code));
       return;
     }
   if (upstream->task == NULL)
@@ -330,7 +330,7 @@
       limpet_upstream_close (upstream);
       return;
     }
-  log_end (upstream, limpet_stream_end_code ((uv_stream_t *)&upstream->tcp, code));
+  log_end (upstream, code);
   if (code == UV_EOF && upstream->reader.head_done
       && limpet_http_reader_end (&upstream->reader) == LIMPET_HTTP_COMPLETE)
     {
@@ -343,7 +343,7 @@
   else
     limpet_pending_crashes_add_silence (upstream->task);
   fail (upstream, LIMPET_STATUS_BROKEN,
-        code == UV_EOF ? "the target closed the connection" : uv_strerror ((int)code));
+        code == UV_EOF ? "the target closed the connection" : uv_strerror (code));
 }
 
 static bool
@@ -393,7 +393,7 @@
         limpet_read_turn_end_if_full (&upstream->turn, (size_t)count, buffer->len);
     }
   else if (count < 0)
-    on_stream_end (upstream, count);
+    on_stream_end (upstream, limpet_stream_end_code (stream, count));
 }
 
 static void
