--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -3,6 +3,7 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
 #include "private/paths.h"
+#include "private/stream_end.h"
 
 #include <netinet/in.h>
 #include <string.h>
@@ -208,7 +209,7 @@
       limpet_paths_record_bytes (tunnel->exchange, tunnel->target, true);
       pass_on (server, &tunnel->router, buffer->base, (size_t)count);
     }
-  else if (count == UV_EOF)
+  else if (count < 0 && limpet_stream_end_code (stream, count) == UV_EOF)
     shut_down (tunnel);
   else if (count < 0)
     close_tunnel (tunnel);
