--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -45,6 +45,7 @@
   int open_handles;
   bool is_connected;
   bool is_refused;
+  bool is_reset; /* the target's connection was reset; the other router is to see it */
   bool is_closed;
 };
 
@@ -160,6 +161,23 @@
     }
 }
 
+/* Passes on a reset once the other router has acknowledged all that came before it, which
+ * may be a complete response. */
+static void
+reset_when_sent (Tunnel *tunnel)
+{
+  if (!limpet_stream_has_unsent (&tunnel->router.tcp))
+    {
+      close_tunnel (tunnel);
+      return;
+    }
+  if (tunnel->is_reset)
+    return;
+  tunnel->is_reset = true;
+  uv_read_stop ((uv_stream_t *)&tunnel->server.tcp);
+  uv_timer_start (&tunnel->timer, on_timeout, PEER_TIMEOUT_MS, 0);
+}
+
 static void
 refuse (Tunnel *tunnel, LimpetTunnelReply code)
 {
@@ -212,7 +230,7 @@
   else if (count < 0 && limpet_stream_end_code (stream, count) == UV_EOF)
     shut_down (tunnel);
   else if (count < 0)
-    close_tunnel (tunnel);
+    reset_when_sent (tunnel);
 }
 
 static void
@@ -420,14 +438,25 @@
   if (tunnel->is_closed)
     return;
   resume (&tunnel->router, &tunnel->server, on_router_read);
-  resume (&tunnel->server, &tunnel->router, on_server_read);
+  if (!tunnel->is_reset)
+    resume (&tunnel->server, &tunnel->router, on_server_read);
 }
 
 void
 limpet_tunnels_check (LimpetExchange *exchange)
 {
-  for (GList *link = exchange->tunnels.head; link != NULL; link = link->next)
-    resume_reading (link->data);
+  GList *next;
+
+  for (GList *link = exchange->tunnels.head; link != NULL; link = next)
+    {
+      Tunnel *tunnel = link->data;
+
+      next = link->next;
+      if (tunnel->is_reset)
+        reset_when_sent (tunnel);
+      else
+        resume_reading (tunnel);
+    }
 }
 
 void
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -146,6 +146,23 @@
                 check_end(client, SMALL, end)
 
 
+def test_a_relayed_response_with_a_length_is_whole_though_its_server_resets_after_it():
+    body = b"a" * 200000
+
+    def respond(server, message, connection, relay):
+        with stopped(fleet.platform.routers[0]):
+            server.reply(connection, message, body)
+            time.sleep(0.2)  # the relay has it, and the router's socket has no room for all of it
+            reset(connection)
+            time.sleep(0.2)
+        raise OSError("reset")
+    with RelayedResponses(respond) as fleet:
+        fleet.isolate()
+        with fleet.platform.client(0) as client:
+            response = client.call("/unsafe/1", "POST", body=b"x")
+            check(response.status == 200 and response.body == body, response.line, len(response.body))
+
+
 def test_a_relayed_response_whose_relay_is_killed_does_not_look_complete():
     def respond(server, message, connection, relay):
         connection.sendall(server.head(message, extra="\r\n") + SMALL[0])
