--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -88,6 +88,28 @@
          || (!response->is_encoded && (!is_success || response->is_from_target));
 }
 
+/* Returns whether a head in the body of a response is that of a further response: of the
+ * same call or, if the connection carried others before, of one of these. */
+static bool
+is_further_response (void *user, const LimpetHttpHead *head)
+{
+  const LimpetTask *task = user;
+  LimpetTargetCodec *codec = task->exchange->target_codec;
+  LimpetTargetResponse response = { .status = head->status };
+
+  codec->ops->read_response (codec, head, &task->call, task->target, &response);
+  return task->call.id[0] != '\0' && response.names_call
+         && (!response.is_for_other_call || task->upstream->call_count > 1);
+}
+
+static void
+begin_scan (LimpetTask *task)
+{
+  limpet_response_scan_clear (&task->scan);
+  task->scan.accepts = is_further_response;
+  task->scan.user = task;
+}
+
 const char *
 limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head)
 {
@@ -122,6 +144,7 @@
         exchange->load_observer (exchange->load_observer_user, task->target);
     }
   limpet_relay_discard_body (task);
+  begin_scan (task);
   task->is_streaming = is_event_stream (task) && task->response.is_from_target
                        && !task->response.is_encoded;
   task->ends_with_close = !head->is_chunked && head->content_length < 0;
@@ -303,6 +326,41 @@
              : NULL;
 }
 
+static const char *
+relay_part (LimpetTask *task, const char *data, size_t length)
+{
+  if (length == 0)
+    return NULL;
+  return task->is_streaming ? relay_events (task, data, length)
+                            : buffer_body (task, data, length);
+}
+
+static const char *
+relay_scanned_part (LimpetTask *task, const char *data, size_t length)
+{
+  GString *part = g_string_sized_new (length);
+  const char *cause = "a further response in the body";
+
+  if (limpet_response_scan_feed (&task->scan, data, length, part))
+    cause = relay_part (task, part->str, part->len);
+  g_string_free (part, TRUE);
+  limpet_task_count_held_bytes (task);
+  return cause;
+}
+
+/* Forwards what was held back, since the response ends with it. */
+static const char *
+end_scan (LimpetTask *task)
+{
+  GString *part = g_string_new (NULL);
+  const char *cause;
+
+  limpet_response_scan_end (&task->scan, part);
+  cause = relay_part (task, part->str, part->len);
+  g_string_free (part, TRUE);
+  return cause;
+}
+
 const char *
 limpet_relay_body (LimpetTask *task, const char *data, size_t length)
 {
@@ -311,8 +369,8 @@
     return task->received_bytes > MAX_SKIPPED_BYTES
                ? "a response to another call is too large"
                : NULL;
-  return task->is_streaming ? relay_events (task, data, length)
-                            : buffer_body (task, data, length);
+  return task->ends_with_close ? relay_scanned_part (task, data, length)
+                               : relay_part (task, data, length);
 }
 
 /* Writes the rest of a response that is forwarded as it arrives: bytes after the last
@@ -417,7 +475,13 @@
 {
   const LimpetTargetResponse *response = &task->response;
   bool is_success = response->status / 100 == 2;
+  const char *cause = task->ends_with_close ? end_scan (task) : NULL;
 
+  if (cause != NULL)
+    {
+      fail_attempt (task, cause);
+      return;
+    }
   if (response->is_misdirected || response->not_executed)
     {
       if (response->is_misdirected)
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -223,6 +223,7 @@
 
   limpet_call_clear (&task->call);
   limpet_event_splitter_clear (&task->events);
+  limpet_response_scan_clear (&task->scan);
   limpet_relay_discard_body (task);
   g_byte_array_unref (task->body);
   limpet_byte_holder_clear (&task->holder);
@@ -362,6 +363,7 @@
     bytes += task->response_body->len;
   if (task->events.text != NULL)
     bytes += task->events.text->len;
+  bytes += limpet_response_scan_held_bytes (&task->scan);
   if (task->upstream != NULL)
     bytes += limpet_upstream_head_bytes (task->upstream);
   limpet_byte_holder_set_bytes (&task->holder, bytes);
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -10,6 +10,7 @@
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
 #include "private/read_turn.h"
+#include "private/response_scan.h"
 #include "private/stream_write.h"
 
 /* Internal interfaces of the exchange:
@@ -170,6 +171,7 @@
   bool is_passing_on;    /* the body is forwarded as it arrives, since it is too large */
   bool is_chunked_to_caller; /* the response to the caller uses chunked framing */
   bool ends_with_close; /* only the close of the target's connection ends the response */
+  LimpetResponseScan scan; /* of its body, if ends_with_close is set */
 };
 
 /* exchange.c */
--- a/src/test_liblimpetroad/http_tests.c
+++ b/src/test_liblimpetroad/http_tests.c
@@ -2,6 +2,7 @@
 
 #include "private/event_splitter.h"
 #include "private/http_reader.h"
+#include "private/response_scan.h"
 
 #include <glib.h>
 #include <string.h>
@@ -307,6 +308,86 @@
   g_string_free (out, TRUE);
 }
 
+static bool
+has_name (void *user, const LimpetHttpHead *head)
+{
+  (void)user;
+  return limpet_http_head_field (head, "x-name") != NULL;
+}
+
+/* Scans a body in parts of part_size bytes, and compares what is passed on with expected.
+ * Returns whether the body contains a further response. */
+static bool
+scan_in_parts (const char *body, size_t part_size, const char *expected)
+{
+  LimpetResponseScan scan = { .accepts = has_name };
+  GString *out = g_string_new (NULL);
+  bool is_found = false;
+
+  for (size_t offset = 0; offset < strlen (body) && !is_found; offset += part_size)
+    is_found = !limpet_response_scan_feed (&scan, body + offset,
+                                           MIN (part_size, strlen (body) - offset), out);
+  if (!is_found)
+    limpet_response_scan_end (&scan, out);
+  CU_ASSERT_STRING_EQUAL (out->str, expected);
+  limpet_response_scan_clear (&scan);
+  g_string_free (out, TRUE);
+  return is_found;
+}
+
+static void
+test_a_further_response_in_a_body_is_found_in_parts_of_any_size (void)
+{
+  static const struct
+  {
+    const char *before;
+    const char *rest;
+    bool is_found;
+  } rows[] = {
+    { "", "HTTP/1.1 200 OK\r\nX-Name: a\r\n\r\nbody", true },
+    { "body", "HTTP/1.0 503 \r\nA: b\r\nX-Name: a\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Name: a\r\n\r\n", true },
+    { "HHTTP/HTTP/1.HTTP/1.1 20HTTP/1.1 200 OK\r\n",
+      "HTTP/1.1 200 OK\r\nX-Name: a\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\nX-Name: a\n\n", "", false },
+    { "HTTP/1.1 200 OK\r\nX-Name: a\r\n", "", false },
+    { "HTTP/1.1 200 OK is text; so is HTTP/1", "", false },
+    { "POST / HTTP/1.1\r\nX-Name: a\r\n\r\n", "", false },
+    { "HTTP/1.1 200 HTTP/1.1 200 \n", "HTTP/1.1 200 a\r\nX-Name: a\r\n\r\n", true },
+    { "HTTP/1.1 200 a\r\nA: b\r\n C\r\n", "HTTP/1.1 200 a\r\nX-Name: a\r\n\r\n", true },
+    { "HTTP/1.1 200 a\r\nb", "HTTP/1.1 200 a\r\nX-Name: a\r\n\r\n", true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *body = g_strconcat (rows[i].before, rows[i].rest, NULL);
+
+      for (size_t part_size = 1; part_size <= strlen (body); part_size++)
+        CU_ASSERT_EQUAL (scan_in_parts (body, part_size, rows[i].before),
+                         rows[i].is_found);
+      g_free (body);
+    }
+}
+
+static void
+test_a_head_in_a_body_is_not_awaited_without_end (void)
+{
+  LimpetResponseScan scan = { .accepts = has_name };
+  GString *out = g_string_new (NULL);
+  size_t fed = 0;
+
+  limpet_response_scan_feed (&scan, "HTTP/1.1 200 OK\r\n", 17, out);
+  for (; fed < 200000; fed += 10)
+    CU_ASSERT_TRUE (limpet_response_scan_feed (&scan, "A: 12345\r\n", 10, out));
+  CU_ASSERT_TRUE (limpet_response_scan_held_bytes (&scan) < 66000);
+  limpet_response_scan_feed (&scan, "HTTP/1.1 200 OK", 15, out);
+  for (fed = 0; fed < 20000; fed += 9)
+    CU_ASSERT_TRUE (limpet_response_scan_feed (&scan, "no end of", 9, out));
+  CU_ASSERT_TRUE (limpet_response_scan_held_bytes (&scan) < 9000);
+  limpet_response_scan_clear (&scan);
+  g_string_free (out, TRUE);
+}
+
 void
 add_http_tests (void)
 {
@@ -316,6 +397,8 @@
   CU_ADD_TEST (suite, test_invalid_requests_are_rejected);
   CU_ADD_TEST (suite, test_an_oversized_head_is_rejected);
   CU_ADD_TEST (suite, test_a_response_without_a_length_ends_with_its_connection);
+  CU_ADD_TEST (suite, test_a_further_response_in_a_body_is_found_in_parts_of_any_size);
+  CU_ADD_TEST (suite, test_a_head_in_a_body_is_not_awaited_without_end);
   CU_ADD_TEST (suite, test_bytes_after_a_message_are_not_consumed);
   CU_ADD_TEST (suite, test_corrupted_messages_are_handled_safely);
   CU_ADD_TEST (suite, test_hop_by_hop_fields_are_not_forwarded);
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -111,6 +111,75 @@
             check_end(client, SMALL, "reset")
 
 
+def whole_response(server, message, body):
+    return server.head(message, extra="Content-Length: %d\r\n\r\n" % len(body)) + body
+
+
+def pieces(data, size):
+    return [data[start:start + size] for start in range(0, len(data), size)]
+
+
+# path; what is sent, of the response without a length, an earlier call's response and a second response to the same call,
+# one after the other; whether a client that sees it as complete has the server's body.
+@table([(path.strip("/") + "_" + name, path, order, is_whole)
+        for path in ("/safe/", "/unsafe/", "/stream/")
+        for name, order, is_whole in (("own_after", ("head", "body", "own"), False),
+                                      ("earlier_after", ("head", "body", "earlier"), False),
+                                      ("earlier_inside", ("head", "half", "earlier", "half"), False),
+                                      ("earlier_before", ("earlier", "head", "body"), True))])
+def test_a_second_response_is_no_part_of_a_body_that_the_close_ends(path, order, is_whole):
+    body = b"".join(EVENTS)
+    first = {}
+
+    def respond(server, message, connection):
+        if server.id not in first:
+            first[server.id] = whole_response(server, message, event(1))
+            if path == "/stream/":
+                first[server.id] = first[server.id].replace(b"\r\n\r\n", b"\r\nContent-Type: text/event-stream\r\n\r\n", 1)
+            connection.sendall(first[server.id])
+            return True
+        fields = "Content-Type: text/event-stream\r\n\r\n" if path == "/stream/" else "\r\n"
+        parts = {"head": server.head(message, extra=fields), "body": body, "half": body[:len(body) // 2],
+                 "own": whole_response(server, message, body), "earlier": first[server.id]}
+        for part in order:
+            for piece in pieces(parts[part], 100):
+                connection.sendall(piece)
+                time.sleep(0.001)
+        connection.shutdown(socket.SHUT_WR)
+        raise OSError("the response ends with the connection")
+    with Platform(start=False, routes=ROUTES) as platform:
+        platform.add_server("model" if path == "/stream/" else "plain", on_request=respond)
+        platform.start()
+        check(platform.call(path, "POST", body=b"x").status == 200)
+        with platform.client() as client:
+            client.send(path, "POST", body=b"x", fields=CLOSE)
+            data, is_orderly = read_all(client)
+            is_complete = data.startswith(b"HTTP/1.1 200") and is_orderly
+            check(is_complete == is_whole, is_orderly, data)
+            check(not is_complete or data.endswith(b"\r\n\r\n" + body), data)
+
+
+@table([("no_head", b"HTTP/1.1 200 OK is how a response begins\n"), ("no_id", b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n"),
+        ("half_a_head", b"HTTP/1.1 200 OK\r\nA: b"), ("prefixes", b"HHTTP/HTTP/1HTTP/1.1 HTTP/1.1 200\r\nHTTP/")])
+def test_a_body_that_only_resembles_a_second_response_is_whole(text):
+    body = text + b"x" * 1000 + text
+
+    def respond(server, message, connection):
+        connection.sendall(server.head(message, extra="\r\n"))
+        for piece in pieces(body, 7):
+            connection.sendall(piece)
+            time.sleep(0.0005)
+        connection.shutdown(socket.SHUT_WR)
+        raise OSError("the response ends with the connection")
+    with Platform(start=False, routes=ROUTES) as platform:
+        platform.add_server("plain", on_request=respond)
+        platform.start()
+        with platform.client() as client:
+            client.send("/unsafe/", "POST", body=b"x", fields=CLOSE)
+            data, is_orderly = read_all(client)
+            check(is_orderly and data.endswith(b"\r\n\r\n" + body), is_orderly, data)
+
+
 class RelayedResponses(IsolatedFleet):
     """Responses to a router that reaches its servers through another one only. on_relayed(server, message, connection,
     relay) sends them."""
