--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -19,8 +19,10 @@
  *   call_filters.c   checks a request and completes its call
  *   task.c           one call from arrival to final response: attempts, retries, outcome
  *   relay.c          forwards a target's response to the caller
+ *   response_scan.c  finds a further response in a body that only the close ends
  *   resumption.c     streams that callers resume, and the versions that began streams
  *   upstream.c       connection to a target, and the pool of idle ones
+ *   stream_end.c     whether the end of a connection was orderly
  *   paths.c          own links to the targets, or other routers while these are cut
  *   held_bytes.c     ends what holds most while the memory for others is used up
  *   tunnel.c         connections to targets for routers whose own links are cut
