limpetproxy: a connection that broke is reset towards the client

Cause: the proxy closed the client's side in order whatever had happened at the target's: after a read error, when it cut a response and when it cut a connection. Change: after these three the client's connection is reset; after an orderly end of the target it is closed in order as before.

--- a/src/limpetproxy/pump.c
+++ b/src/limpetproxy/pump.c
@@ -25,6 +25,7 @@
   uint64_t number; /* of the connection on its link, from 1 */
   bool loses_response;
   bool sends_duplicate;
+  bool is_broken; /* the client sees a reset instead of an orderly end */
   int64_t forwarded_bytes;
 } ProxyConnection;
 
@@ -122,6 +123,7 @@
   char block[BLOCK_BYTES];
   ssize_t length = recv (connection->target_fd, block, sizeof block, 0);
 
+  connection->is_broken = length < 0;
   if (length <= 0 || connection->loses_response)
     return false;
   if (fault->drop_down != 0)
@@ -130,6 +132,7 @@
     {
       write_all (connection->client_fd, block,
                  (size_t)(fault->cut_after - connection->forwarded_bytes));
+      connection->is_broken = true;
       return false;
     }
   connection->forwarded_bytes += length;
@@ -169,7 +172,10 @@
   poll (fds, 2, POLL_MS);
   read_faults (connection, &fault, &cut, &silent);
   if (cut)
-    return false;
+    {
+      connection->is_broken = true;
+      return false;
+    }
   if (silent)
     {
       limpet_clock_sleep_ms (POLL_MS);
@@ -180,6 +186,14 @@
   return fds[1].revents == 0 || forward_to_client (connection, &fault);
 }
 
+static void
+reset_on_close (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 static void *
 run_connection (void *user)
 {
@@ -188,6 +202,8 @@
   connection->target_fd = connect_target (connection->link);
   while (connection->target_fd >= 0 && forward_once (connection))
     continue;
+  if (connection->is_broken)
+    reset_on_close (connection->client_fd);
   close (connection->client_fd);
   if (connection->target_fd >= 0)
     close (connection->target_fd);
