Quarantine: requests that broke at too few servers do not displace suspects

Since each request with a broken call whose server cannot be reached became a suspect for 20 s, also with one such server, where it is not held. There are 512 at most, and the one that changed longest ago makes room: while links are cut, known crashes of a request can be forgotten, and callers can crash more servers with it before it is quarantined. Found by reading; not seen in a fleet.

New unit test: two crashes, 1,000 other requests that broke at one server each, a third crash. Before, the request is not quarantined (184 of 185 unit tests pass); after, it is (185 of 185). A request becomes a suspect only if its servers are enough.

--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -426,14 +426,18 @@
                                   uint32_t count,
                                   LimpetMs now_ms)
 {
-  Suspect *suspect = ensure_suspect (quarantine, fingerprints->request,
-                                     LIMPET_QUARANTINE_REQUEST_DEPTH, now_ms);
+  Suspect *suspect = find_suspect (quarantine, fingerprints->request);
   uint32_t crashes = suspect != NULL ? suspect->record.crash_count : 0;
 
-  for (uint32_t i = 0; suspect != NULL && i < count; i++)
-    crashes += !limpet_suspect_has_crash_of (&suspect->record, targets[i]);
+  for (uint32_t i = 0; i < count; i++)
+    crashes
+        += suspect == NULL || !limpet_suspect_has_crash_of (&suspect->record, targets[i]);
   if (crashes < LIMPET_QUARANTINE_MIN_CRASHES)
     return;
+  suspect = ensure_suspect (quarantine, fingerprints->request,
+                            LIMPET_QUARANTINE_REQUEST_DEPTH, now_ms);
+  if (suspect == NULL)
+    return;
   add_pending (quarantine, suspect, now_ms, now_ms);
   if (is_pending (suspect, now_ms))
     suspect->own_pending_ms = now_ms;
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -774,6 +774,29 @@
   limpet_quarantine_delete (quarantine);
 }
 
+/* Guards against a fault: each request that broke at one target became a suspect, and
+ * displaced those that are known to have crashed targets. */
+static void
+test_requests_that_broke_at_one_target_do_not_displace_suspects (void)
+{
+  static const uint32_t targets[] = { 9 };
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetFingerprints crashing = plain (CRASHING_REQUEST);
+
+  limpet_quarantine_record_crash (quarantine, &crashing, 1, 20000);
+  limpet_quarantine_record_crash (quarantine, &crashing, 2, 20000);
+  for (uint64_t i = 1; i <= 1000; i++)
+    {
+      LimpetFingerprints broken = plain (CRASHING_REQUEST + i);
+
+      limpet_quarantine_record_pending (quarantine, &broken, targets, 1, 20100);
+    }
+  limpet_quarantine_record_crash (quarantine, &crashing, 3, 20200);
+  tick_until (quarantine, 20200, 22000);
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine, true), 1);
+  limpet_quarantine_delete (quarantine);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -811,4 +834,5 @@
       test_a_request_that_may_crash_targets_is_held_by_all_routers_while_it_is_unknown);
   CU_ADD_TEST (suite, test_a_request_completed_lately_is_not_held);
   CU_ADD_TEST (suite, test_known_and_pending_crashes_of_a_request_are_added_up);
+  CU_ADD_TEST (suite, test_requests_that_broke_at_one_target_do_not_displace_suspects);
 }
