Quarantine: a record without a fingerprint holds no calls

A record of another router that is pending and has fingerprint 0 held all calls whose own fingerprint is 0. Crashes are never counted for it, and no router writes such a record, so that only a forged or damaged one can: datagrams are not authenticated. Found by reading.

New unit test: held before (1 assert fails), not after; limpet_quarantine_pending_since() takes 0 as the other functions do.

--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -448,7 +448,9 @@
                                  const LimpetFingerprints *fingerprints,
                                  LimpetMs now_ms)
 {
-  const Suspect *suspect = find_suspect (quarantine, fingerprints->request);
+  const Suspect *suspect = fingerprints->request != 0
+                               ? find_suspect (quarantine, fingerprints->request)
+                               : NULL;
 
   return suspect != NULL && is_pending (suspect, now_ms) ? suspect->pending_since_ms : 0;
 }
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -797,6 +797,21 @@
   limpet_quarantine_delete (quarantine);
 }
 
+/* Guards against a record of another router, with no fingerprint, that holds all calls
+ * without one. */
+static void
+test_a_call_without_a_fingerprint_is_not_held (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetSuspect record = { .depth = LIMPET_QUARANTINE_REQUEST_DEPTH,
+                           .is_pending = true,
+                           .pending_ms = 20000 };
+
+  limpet_quarantine_receive (quarantine, &record, 20000);
+  CU_ASSERT_FALSE (is_pending (quarantine, 0, 20000));
+  limpet_quarantine_delete (quarantine);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -835,4 +850,5 @@
   CU_ADD_TEST (suite, test_a_request_completed_lately_is_not_held);
   CU_ADD_TEST (suite, test_known_and_pending_crashes_of_a_request_are_added_up);
   CU_ADD_TEST (suite, test_requests_that_broke_at_one_target_do_not_displace_suspects);
+  CU_ADD_TEST (suite, test_a_call_without_a_fingerprint_is_not_held);
 }
