Quarantine: pending requests that are not held do not displace suspects

At most three requests are pending at once, but each further one, of this router or in a record of another, became a suspect for 20 s without crashes, and displaced one with known crashes where 512 are known. Found by reading; not seen in a fleet.

New unit test: two crashes, 2,000 other pending requests, a third crash.

--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -369,24 +369,33 @@
          && suspect->record.pending_ms + PENDING_VALIDITY_MS > now_ms;
 }
 
-/* Returns whether the request is pending, or fewer than the most others are. */
+/* Returns whether fewer requests than the most are pending. */
 static bool
-may_be_pending (const LimpetQuarantine *quarantine,
-                const Suspect *suspect,
-                LimpetMs now_ms)
+has_room_for_pending (const LimpetQuarantine *quarantine, LimpetMs now_ms)
 {
   GHashTableIter iter;
   gpointer value;
   uint32_t count = 0;
 
-  if (is_pending (suspect, now_ms))
-    return true;
   g_hash_table_iter_init (&iter, quarantine->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     count += is_pending (value, now_ms);
   return count < MAX_PENDING_REQUESTS;
 }
 
+/* Returns whether a request that is not suspect may become pending. Calls that were
+ * completed recently break beside others when the links are cut. */
+static bool
+may_become_pending (LimpetQuarantine *quarantine,
+                    uint64_t id,
+                    LimpetMs pending_ms,
+                    LimpetMs now_ms)
+{
+  return pending_ms + PENDING_VALIDITY_MS > now_ms
+         && !is_cleared_by (own_success_ms (quarantine, id), pending_ms)
+         && has_room_for_pending (quarantine, now_ms);
+}
+
 static void
 end_pending (Suspect *suspect, LimpetMs ended_ms, LimpetMs now_ms)
 {
@@ -396,7 +405,6 @@
   record_change (suspect, now_ms);
 }
 
-/* Calls that were completed recently break beside others when the links are cut. */
 static void
 add_pending (LimpetQuarantine *quarantine,
              Suspect *suspect,
@@ -410,7 +418,7 @@
       || pending_ms + PENDING_VALIDITY_MS <= now_ms
       || is_cleared_by (record->success_ms, pending_ms)
       || is_cleared_by (own_success_ms (quarantine, record->id), pending_ms)
-      || !may_be_pending (quarantine, suspect, now_ms))
+      || (!was_pending && !has_room_for_pending (quarantine, now_ms)))
     return;
   if (!was_pending)
     suspect->pending_since_ms = pending_ms;
@@ -432,7 +440,9 @@
   for (uint32_t i = 0; i < count; i++)
     crashes
         += suspect == NULL || !limpet_suspect_has_crash_of (&suspect->record, targets[i]);
-  if (crashes < LIMPET_QUARANTINE_MIN_CRASHES)
+  if (crashes < LIMPET_QUARANTINE_MIN_CRASHES
+      || (suspect == NULL
+          && !may_become_pending (quarantine, fingerprints->request, now_ms, now_ms)))
     return;
   suspect = ensure_suspect (quarantine, fingerprints->request,
                             LIMPET_QUARANTINE_REQUEST_DEPTH, now_ms);
@@ -665,7 +675,10 @@
   bool is_quarantined_request
       = received->is_quarantined && received->depth == LIMPET_QUARANTINE_REQUEST_DEPTH;
 
-  if (suspect == NULL && received->crash_count == 0 && !received->is_pending)
+  if (suspect == NULL && received->crash_count == 0
+      && !(
+          received->is_pending
+          && may_become_pending (quarantine, received->id, received->pending_ms, now_ms)))
     return;
   suspect = ensure_suspect (quarantine, received->id, received->depth, now_ms);
   if (suspect == NULL)
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -812,6 +812,31 @@
   limpet_quarantine_delete (quarantine);
 }
 
+/* Guards against records of another router that displace suspects with known crashes. */
+static void
+test_records_of_pending_requests_do_not_displace_suspects (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetFingerprints crashing = plain (CRASHING_REQUEST);
+
+  limpet_quarantine_record_crash (quarantine, &crashing, 1, 20000);
+  limpet_quarantine_record_crash (quarantine, &crashing, 2, 20000);
+  for (uint64_t i = 1; i <= 1000; i++)
+    {
+      LimpetSuspect record = { .id = CRASHING_REQUEST + i,
+                               .depth = LIMPET_QUARANTINE_REQUEST_DEPTH,
+                               .is_pending = true,
+                               .pending_ms = 20100 };
+
+      limpet_quarantine_receive (quarantine, &record, 20100);
+      record_pending (quarantine, CRASHING_REQUEST + 2000 + i, 20100);
+    }
+  limpet_quarantine_record_crash (quarantine, &crashing, 3, 20200);
+  tick_until (quarantine, 20200, 22000);
+  CU_ASSERT_EQUAL (limpet_quarantine_count (quarantine, true), 1);
+  limpet_quarantine_delete (quarantine);
+}
+
 void
 add_quarantine_tests (void)
 {
@@ -851,4 +876,5 @@
   CU_ADD_TEST (suite, test_known_and_pending_crashes_of_a_request_are_added_up);
   CU_ADD_TEST (suite, test_requests_that_broke_at_one_target_do_not_displace_suspects);
   CU_ADD_TEST (suite, test_a_call_without_a_fingerprint_is_not_held);
+  CU_ADD_TEST (suite, test_records_of_pending_requests_do_not_displace_suspects);
 }
