Watch: pauses between outdated responses do not count as a slow store

Three outdated responses count as a loss if the store names no era and they took 0.8 s. That time ran from the first read on, so the pauses in which other routers' reads put off the next one, and failed calls, counted as well: three fast outdated responses 0.45 s apart began a false era.

--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -4,6 +4,7 @@
 #include "limpetroad/state_offer.h"
 #include "limpetroad/status_port.h"
 #include "limpetroad/topic_state.h"
+#include "platform/store_client.h"
 #include "platform/watch.h"
 #include "private/state_message.h"
 
@@ -13,6 +14,8 @@
 
 /* Most connections of one test. */
 #define MAX_CLIENTS 256
+/* Between reads of a store whose responses are outdated. */
+#define READ_PAUSE_MS 450
 
 /* A minimal store server. It serves one connection after the other and closes new ones
  * while a request has no response yet, and delays its response to the first read of
@@ -40,6 +43,8 @@
   uint32_t checks;              /* of stop_timer */
   GString *values;              /* values that the watch passed to on_record */
   LimpetMs state_age_ms;        /* of the newest read that the watch is told of */
+  LimpetMs last_read_ms;        /* boot clock of the last request for records */
+  bool is_outdated;             /* it responds as before its newest record */
   char buffer[4096];
 } StoreServer;
 
@@ -128,7 +133,14 @@
       respond (server, "{\"items\":[],\"truncated\":false,\"end\":0}", 38);
       return;
     }
-  if (++server->read_requests > 1)
+  server->last_read_ms = limpet_clock_boot_ms ();
+  server->read_requests++;
+  if (server->is_outdated)
+    {
+      respond (server, "\0\0\0\0\0\0\0\2\0\0\0\0\0\0\0\0", 16);
+      return;
+    }
+  if (server->read_requests > 1)
     return;
   if (server->state_port != NULL && !server->fails_first_read)
     {
@@ -192,13 +204,15 @@
 }
 
 /* Makes the watch read at once, and then not again before the test ends, unless another
- * router gives it records after a failed read. */
+ * router gives it records after a failed read, or the responses are outdated. */
 static LimpetMs
 delay_of_single_read (void *user, uint32_t topic)
 {
   const StoreServer *server = user;
 
   (void)topic;
+  if (server->is_outdated)
+    return MAX (0, server->last_read_ms + READ_PAUSE_MS - limpet_clock_boot_ms ());
   if (server->state_port != NULL && server->values->len > 0)
     return 0;
   return server->read_requests == 0 ? 0 : 100000;
@@ -407,6 +421,26 @@
   close_watch (&server);
 }
 
+/* Guards against a fault: three outdated responses of a store that is not slow counted as
+ * a loss, since the pauses in which other routers read counted like slow responses. */
+static void
+test_outdated_responses_with_pauses_between_them_are_no_loss (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipBatch empty_batch = { .first_offset = 3, .end_offset = 3 };
+  uint32_t era = platform_store_era ();
+
+  run_watch (&server);
+  server.is_outdated = true;
+  server.checks = 0;
+  platform_watch_apply_batch (server.watch, &empty_batch);
+  while (server.read_requests < 5 && server.checks < 50 && platform_store_era () == era)
+    uv_run (&server.loop, UV_RUN_DEFAULT);
+  CU_ASSERT_EQUAL (server.read_requests, 5);
+  CU_ASSERT_EQUAL (platform_store_era (), era);
+  close_watch (&server);
+}
+
 /* Guards against a fault: after an outage, a router waited for its next retry although
  * another router had read that there is a new record. */
 static void
@@ -717,4 +751,5 @@
   CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
   CU_ADD_TEST (suite, test_a_state_is_not_sent_as_newer_than_its_read);
+  CU_ADD_TEST (suite, test_outdated_responses_with_pauses_between_them_are_no_loss);
 }
