--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -421,6 +421,28 @@
   close_watch (&server);
 }
 
+/* Guards against a fault: a compressed state kept the age of the read before which it was
+ * compressed, although a later one had shown that nothing was missing in it. */
+static void
+test_a_state_is_sent_with_the_age_of_the_newest_read_that_confirmed_it (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
+  LimpetGossipBatch batch
+      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
+  int64_t end = 0;
+
+  run_watch (&server);
+  server.state_age_ms = 1700;
+  CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 1700);
+  server.state_age_ms = 0;
+  CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 0);
+  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  CU_ASSERT_TRUE (written_age_ms (server.watch, &end) < 1700);
+  CU_ASSERT_EQUAL (end, 3);
+  close_watch (&server);
+}
+
 /* Guards against a fault: three outdated responses of a store that is not slow counted as
  * a loss, since the pauses in which other routers read counted like slow responses. */
 static void
@@ -751,5 +773,7 @@
   CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
   CU_ADD_TEST (suite, test_a_state_is_not_sent_as_newer_than_its_read);
+  CU_ADD_TEST (suite,
+               test_a_state_is_sent_with_the_age_of_the_newest_read_that_confirmed_it);
   CU_ADD_TEST (suite, test_outdated_responses_with_pauses_between_them_are_no_loss);
 }
