States: a state compressed before the clock was set back is not sent again

A compressed state that lacks records is sent again for 0.3 s. If the clock was set back meanwhile, it counted as just compressed until the clock had caught up, and its age, below 0, was sent as 0: a router that started took an outdated state for a new one.

--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -5,7 +5,7 @@
 #include "limpetroad/status_port.h"
 #include "limpetroad/topic_state.h"
 #include "platform/store_client.h"
-#include "platform/watch.h"
+#include "platform/watch_private.h"
 #include "private/state_message.h"
 
 #include <glib.h>
@@ -443,6 +443,29 @@
   close_watch (&server);
 }
 
+/* Guards against a fault: after the clock was set back, a compressed state that lacks
+ * records was sent with an age of 0 until the clock had caught up. */
+static void
+test_a_state_compressed_before_the_clock_was_set_back_is_not_sent_again (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
+  LimpetGossipBatch batch
+      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
+  int64_t end = 0;
+
+  run_watch (&server);
+  server.state_age_ms = 700;
+  CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 700);
+  CU_ASSERT_EQUAL (end, 3);
+  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  server.watch->compressed_ms += 60000;
+  server.watch->compressed_read_ms += 60000;
+  CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 700);
+  CU_ASSERT_EQUAL (end, 4);
+  close_watch (&server);
+}
+
 /* Guards against a fault: three outdated responses of a store that is not slow counted as
  * a loss, since the pauses in which other routers read counted like slow responses. */
 static void
@@ -775,5 +798,7 @@
   CU_ADD_TEST (suite, test_a_state_is_not_sent_as_newer_than_its_read);
   CU_ADD_TEST (suite,
                test_a_state_is_sent_with_the_age_of_the_newest_read_that_confirmed_it);
+  CU_ADD_TEST (suite,
+               test_a_state_compressed_before_the_clock_was_set_back_is_not_sent_again);
   CU_ADD_TEST (suite, test_outdated_responses_with_pauses_between_them_are_no_loss);
 }
