Gossip: a read before the start of the machine keeps its age

A router on a machine that has just started may take a state, in an outage, whose read is older than that start. Its time is below 0 on the clock, and was dropped as older than none (0): the state's age was then the time since the start. A second router that started could take it for recent. The first read is now recorded whatever its time; an age beyond 32 bits no longer wraps in messages.

New unit test: a read 56.5 s old, 1.5 s after the start: another age before, 56,500 ms after; later reads replace it, older ones do not.

--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -313,7 +313,7 @@
 static void
 encode_read (const Read *read, LimpetMs now_ms, TopicUpdate *update)
 {
-  update->age_ms = (uint32_t)MAX (0, now_ms - read->read_ms);
+  update->age_ms = (uint32_t)CLAMP (now_ms - read->read_ms, 0, UINT32_MAX);
   update->age_range_ms = (uint32_t)(read->latest_ms - read->read_ms);
   update->reader = read->reader;
   update->read_at_ms = read->read_at_ms;
@@ -406,7 +406,8 @@
       merge_read (&known->read, read);
       return;
     }
-  if (gain_ms <= 0)
+  /* A read may be older than the start of the machine, from which the clock counts. */
+  if (gain_ms <= 0 && known->read.read_ms != 0)
     return;
   known->read = *read;
   /* The age of one read differs by some ms between messages. */
@@ -946,7 +947,7 @@
 static void
 doubt_age (Read *read, LimpetMs gap_ms, LimpetMs now_ms)
 {
-  if (read->read_ms > 0)
+  if (read->read_ms != 0)
     read->latest_ms = MIN (read->latest_ms + gap_ms, now_ms);
 }
 
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -361,6 +361,31 @@
   router_count = ROUTERS;
 }
 
+/* Guards against a fault: on a machine that had just started, a state whose read was
+ * older than that was offered to other routers as one that is as old as the start. */
+static void
+test_a_read_before_the_start_of_the_machine_keeps_its_age (void)
+{
+  LimpetGossipBatch batch
+      = { .topic = STORE_TOPIC, .first_offset = 5, .end_offset = 5, .read_ms = -55000 };
+
+  router_count = 2;
+  start_routers (400);
+  limpet_gossip_publish_read (routers[0].gossip, &batch, 1500);
+  CU_ASSERT_EQUAL (limpet_gossip_topic_age_ms (routers[0].gossip, STORE_TOPIC, 1500),
+                   56500);
+  batch.read_ms = 1600;
+  limpet_gossip_publish_read (routers[0].gossip, &batch, 1700);
+  CU_ASSERT_EQUAL (limpet_gossip_topic_age_ms (routers[0].gossip, STORE_TOPIC, 1700),
+                   100);
+  batch.read_ms = -55000;
+  limpet_gossip_publish_read (routers[0].gossip, &batch, 1800);
+  CU_ASSERT_EQUAL (limpet_gossip_topic_age_ms (routers[0].gossip, STORE_TOPIC, 1800),
+                   200);
+  stop_routers ();
+  router_count = ROUTERS;
+}
+
 /* The clock of router 7 is 5,000 ms ahead; messages take 3 ms, or longer. */
 static void
 test_the_fastest_message_tells_another_clock (void)
@@ -931,6 +956,7 @@
   CU_ADD_TEST (suite, test_an_entry_that_cannot_be_read_changes_nothing);
   CU_ADD_TEST (suite, test_old_tombstones_are_dropped);
   CU_ADD_TEST (suite, test_routers_that_stand_still_make_no_read_newer);
+  CU_ADD_TEST (suite, test_a_read_before_the_start_of_the_machine_keeps_its_age);
   CU_ADD_TEST (suite, test_the_fastest_message_tells_another_clock);
   CU_ADD_TEST (suite, test_a_jump_of_the_own_clock_ends_known_differences);
   CU_ADD_TEST (suite, test_slow_links_make_no_read_newer);
