--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -109,8 +109,9 @@
 static void continue_reading (LimpetCaller *caller);
 
 static void
-on_write_error (uv_stream_t *stream)
+on_write_error (uv_stream_t *stream, int status)
 {
+  (void)status;
   limpet_caller_close (stream->data);
 }
 
--- a/src/liblimpetroad/exchange/stream_write.c
+++ b/src/liblimpetroad/exchange/stream_write.c
@@ -32,7 +32,7 @@
 
   free_write (write);
   if (status < 0 && status != UV_ECANCELED && ops->on_error != NULL)
-    ops->on_error (stream);
+    ops->on_error (stream, status);
   else if (status == 0 && ops->on_written != NULL
            && !uv_is_closing ((uv_handle_t *)stream))
     ops->on_written (stream);
--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -102,8 +102,9 @@
 }
 
 static void
-on_write_error (uv_stream_t *stream)
+on_write_error (uv_stream_t *stream, int status)
 {
+  (void)status;
   close_tunnel (((End *)stream->data)->tunnel);
 }
 
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -140,13 +140,11 @@
     limpet_task_attempt_failed (task, status, cause);
 }
 
+/* The attempt fails at the end of what was received, which may be a complete response. */
 static void
-on_write_error (uv_stream_t *stream)
+on_write_error (uv_stream_t *stream, int status)
 {
-  LimpetUpstream *upstream = stream->data;
-
-  if (!upstream->is_closed)
-    fail (upstream, LIMPET_STATUS_BROKEN, "sending the request failed");
+  ((LimpetUpstream *)stream->data)->write_error = status;
 }
 
 static const LimpetStreamWriteOps write_ops = { .on_error = on_write_error };
@@ -191,7 +189,7 @@
   LimpetTask *task = upstream->task;
   bool reusable = upstream->keep_alive && !bytes_follow && !stream_ended
                   && uv_stream_get_write_queue_size ((uv_stream_t *)&upstream->tcp) == 0
-                  && !upstream->skipped_response;
+                  && !upstream->skipped_response && upstream->write_error == 0;
 
   if (task->response.is_for_other_call || task->response.status / 100 == 1)
     {
@@ -376,6 +374,16 @@
   limpet_paths_record_bytes (upstream->exchange, upstream->target, is_first);
 }
 
+/* Returns how the connection ended. A failed write takes the error from the socket; EPIPE
+ * says that an orderly end came before it. */
+static int
+end_code (const LimpetUpstream *upstream, int code)
+{
+  if (code == UV_EOF && upstream->write_error != 0 && upstream->write_error != UV_EPIPE)
+    return upstream->write_error;
+  return limpet_stream_end_code ((const uv_stream_t *)&upstream->tcp, code);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -393,7 +401,7 @@
         limpet_read_turn_end_if_full (&upstream->turn, (size_t)count, buffer->len);
     }
   else if (count < 0)
-    on_stream_end (upstream, limpet_stream_end_code (stream, count));
+    on_stream_end (upstream, end_code (upstream, (int)count));
 }
 
 static void
--- a/src/liblimpetroad/private/stream_write.h
+++ b/src/liblimpetroad/private/stream_write.h
@@ -11,7 +11,7 @@
  * being closed. */
 typedef struct
 {
-  void (*on_error) (uv_stream_t *stream);
+  void (*on_error) (uv_stream_t *stream, int status);
   void (*on_written) (uv_stream_t *stream);
 } LimpetStreamWriteOps;
 
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -1,9 +1,12 @@
 """Responses that only the end of the server's connection ends: one that is reset on the way does not look complete."""
 
 import contextlib
+import fcntl
 import glob
 import signal
 import socket
+import sys
+import termios
 import threading
 import time
 
@@ -19,12 +22,18 @@
 LARGE = [b"a" * 400000, b"b" * 4000]
 EVENTS = [event(number) for number in range(1, 21)]
 UPLOAD_BYTES = 4000000
+TAIL_BYTES = 100000  # more than one read of a router
 CLOSE = [("Connection", "close")]
 ROUTES = [route("safe", "/safe/", "safe", "plain", max_attempts=1),
           route("unsafe", "/unsafe/", "unsafe", "plain", max_attempts=1),
           route("stream", "/stream/", "streaming", "model", max_attempts=1)]
 
 
+def unacknowledged(connection):
+    """Returns the number of bytes that were sent and that the peer's socket does not have."""
+    return int.from_bytes(fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+
+
 def is_stopped(pid):
     """Returns whether all threads of the process have stopped."""
     for path in glob.glob("/proc/%d/task/*/stat" % pid):
@@ -38,10 +47,12 @@
 def stopped(router):
     """The router stands still; what it is sent meanwhile it finds at once."""
     router["process"].signal(signal.SIGSTOP)
-    f.wait_for(lambda: is_stopped(router["process"].popen.pid), "the router to stop")
-    yield
-    time.sleep(0.05)
-    router["process"].signal(signal.SIGCONT)
+    try:
+        f.wait_for(lambda: is_stopped(router["process"].popen.pid), "the router to stop")
+        yield
+        time.sleep(0.05)
+    finally:
+        router["process"].signal(signal.SIGCONT)
 
 
 def end_connection(connection, end):
@@ -247,3 +258,46 @@
         with fleet.platform.client(0) as client:
             client.send("/unsafe/1", "POST", body=b"x", fields=CLOSE)
             check_end(client, SMALL, "reset")
+
+
+def read_head(connection):
+    """Reads the head of a request, and leaves its body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += connection.recv(1024)
+    return data.split(b"\r\n\r\n")[0].decode()
+
+
+def early_head(server, request, fields):
+    name = request.lower().split("request-id: ")[1].split("\r\n")[0]
+    return ("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n" % (name, server.id, fields)).encode()
+
+
+# Only the reset of a response that the close ends shows that it is not whole.
+@table([("%s_%s" % (framing, end), framing, end) for framing in ("length", "close") for end in ("reset", "close_then_reset")])
+def test_a_large_response_is_read_to_its_end_though_its_server_resets_during_the_upload(framing, end):
+    body = b"a" * (16 * TAIL_BYTES)
+    fields = "Content-Length: %d\r\n" % len(body) if framing == "length" else ""
+    with Platform(start=False, routes=ROUTES, max_body_bytes=2 * UPLOAD_BYTES) as platform:
+        server = platform.add_server()
+
+        def serve(connection):
+            message = read_head(connection)
+            time.sleep(0.1)  # the router has queued a part of the upload
+            connection.sendall(early_head(server, message, fields) + body[TAIL_BYTES:])
+            f.wait_for(lambda: unacknowledged(connection) == 0, "the router to read")
+            time.sleep(0.1)
+            with stopped(platform.routers[0]):
+                connection.sendall(body[:TAIL_BYTES])
+                f.wait_for(lambda: unacknowledged(connection) == 0, "the router's socket to take the rest")
+                end_connection(connection, end)
+        server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        server.listener.handle = serve
+        platform.start()
+        for _ in range(4):
+            with platform.client() as client:
+                client.send("/unsafe/", "POST", body=b"x" * UPLOAD_BYTES, fields=CLOSE)
+                data, is_orderly = read_all(client)
+                is_complete = data.startswith(b"HTTP/1.1 200") and is_orderly
+                check(is_complete == (framing == "length" or end != "reset"), len(data), data[:100], is_orderly)
+                check(not is_complete or data.endswith(b"\r\n\r\n" + body), len(data))
