--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -28,6 +28,7 @@
   uv_tcp_t tcp;
   bool is_open;   /* the handle has been initialized */
   bool is_paused; /* reading is stopped because of the backlog of the other end */
+  bool is_broken; /* a write failed; the end of what it sent is no orderly one */
   LimpetByteHolder holder; /* of what waits to be written */
 } End;
 
@@ -101,17 +102,36 @@
   uv_close ((uv_handle_t *)&tunnel->timer, on_handle_closed);
 }
 
+static size_t
+backlog (const End *end)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&end->tcp);
+}
+
+/* What the target sent before its connection broke, which may be a complete response, is
+ * still passed on. */
 static void
-on_write_error (uv_stream_t *stream, int status)
+handle_write_error (End *end)
 {
-  (void)status;
-  close_tunnel (((End *)stream->data)->tunnel);
+  Tunnel *tunnel = end->tunnel;
+
+  if (end == &tunnel->router)
+    {
+      close_tunnel (tunnel);
+      return;
+    }
+  end->is_broken = true;
+  limpet_byte_holder_set_bytes (&end->holder, backlog (end));
 }
 
-static size_t
-backlog (const End *end)
+static void
+on_write_error (uv_stream_t *stream, int status)
 {
-  return uv_stream_get_write_queue_size ((const uv_stream_t *)&end->tcp);
+  End *end = stream->data;
+
+  (void)status;
+  if (!end->tunnel->is_closed)
+    handle_write_error (end);
 }
 
 static void
@@ -201,11 +221,11 @@
 static void
 pass_on (End *from, End *to, const char *data, size_t length)
 {
-  Tunnel *tunnel = from->tunnel;
-
+  if (to->is_broken)
+    return;
   if (!limpet_stream_write ((uv_stream_t *)&to->tcp, data, length, &write_ops))
     {
-      close_tunnel (tunnel);
+      handle_write_error (to);
       return;
     }
   limpet_byte_holder_set_bytes (&to->holder, backlog (to));
@@ -228,7 +248,8 @@
       limpet_paths_record_bytes (tunnel->exchange, tunnel->target, true);
       pass_on (server, &tunnel->router, buffer->base, (size_t)count);
     }
-  else if (count < 0 && limpet_stream_end_code (stream, count) == UV_EOF)
+  else if (count < 0 && !server->is_broken
+           && limpet_stream_end_code (stream, count) == UV_EOF)
     shut_down (tunnel);
   else if (count < 0)
     reset_when_sent (tunnel);
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -14,7 +14,7 @@
 from platform_fake import Platform, event, reset, route
 from run_all import table
 from test_answer_ends import read_all
-from test_isolated_routers import Caller, IsolatedFleet
+from test_isolated_routers import ROUTERS, Caller, IsolatedFleet
 from test_platform import check
 
 # In each, the last part and the end of the connection reach the router at once.
@@ -273,6 +273,37 @@
     return ("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n" % (name, server.id, fields)).encode()
 
 
+def test_a_relayed_response_with_a_length_is_whole_though_its_server_resets_during_the_upload():
+    body = b"a" * 200000
+
+    class EarlyResponses(RelayedResponses):
+        def serve(self, server, connection):
+            router = self.router_of(connection)
+            if not self.is_tested or self.is_isolated(router):
+                super().serve(server, connection)
+                return
+            message = read_head(connection)
+            time.sleep(0.1)  # the relay has queued a part of the upload
+            with stopped(self.platform.routers[0]):
+                connection.sendall(early_head(server, message, "Content-Length: %d\r\n" % len(body)) + body)
+                time.sleep(0.2)  # the relay has it, and the router's socket has no room for all of it
+                reset(connection)
+                time.sleep(0.2)
+
+    def upload(router):
+        with fleet.platform.client(router) as client:
+            return client.call("/unsafe/1", "POST", body=b"x" * UPLOAD_BYTES)
+    with EarlyResponses(None) as fleet:
+        fleet.platform.configure(max_body_bytes=2 * UPLOAD_BYTES)
+        f.wait_for(lambda: all(upload(router).status == 200 for router in range(ROUTERS)), "the configuration")
+        for server in fleet.platform.servers:
+            server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        fleet.isolate()
+        for _ in range(4):
+            response = upload(0)
+            check(response.status == 200 and response.body == body, response.line, len(response.body))
+
+
 # Only the reset of a response that the close ends shows that it is not whole.
 @table([("%s_%s" % (framing, end), framing, end) for framing in ("length", "close") for end in ("reset", "close_then_reset")])
 def test_a_large_response_is_read_to_its_end_though_its_server_resets_during_the_upload(framing, end):
