--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -141,6 +141,7 @@
         self.first = {}   # offset of the oldest readable record of each topic
         self.page_keys = 0  # most keys of one response to log-newest; 0: all
         self.on_next_page = None  # called once before the second page of a snapshot is made
+        self.alter_body = lambda path, body: body  # returns the body to be sent for a request for path
         self.era = None   # the value of Store-Era in all responses; None: they have no such field
         self.names_era = lambda path: True  # whether the response to a request for path has it
         self.appended = {}  # times at which the records of each topic were appended
@@ -234,6 +235,7 @@
                 while True:
                     connection.sendall(b"x" * 65536)
             status, body = (503, b"{}") if mode == "busy" else self.respond(path, message)
+            body = self.alter_body(path, body)
             is_named = self.era is not None and self.names_era(path)
             era = "" if not is_named else "Store-Era: %s\r\n" % self.era
             head = b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n" % (status, era.encode(),
--- a/test/test_snapshot_pages.py
+++ b/test/test_snapshot_pages.py
@@ -1,7 +1,9 @@
 """Snapshots of several pages, between which the store changes or comes back from a copy."""
 
+import json
 import time
 
+import fleet as f
 from platform_fake import Platform, ROUTES, route
 from run_all import table
 from test_fleet_starts import FIND_S
@@ -138,3 +140,108 @@
 
         start_beside_mark(fleet, "z", restore)
         check_no_stream_goes_on(fleet)
+
+
+LIST_PATH = "log-newest?topic=keyed.routers"
+READ_FAILED = "reading the router list failed"
+MAX_READS = 15   # within FIND_S, with the pauses between reads; without any there are hundreds
+READABLE_AGAIN_S = 15   # the longest pause between two reads is 5 s
+UNREADABLE_PAGES = [
+    ("empty_body", b""),
+    ("no_json", b"<html>busy</html>"),
+    ("half", b'{"items":[{"key":"r1","val'),
+    ("no_object", b"[]"),
+    ("no_items", b'{"truncated":false,"end":0}'),
+    ("items_of_wrong_type", b'{"items":{},"truncated":false,"end":0}'),
+    ("truncated_without_items", b'{"items":[],"truncated":true,"end":9}'),
+    ("truncated_without_key", b'{"items":[{"value":"YQ==","offset":0}],"truncated":true,"end":9}'),
+]
+
+
+def registrations(store, name="r0"):
+    return sum(key == name for key, _ in store.topics["keyed.routers"])
+
+
+def replace_list(store, body, part=""):
+    """Sends body for each page of the list of routers whose path contains part."""
+    store.alter_body = lambda path, original: body if LIST_PATH in path and part in path else original
+
+
+def check_unreadable_list_is_read_again(body, part):
+    with VersionedFleet(routers=1, versions=("v1",)) as fleet:
+        platform, store = fleet.platform, fleet.platform.store
+        mark_as_mixed(store)
+        replace_list(store, body, part)
+        before = registrations(store)
+        reads = store.count(LIST_PATH + "&part=0" + part)
+        start_beside_mark(fleet, "a")
+        check_no_stream_goes_on(fleet)
+        reads = store.count(LIST_PATH + "&part=0" + part) - reads
+        check(registrations(store) == before, "registered beside a list that it could not read")
+        check(2 <= platform.log().count(READ_FAILED) <= reads <= MAX_READS, reads)
+        store.alter_body = lambda path, original: original
+        f.wait_for(lambda: registrations(store) > before, "the router to register", READABLE_AGAIN_S)
+        check_no_stream_goes_on(fleet)
+
+
+@table(UNREADABLE_PAGES)
+def test_an_unreadable_list_counts_as_no_empty_one(body):
+    """Guards against a router that takes a list it can't read for one without routers and marks."""
+    check_unreadable_list_is_read_again(body, "")
+
+
+@table(UNREADABLE_PAGES)
+def test_an_unreadable_later_page_ends_no_list(body):
+    """Guards against a list that counts as complete at a page that can't be read."""
+    check_unreadable_list_is_read_again(body, "&after=")
+
+
+def test_an_unreadable_list_removes_no_known_router():
+    """Guards against routers that forget each other, or register again, at a list they can't read."""
+    with CopiedStore(routers=2) as platform:
+        platform.wait_for_routers(2)
+        settle_before_losses()
+        replace_list(platform.store, b"{}")
+        before = [registrations(platform.store, name) for name in ("r0", "r1")]
+        platform.store.lose_newest(0)
+        ends = time.monotonic() + FIND_S
+        while time.monotonic() < ends:
+            counts = [platform.metric("limpetroad_routers ", router) for router in range(2)]
+            check(counts == [2, 2], counts)
+            time.sleep(0.2)
+        check(min(platform.log(router).count(READ_FAILED) for router in range(2)) > 0)
+        check([registrations(platform.store, name) for name in ("r0", "r1")] == before)
+
+
+UNREADABLE_ENTRIES = [7, None, [], "r9", {}, {"key": "r8"}, {"value": "bm9uZQ=="},
+                      {"key": 9, "value": "bm9uZQ=="}, {"key": "r7", "value": 5},
+                      {"key": "r6", "value": "%%%"}, {"key": "r5", "value": "", "offset": "x"}, {"offset": -1}]
+
+
+def add_unreadable_entries(path, body):
+    if LIST_PATH not in path:
+        return body
+    page = json.loads(body)
+    page["items"] = UNREADABLE_ENTRIES + page["items"] + [{}, None]
+    return json.dumps(page).encode()
+
+
+def test_unreadable_entries_of_the_list_hide_no_router():
+    """Guards against a list that ends at an entry that can't be read."""
+    with Platform(start=False) as platform:
+        fill_router_list(platform.store, "a")
+        platform.store.alter_body = add_unreadable_entries
+        for _ in range(2):
+            platform.add_router(wait=False)
+        time.sleep(FIND_S)
+        counts = [platform.metric("limpetroad_routers ", router) for router in range(2)]
+        check(min(counts) == 2, counts)
+
+
+def test_unreadable_entries_of_the_list_hide_no_mark():
+    """Guards against a list that ends at an entry that can't be read."""
+    with VersionedFleet(routers=1, versions=("v1",)) as fleet:
+        mark_as_mixed(fleet.platform.store)
+        fleet.platform.store.alter_body = add_unreadable_entries
+        start_beside_mark(fleet, "a")
+        check_no_stream_goes_on(fleet)
