--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -300,7 +300,8 @@
 {
   const LimpetTask *task = upstream->task;
 
-  if (!upstream->reader.head_done || !task->ends_with_close)
+  if (!upstream->reader.head_done || !task->ends_with_close
+      || task->response.is_for_other_call)
     return;
   limpet_counter_add (LIMPET_COUNTER_CLOSE_ENDED, 1);
   limpet_log (LIMPET_LOG_INFO, "end", upstream->target->vm.id,
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -182,6 +182,26 @@
         check(fleet.request("900d", 0))
 
 
+def test_a_request_that_crashed_all_servers_is_kept_from_new_ones_that_another_router_reaches_first():
+    """The router that saw the crashes gets no request after them; another one gets repeats and sound requests."""
+    with RequestsFleet(SAFE_POST, restart_s=3.2) as fleet:
+        crashing = [threading.Thread(target=fleet.request, args=("bad", 0), daemon=True) for _ in range(2)]
+        for sender in crashing:
+            sender.start()
+        for sender in crashing:
+            sender.join()
+        check(len(fleet.crashes) == SERVERS, len(fleet.crashes))
+        end = time.monotonic() + 9
+        while time.monotonic() < end:
+            sent = time.monotonic()
+            fleet.request("bad", 1)
+            fleet.served.append((sent, fleet.request("%x" % (0x1000 + len(fleet.served)), 1)))
+            time.sleep(0.05)
+        late = fleet.arrivals_after(fleet.third_crash() + STABLE_WINDOW_S)
+        check(late <= 3, late, len(fleet.crashes))
+        check(fleet.served_after(end - 3) >= 0.9, fleet.served_after(end - 3))
+
+
 class CutFleet(RequestsFleet):
     """Sound servers that take CALL_S for each call, and whose links to all routers may be cut."""
 
