Tests: one reader of early requests, one whole response, one set-up of the state tests

Tests only, found in the last read of the whole change; assertions and bounds as they were. test_responses_ended_by_close wrote the reading of a request's head and the early response twice, and patched a whole response by a string replacement; the three tests of compressed states in watch_tests each built the same record of another router.

--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -399,22 +399,30 @@
   return message.age_ms;
 }
 
+/* Another router tells the record after those that the store has sent. */
+static void
+apply_fourth_record (PlatformWatch *watch)
+{
+  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
+  LimpetGossipBatch batch
+      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
+
+  CU_ASSERT_EQUAL (platform_watch_apply_batch (watch, &batch), 4);
+}
+
 /* Guards against a compressed state that is sent again with the age of a later read,
  * whose records it lacks. */
 static void
 test_a_state_is_not_sent_as_newer_than_its_read (void)
 {
   StoreServer server = { .values = g_string_new (NULL) };
-  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
-  LimpetGossipBatch batch
-      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
   int64_t end = 0;
 
   run_watch (&server);
   server.state_age_ms = 700;
   CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 700);
   CU_ASSERT_EQUAL (end, 3);
-  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  apply_fourth_record (server.watch);
   server.state_age_ms = 0;
   CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 700);
   CU_ASSERT_EQUAL (end, 3);
@@ -427,9 +435,6 @@
 test_a_state_is_sent_with_the_age_of_the_newest_read_that_confirmed_it (void)
 {
   StoreServer server = { .values = g_string_new (NULL) };
-  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
-  LimpetGossipBatch batch
-      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
   int64_t end = 0;
 
   run_watch (&server);
@@ -437,7 +442,7 @@
   CU_ASSERT_TRUE (written_age_ms (server.watch, &end) >= 1700);
   server.state_age_ms = 0;
   CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 0);
-  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  apply_fourth_record (server.watch);
   CU_ASSERT_TRUE (written_age_ms (server.watch, &end) < 1700);
   CU_ASSERT_EQUAL (end, 3);
   close_watch (&server);
@@ -449,16 +454,13 @@
 test_a_state_compressed_before_the_clock_was_set_back_is_not_sent_again (void)
 {
   StoreServer server = { .values = g_string_new (NULL) };
-  LimpetGossipRecord record = { .bytes = (const uint8_t *)"\1kd", .length = 3 };
-  LimpetGossipBatch batch
-      = { .first_offset = 3, .end_offset = 4, .count = 1, .records = &record };
   int64_t end = 0;
 
   run_watch (&server);
   server.state_age_ms = 700;
   CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 700);
   CU_ASSERT_EQUAL (end, 3);
-  CU_ASSERT_EQUAL (platform_watch_apply_batch (server.watch, &batch), 4);
+  apply_fourth_record (server.watch);
   server.watch->compressed_ms += 60000;
   server.watch->compressed_read_ms += 60000;
   CU_ASSERT_EQUAL (written_age_ms (server.watch, &end), 700);
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -100,16 +100,25 @@
                 check_end(client, parts, end)
 
 
+def read_head(connection):
+    """Reads the head of a request, and leaves its body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += connection.recv(1024)
+    return data.split(b"\r\n\r\n")[0].decode()
+
+
+def early_head(server, request, fields):
+    name = request.lower().split("request-id: ")[1].split("\r\n")[0]
+    return ("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n" % (name, server.id, fields)).encode()
+
+
 def test_a_response_that_is_reset_during_the_upload_does_not_look_complete():
     with Platform(start=False, routes=ROUTES, max_body_bytes=2 * UPLOAD_BYTES) as platform:
         server = platform.add_server()
 
         def serve(connection):
-            request = b""
-            while b"\r\n\r\n" not in request:
-                request += connection.recv(1024)
-            name = request.lower().split(b"request-id: ")[1].split(b"\r\n")[0].decode()
-            connection.sendall(("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal\r\n\r\n" % name).encode())
+            connection.sendall(early_head(server, read_head(connection), ""))
             time.sleep(0.02)
             with stopped(platform.routers[0]):
                 connection.sendall(SMALL[0])
@@ -122,8 +131,8 @@
             check_end(client, SMALL, "reset")
 
 
-def whole_response(server, message, body):
-    return server.head(message, extra="Content-Length: %d\r\n\r\n" % len(body)) + body
+def whole_response(server, message, body, fields=""):
+    return server.head(message, extra="%sContent-Length: %d\r\n\r\n" % (fields, len(body))) + body
 
 
 def pieces(data, size):
@@ -140,17 +149,15 @@
                                       ("earlier_before", ("earlier", "head", "body"), True))])
 def test_a_second_response_is_no_part_of_a_body_that_the_close_ends(path, order, is_whole):
     body = b"".join(EVENTS)
+    fields = "Content-Type: text/event-stream\r\n" if path == "/stream/" else ""
     first = {}
 
     def respond(server, message, connection):
         if server.id not in first:
-            first[server.id] = whole_response(server, message, event(1))
-            if path == "/stream/":
-                first[server.id] = first[server.id].replace(b"\r\n\r\n", b"\r\nContent-Type: text/event-stream\r\n\r\n", 1)
+            first[server.id] = whole_response(server, message, event(1), fields)
             connection.sendall(first[server.id])
             return True
-        fields = "Content-Type: text/event-stream\r\n\r\n" if path == "/stream/" else "\r\n"
-        parts = {"head": server.head(message, extra=fields), "body": body, "half": body[:len(body) // 2],
+        parts = {"head": server.head(message, extra=fields + "\r\n"), "body": body, "half": body[:len(body) // 2],
                  "own": whole_response(server, message, body), "earlier": first[server.id]}
         for part in order:
             for piece in pieces(parts[part], 100):
@@ -260,19 +267,6 @@
             check_end(client, SMALL, "reset")
 
 
-def read_head(connection):
-    """Reads the head of a request, and leaves its body."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        data += connection.recv(1024)
-    return data.split(b"\r\n\r\n")[0].decode()
-
-
-def early_head(server, request, fields):
-    name = request.lower().split("request-id: ")[1].split("\r\n")[0]
-    return ("HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\n%s\r\n" % (name, server.id, fields)).encode()
-
-
 def test_a_relayed_response_with_a_length_is_whole_though_its_server_resets_during_the_upload():
     body = b"a" * 200000
 
