--- a/src/liblimpetroad/exchange/event_splitter.c
+++ b/src/liblimpetroad/exchange/event_splitter.c
@@ -1,5 +1,7 @@
 #include "private/event_splitter.h"
 
+#include "private/text_buffer.h"
+
 #include <string.h>
 
 /* Returns the length of the first complete event in text, including its blank line; 0 if
@@ -132,7 +134,7 @@
       count++;
     }
   g_string_append_len (out, splitter->text->str, (gssize)complete_length);
-  g_string_erase (splitter->text, 0, (gssize)complete_length);
+  limpet_text_buffer_drop_front (&splitter->text, complete_length);
   return count;
 }
 
--- a/src/liblimpetroad/exchange/http_reader.c
+++ b/src/liblimpetroad/exchange/http_reader.c
@@ -1,5 +1,7 @@
 #include "private/http_reader.h"
 
+#include "private/text_buffer.h"
+
 #include <string.h>
 #include <strings.h>
 
@@ -212,7 +214,7 @@
   http_parser_init (&reader->parser, reader->is_response ? HTTP_RESPONSE : HTTP_REQUEST);
   reader->parser.data = reader;
   reader->head = (LimpetHttpHead){ .content_length = -1 };
-  g_string_truncate (reader->text, 0);
+  limpet_text_buffer_drop_front (&reader->text, reader->text->len);
   reader->offsets_count = 0;
   reader->head_bytes = 0;
   reader->framing_bytes = 0;
--- a/src/liblimpetroad/exchange/response_scan.c
+++ b/src/liblimpetroad/exchange/response_scan.c
@@ -1,6 +1,7 @@
 #include "private/response_scan.h"
 
 #include "private/http_reader.h"
+#include "private/text_buffer.h"
 
 #include <string.h>
 
@@ -161,10 +162,8 @@
 static void
 pass (LimpetResponseScan *scan, size_t length, GString *out)
 {
-  if (length == 0)
-    return;
   g_string_append_len (out, scan->held->str, (gssize)length);
-  g_string_erase (scan->held, 0, (gssize)length);
+  limpet_text_buffer_drop_front (&scan->held, length);
   scan->line_start -= length;
   scan->searched -= length;
 }
--- a/src/liblimpetroad/threaded_router/sse.c
+++ b/src/liblimpetroad/threaded_router/sse.c
@@ -1,6 +1,7 @@
 #include "private/sse.h"
 
 #include "limpetroad/limits.h"
+#include "private/text_buffer.h"
 
 #include <glib.h>
 #include <string.h>
@@ -132,6 +133,6 @@
   used = handle_events (sse, sse->pending->str, sse->pending->len);
   if (used < 0)
     return false;
-  g_string_erase (sse->pending, 0, used);
+  limpet_text_buffer_drop_front (&sse->pending, (gsize)used);
   return sse->pending->len <= LIMPET_MAX_EVENT_BYTES;
 }
--- a/src/test_liblimpetroad/http_tests.c
+++ b/src/test_liblimpetroad/http_tests.c
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <string.h>
 
+#define MAX_IDLE_BYTES (8 * 1024)
+
 /* Parts of a message, as a reader passed them to its callbacks. */
 typedef struct
 {
@@ -388,6 +390,69 @@
   g_string_free (out, TRUE);
 }
 
+static void
+test_events_that_were_passed_on_keep_no_memory (void)
+{
+  LimpetEventSplitter splitter = { .text = NULL };
+  GString *events = g_string_new (NULL);
+  GString *out = g_string_new (NULL);
+
+  while (events->len < 65536)
+    g_string_append (events, "id: 1\ndata: x\n\n");
+  g_string_append (events, "id: 2");
+  limpet_event_splitter_feed (&splitter, events->str, events->len, out);
+  CU_ASSERT_STRING_EQUAL (splitter.text->str, "id: 2");
+  CU_ASSERT_TRUE (splitter.text->allocated_len < MAX_IDLE_BYTES);
+  limpet_event_splitter_clear (&splitter);
+  g_string_free (out, TRUE);
+  g_string_free (events, TRUE);
+}
+
+static void
+test_a_connection_keeps_no_memory_for_a_head_that_was_used (void)
+{
+  GString *request = g_string_new ("GET / HTTP/1.1\r\n");
+  Message message = { .body = NULL };
+  LimpetHttpReader reader;
+  size_t used;
+
+  g_string_append (request, "Name: ");
+  while (request->len < 60000)
+    g_string_append_c (request, 'x');
+  g_string_append (request, "\r\n\r\n");
+  limpet_http_reader_init (&reader, false, 65536, &ops, &message);
+  limpet_http_reader_feed (&reader, request->str, request->len, &used);
+  limpet_http_reader_next (&reader);
+  CU_ASSERT_TRUE (reader.text->allocated_len < MAX_IDLE_BYTES);
+  limpet_http_reader_clear (&reader);
+  CU_ASSERT_EQUAL (message.head_count, 1);
+  g_string_free (request, TRUE);
+}
+
+static void
+test_a_scanned_body_that_was_passed_on_keeps_no_memory (void)
+{
+  static const char *const tails[] = { "", "HTTP", "HTTP/1.1 200 OK\r\nA: b\r\n" };
+  LimpetResponseScan scan = { .accepts = has_name };
+  GString *body = g_string_new (NULL);
+  GString *out = g_string_new (NULL);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (tails); i++)
+    {
+      size_t length = strlen (tails[i]);
+
+      g_string_set_size (body, 65536 - length);
+      memset (body->str, 'x', body->len);
+      g_string_append (body, tails[i]);
+      CU_ASSERT_TRUE (limpet_response_scan_feed (&scan, body->str, body->len, out));
+      CU_ASSERT_EQUAL (limpet_response_scan_held_bytes (&scan), length);
+      CU_ASSERT_TRUE (scan.held->allocated_len < MAX_IDLE_BYTES);
+    }
+  limpet_response_scan_clear (&scan);
+  g_string_free (out, TRUE);
+  g_string_free (body, TRUE);
+}
+
 void
 add_http_tests (void)
 {
@@ -399,6 +464,9 @@
   CU_ADD_TEST (suite, test_a_response_without_a_length_ends_with_its_connection);
   CU_ADD_TEST (suite, test_a_further_response_in_a_body_is_found_in_parts_of_any_size);
   CU_ADD_TEST (suite, test_a_head_in_a_body_is_not_awaited_without_end);
+  CU_ADD_TEST (suite, test_a_scanned_body_that_was_passed_on_keeps_no_memory);
+  CU_ADD_TEST (suite, test_events_that_were_passed_on_keep_no_memory);
+  CU_ADD_TEST (suite, test_a_connection_keeps_no_memory_for_a_head_that_was_used);
   CU_ADD_TEST (suite, test_bytes_after_a_message_are_not_consumed);
   CU_ADD_TEST (suite, test_corrupted_messages_are_handled_safely);
   CU_ADD_TEST (suite, test_hop_by_hop_fields_are_not_forwarded);
