--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -155,6 +155,7 @@
     return "the response does not continue the stream";
   if (!task->head_sent)
     copy_head (task, head);
+  limpet_task_count_held_bytes (task);
   return NULL;
 }
 
@@ -204,8 +205,10 @@
     {
       g_string_append_len (out, task->response_head->str,
                            (gssize)task->response_head->len);
+      g_string_free (g_steal_pointer (&task->response_head), TRUE);
       append_framing (task, out);
       task->head_sent = true;
+      limpet_task_count_held_bytes (task);
     }
   if (length > 0 && task->is_chunked_to_caller)
     g_string_append_printf (out, "%zx\r\n", length);
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -359,10 +359,12 @@
   size_t bytes
       = sizeof *task + sizeof *task->head + MAX (task->reserved_bytes, task->body->len);
 
+  if (task->response_head != NULL)
+    bytes += task->response_head->allocated_len;
   if (task->response_body != NULL)
     bytes += task->response_body->len;
   if (task->events.text != NULL)
-    bytes += task->events.text->len;
+    bytes += task->events.text->allocated_len;
   bytes += limpet_response_scan_held_bytes (&task->scan);
   if (task->upstream != NULL)
     bytes += limpet_upstream_head_bytes (task->upstream);
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -702,7 +702,7 @@
 size_t
 limpet_upstream_head_bytes (const LimpetUpstream *upstream)
 {
-  return upstream->reader.head_done ? 0 : upstream->reader.text->len;
+  return upstream->reader.text->allocated_len;
 }
 
 void
--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -17,6 +17,7 @@
 LARGE_BYTES = 15900000
 UPLOAD_BYTES = 3900000
 SEALED = "Content-Length: 900000000000\r\n\r\n"
+LARGE_HEAD = "".join("Field-%d: %s\r\n" % (number, "x" * 1000) for number in range(55))
 
 
 def repeat(*first):
@@ -52,6 +53,8 @@
     "unsigned_body": repeat(b"HTTP/1.1 200 X\r\n\r\n", BLOCK),
     "error_body": repeat(lambda server, message: server.head(message, 500, "\r\n"), BLOCK),
     "chunks": repeat(head(CHUNKED), chunk(BLOCK)),
+    "large_head": repeat(head(LARGE_HEAD + SEALED), BLOCK),
+    "large_head_chunks": repeat(head(LARGE_HEAD + CHUNKED), chunk(BLOCK)),
     "large_length": repeat(head(SEALED), BLOCK),
     "chunk_extension": repeat(head(CHUNKED), b"1;", BLOCK),
     "trailers": repeat(head(CHUNKED), b"0\r\n", b"Field: x\r\n" * 6000),
@@ -159,7 +162,8 @@
     + [(kind, "/stream/1", 6, True) for kind in ENDLESS] \
     + [(kind, path, 240, reads) for reads in (True, False)
        for kind, path in (("body", "/faulty/1"), ("chunks", "/again/1"), ("large_length", "/again/1"),
-                          ("large_answer", "/faulty/1"), ("events", "/stream/1"), ("head", "/stream/1"))]
+                          ("large_answer", "/faulty/1"), ("large_head", "/faulty/1"),
+                          ("large_head_chunks", "/again/1"), ("events", "/stream/1"), ("head", "/stream/1"))]
 
 
 @table([("%s_%s_%d_%s" % (kind, path.split("/")[1], callers, "read" if reads else "wait"), kind, path, callers, reads)
