--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -50,6 +50,10 @@
 #define DIGEST_PERIOD_MS 200
 #define DIGEST_FANOUT 2
 #define MAX_DIGEST_MEMBERS 6
+/* While all routers run that a router knows, it gets about ten digests in this time. If
+ * it gets fewer than MIN_DIGESTS, most do not run, or it is cut off from them. */
+#define DIGEST_CHECK_MS (5 * DIGEST_PERIOD_MS)
+#define MIN_DIGESTS 4
 /* Rate limits in a regular digest, and the number of loads that take as many bytes as one
  * of them. */
 #define MAX_DIGEST_LIMITS 6
@@ -93,7 +97,7 @@
   int64_t end;             /* position up to which this router has the records */
   Read read;               /* the newest known one */
   LimpetMs delay_ms;       /* random delay before this router reads the topic itself */
-  LimpetMs extra_delay_ms; /* the same beside that, if it hears from other routers */
+  LimpetMs extra_delay_ms; /* the same beside that, if most other routers run */
   int64_t announced_end;   /* latest end that another router read */
   Read announced_read;     /* the newest read that showed it */
 } Topic;
@@ -115,9 +119,11 @@
   LimpetQuarantine *quarantine; /* borrowed; NULL if there is none */
   LimpetStreamOrigins *origins; /* borrowed; NULL if there are none */
   Topic topics[LIMPET_GOSSIP_TOPICS];
-  LimpetMs last_digest_ms; /* when digests were last sent */
-  LimpetMs last_tick_ms;   /* 0 before the first */
-  LimpetMs heard_ms;       /* when the last message came; 0 for none */
+  LimpetMs last_digest_ms;          /* when digests were last sent */
+  LimpetMs last_tick_ms;            /* 0 before the first */
+  LimpetMs heard_ms;                /* when the last message came; 0 for none */
+  LimpetMs digests_ms[MIN_DIGESTS]; /* when the last digests came */
+  uint32_t digests;                 /* number that came by this clock */
   /* When this router last went on after it had stood still, and the datagrams that had
    * waited meanwhile were received; 0 for never. */
   LimpetMs resumed_ms;
@@ -439,6 +445,15 @@
   return end > known->end && read_ms + READ_OVERLAP_MS >= known->read.read_ms;
 }
 
+/* Returns whether so many digests come that most of the known routers run. Other messages
+ * come in bursts, and prove less. */
+static bool
+hears_most_routers (const LimpetGossip *gossip, LimpetMs now_ms)
+{
+  return now_ms - gossip->heard_ms <= MAX_SILENCE_MS && gossip->digests >= MIN_DIGESTS
+         && now_ms - gossip->digests_ms[gossip->digests % MIN_DIGESTS] <= DIGEST_CHECK_MS;
+}
+
 LimpetMs
 limpet_gossip_next_read_ms (const LimpetGossip *gossip, uint32_t topic, LimpetMs now_ms)
 {
@@ -447,8 +462,8 @@
   LimpetMs due_ms = known->read.read_ms + recent_ms + known->delay_ms;
 
   /* A router that is cut off from the others, or lacks what they pass on, cannot leave it
-   * to them. */
-  if (now_ms - gossip->heard_ms <= MAX_SILENCE_MS
+   * to them, nor can the few that still run. */
+  if (hears_most_routers (gossip, now_ms)
       && !is_later_end (known, known->announced_end, known->announced_read.read_ms))
     due_ms += known->extra_delay_ms;
   return known->read.read_ms == 0 ? 0 : MAX (0, due_ms - now_ms);
@@ -782,6 +797,8 @@
                                       message->relay_state == RELAY_STATE__RELAYS);
   for (size_t i = 0; i < message->n_members; i++)
     limpet_gossip_members_add (gossip->members, message->members[i], now_ms);
+  if (message->start != 0)
+    gossip->digests_ms[gossip->digests++ % MIN_DIGESTS] = now_ms;
   receive_clock (gossip, message, earliest_ms, now_ms);
   for (size_t i = 0; i < message->n_topics; i++)
     receive_topic (gossip, message->topics[i], earliest_ms, now_ms, sender);
@@ -941,6 +958,7 @@
     gossip->topics[i].read = gossip->topics[i].announced_read = (Read){ .read_ms = 0 };
   gossip->last_digest_ms = MIN (gossip->last_digest_ms, now_ms - DIGEST_PERIOD_MS);
   gossip->heard_ms = MIN (gossip->heard_ms, now_ms);
+  gossip->digests = 0;
   gossip->resumed_ms = MIN (gossip->resumed_ms, now_ms);
 }
 
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -207,6 +207,8 @@
  * ENTRY_BYTES. */
 #define BURST_RECORDS 22
 #define ENTRY_BYTES 250
+/* Routers that go on when the others lose power. */
+#define SURVIVORS 8
 /* The dispatcher reduces the loads of older reports. */
 #define MAX_REPORT_AGE_MS 1500
 
@@ -294,6 +296,57 @@
   stop_routers ();
 }
 
+/* Has the first routers go on alone. Their clients take up streams again, whose origin a
+ * router asks all others for each query_ms, unless that is 0. */
+static void
+play_loss_of_others (LimpetMs from_ms, LimpetMs query_ms, LimpetMs *max_age_ms)
+{
+  int64_t end = 0;
+  uint32_t turn = 0;
+
+  for (uint32_t i = SURVIVORS; i < ROUTERS; i++)
+    routers[i].stands_still_until_ms = INT32_MAX;
+  for (LimpetMs now_ms = from_ms; now_ms < from_ms + 4000; now_ms += STEP_MS)
+    {
+      uint64_t id = 1 + (uint64_t)now_ms;
+
+      if (query_ms > 0 && now_ms % query_ms == 0)
+        limpet_gossip_query_streams (routers[turn++ % SURVIVORS].gossip, &id, 1);
+      run_fleet (now_ms, now_ms + STEP_MS, &end, max_age_ms);
+    }
+}
+
+/* Guards against a fault: routers that went on when most others lost power left the reads
+ * to these for as long as they heard anything, and knew of no read in time. */
+static void
+test_routers_left_by_most_others_read_in_time (void)
+{
+  static const LimpetMs queries_ms[] = { 0, 500, 100 };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (queries_ms); k++)
+    {
+      LimpetMs worst_age_ms = 0;
+      uint32_t late = 0;
+
+      for (uint32_t seed = 600; seed < 620; seed++)
+        {
+          LimpetMs max_age_ms = 0;
+          int64_t end = 0;
+
+          start_routers (seed);
+          run_fleet (1, 5000 + 100 * (seed % 10), &end, NULL);
+          play_loss_of_others (5000 + 100 * (seed % 10), queries_ms[k], &max_age_ms);
+          worst_age_ms = MAX (worst_age_ms, max_age_ms);
+          late += max_age_ms >= 2000;
+          stop_routers ();
+        }
+      printf ("oldest newest read of %d routers left of %d, queries each %ld ms: %ld ms, "
+              "too old in %u of 20 fleets\n",
+              SURVIVORS, ROUTERS, (long)queries_ms[k], (long)worst_age_ms, late);
+      CU_ASSERT_EQUAL (late, 0);
+    }
+}
+
 static void
 test_a_false_end_of_a_topic_is_forgotten (void)
 {
@@ -944,6 +997,7 @@
   CU_ADD_TEST (suite, test_records_lost_in_gossip_are_read_from_the_store);
   CU_ADD_TEST (suite, test_bursts_reach_nearly_all_routers);
   CU_ADD_TEST (suite, test_the_end_of_a_topic_reaches_routers_that_cannot_read);
+  CU_ADD_TEST (suite, test_routers_left_by_most_others_read_in_time);
   CU_ADD_TEST (suite, test_a_false_end_of_a_topic_is_forgotten);
   CU_ADD_TEST (suite, test_routers_without_gossip_read_the_store);
   CU_ADD_TEST (suite, test_the_reads_of_an_outage_do_not_grow_with_the_fleet);
