--- a/src/liblimpetroad/cluster_state/gossip.c
+++ b/src/liblimpetroad/cluster_state/gossip.c
@@ -438,11 +438,13 @@
 }
 
 /* Returns whether end, which a read at read_ms showed, is later than the known end and
- * is not contradicted by the newest known read. */
+ * is not contradicted by the newest known read, if there is one. */
 static bool
 is_later_end (const Topic *known, int64_t end, LimpetMs read_ms)
 {
-  return end > known->end && read_ms + READ_OVERLAP_MS >= known->read.read_ms;
+  return end > known->end
+         && (known->read.read_ms == 0
+             || read_ms + READ_OVERLAP_MS >= known->read.read_ms);
 }
 
 /* Returns whether so many digests come that most of the known routers run. Other messages
--- a/src/test_liblimpetroad/cluster_state_tests.c
+++ b/src/test_liblimpetroad/cluster_state_tests.c
@@ -347,31 +347,64 @@
     }
 }
 
+/* Tells router 1 that a read age_ms ago showed an end. */
 static void
-test_a_false_end_of_a_topic_is_forgotten (void)
+tell_end (int64_t end, LimpetMs age_ms, LimpetMs clock_ms)
 {
   GossipMessage message = GOSSIP_MESSAGE__INIT;
   TopicUpdate topic = TOPIC_UPDATE__INIT;
   TopicUpdate *topics[] = { &topic };
   uint8_t data[64];
-  int64_t end = 0;
 
-  start_routers (29);
-  run_fleet (1, 5000, &end, NULL);
   topic.topic = STORE_TOPIC;
-  topic.end = topic.from = 1000;
+  topic.end = (uint64_t)end;
+  topic.age_ms = (uint32_t)age_ms;
   message.sender = 2;
   message.topics = topics;
   message.n_topics = 1;
   limpet_gossip_receive (routers[0].gossip, 2, data,
-                         gossip_message__pack (&message, data), 5000, 5000);
-  run_fleet (5000, 10000, &end, NULL);
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    routers[i].heard_end = 0;
-  run_fleet (10000, 15000, &end, NULL);
-  for (uint32_t i = 0; i < ROUTERS; i++)
-    CU_ASSERT_EQUAL (routers[i].heard_end, 0);
-  stop_routers ();
+                         gossip_message__pack (&message, data), clock_ms, clock_ms);
+}
+
+/* Guards against a fault: while the store was away, a router whose machine had just
+ * started did not believe an end that was read more than 2 s before that. */
+static void
+test_an_end_read_before_the_start_of_the_machine_is_known (void)
+{
+  static const LimpetMs ages_ms[] = { 500, 2600, 2800, 60000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ages_ms); i++)
+    {
+      start_routers (403);
+      reboot_router (0, 404, 5000);
+      tell_end (7, ages_ms[i], BOOT_MS);
+      CU_ASSERT_EQUAL (routers[0].heard_end, 7);
+      stop_routers ();
+    }
+}
+
+/* The end is read 5 s before the machine of the router that is told of it starts, or just
+ * now. */
+static void
+test_a_false_end_of_a_topic_is_forgotten (void)
+{
+  for (int has_started = 0; has_started < 2; has_started++)
+    {
+      int64_t end = 0;
+
+      start_routers (29);
+      run_fleet (1, 5000, &end, NULL);
+      if (has_started)
+        reboot_router (0, 30, 5000);
+      tell_end (1000, has_started ? 5000 : 0, has_started ? BOOT_MS : 5000);
+      run_fleet (5000, 10000, &end, NULL);
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        routers[i].heard_end = 0;
+      run_fleet (10000, 15000, &end, NULL);
+      for (uint32_t i = 0; i < ROUTERS; i++)
+        CU_ASSERT_EQUAL (routers[i].heard_end, 0);
+      stop_routers ();
+    }
 }
 
 /* Has the first routers stand still in turn, one at a time for 400 ms. */
@@ -998,6 +1031,7 @@
   CU_ADD_TEST (suite, test_bursts_reach_nearly_all_routers);
   CU_ADD_TEST (suite, test_the_end_of_a_topic_reaches_routers_that_cannot_read);
   CU_ADD_TEST (suite, test_routers_left_by_most_others_read_in_time);
+  CU_ADD_TEST (suite, test_an_end_read_before_the_start_of_the_machine_is_known);
   CU_ADD_TEST (suite, test_a_false_end_of_a_topic_is_forgotten);
   CU_ADD_TEST (suite, test_routers_without_gossip_read_the_store);
   CU_ADD_TEST (suite, test_the_reads_of_an_outage_do_not_grow_with_the_fleet);
