--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -1,5 +1,6 @@
 #include "tests.h"
 
+#include "limpetroad/log_era.h"
 #include "limpetroad/read_hedge.h"
 #include "limpetroad/state_offer.h"
 #include "limpetroad/status_port.h"
@@ -36,6 +37,7 @@
   uint32_t requests;
   uint32_t read_requests;
   bool fails_first_read;        /* with status 503 */
+  bool fails_all_reads;         /* likewise */
   bool is_silent;               /* it never responds */
   LimpetStatusPort *state_port; /* of another router; NULL if there is none */
   GString *state;               /* what it serves */
@@ -71,6 +73,16 @@
   g_string_free (out, TRUE);
 }
 
+static void
+respond_with_failure (StoreServer *server)
+{
+  static const char response[] = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+  uv_buf_t out = uv_buf_init ((char *)response, sizeof response - 1);
+
+  uv_try_write ((uv_stream_t *)server->client, &out, 1);
+  server->awaits_response = false;
+}
+
 /* Returns the body of the response to a read that starts at offset from: the end of the
  * topic, the first retained offset, and the records, each after its length. The topic has
  * the records k=a, k=b and k=c at offsets 0 to 2. */
@@ -140,8 +152,13 @@
       respond (server, "\0\0\0\0\0\0\0\2\0\0\0\0\0\0\0\0", 16);
       return;
     }
-  if (server->read_requests > 1)
+  if (server->read_requests > 1 && !server->fails_all_reads)
     return;
+  if (server->fails_all_reads)
+    {
+      respond_with_failure (server);
+      return;
+    }
   if (server->state_port != NULL && !server->fails_first_read)
     {
       uv_timer_start (&server->response_timer, announce_record, 10, 0);
@@ -149,11 +166,7 @@
     }
   if (server->fails_first_read)
     {
-      static const char response[] = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
-      uv_buf_t out = uv_buf_init ((char *)response, sizeof response - 1);
-
-      uv_try_write ((uv_stream_t *)server->client, &out, 1);
-      server->awaits_response = false;
+      respond_with_failure (server);
       uv_timer_start (&server->response_timer, announce_record, 100, 0);
       return;
     }
@@ -781,6 +794,41 @@
     }
 }
 
+/* Another router names an era later than those before. */
+static void
+tell_later_era (uv_timer_t *timer)
+{
+  StoreServer *server = timer->data;
+  int64_t end = limpet_log_position (platform_store_era () + 1, 0);
+  LimpetGossipBatch batch = { .first_offset = end, .end_offset = end };
+
+  if (++server->checks <= 30)
+    platform_watch_apply_batch (server->watch, &batch);
+  else
+    uv_stop (&server->loop);
+}
+
+/* Guards against a fault: each news of a later era, though no response of the store named
+ * one, ended the pauses between reads that failed. */
+static void
+test_news_of_ever_later_eras_cause_few_reads (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+  uint64_t begun;
+
+  run_watch (&server);
+  server.fails_all_reads = true;
+  server.checks = 0;
+  begun = server.watch->reads;
+  uv_timer_start (&server.stop_timer, tell_later_era, 100, 100);
+  uv_run (&server.loop, UV_RUN_DEFAULT);
+  begun = server.watch->reads - begun;
+  printf ("reads that failed in 3 s with news of 30 eras: %lu\n", (unsigned long)begun);
+  CU_ASSERT_TRUE (begun >= 3);
+  CU_ASSERT_TRUE (begun <= 7);
+  close_watch (&server);
+}
+
 void
 add_watch_tests (void)
 {
@@ -803,4 +851,6 @@
   CU_ADD_TEST (suite,
                test_a_state_compressed_before_the_clock_was_set_back_is_not_sent_again);
   CU_ADD_TEST (suite, test_outdated_responses_with_pauses_between_them_are_no_loss);
+  /* The eras stay known, so no other test of a watch may follow. */
+  CU_ADD_TEST (suite, test_news_of_ever_later_eras_cause_few_reads);
 }
