--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -43,6 +43,7 @@
   GString *state;               /* what it serves */
   const char *awaited_values;   /* NULL if the test does not wait for them */
   uint32_t checks;              /* of stop_timer */
+  uint64_t reads_before;        /* by the watch, when the test began */
   GString *values;              /* values that the watch passed to on_record */
   LimpetMs state_age_ms;        /* of the newest read that the watch is told of */
   LimpetMs last_read_ms;        /* boot clock of the last request for records */
@@ -501,6 +502,38 @@
   close_watch (&server);
 }
 
+/* Another router tells of one more record after a missing one, until the missing one is
+ * read. */
+static void
+tell_one_more (uv_timer_t *timer)
+{
+  StoreServer *server = timer->data;
+  LimpetGossipBatch batch = { .first_offset = 4, .end_offset = 4 + ++server->checks };
+
+  if (server->watch->reads == server->reads_before && server->checks <= 50)
+    platform_watch_apply_batch (server->watch, &batch);
+  else
+    uv_stop (&server->loop);
+}
+
+/* Guards against a fault: each news of a missing record put off the read of it, which
+ * never began while they came faster than each 40 ms. */
+static void
+test_news_in_a_series_do_not_put_off_a_read (void)
+{
+  StoreServer server = { .values = g_string_new (NULL) };
+
+  run_watch (&server);
+  server.reads_before = server.watch->reads;
+  server.checks = 0;
+  uv_timer_start (&server.stop_timer, tell_one_more, 20, 20);
+  uv_run (&server.loop, UV_RUN_DEFAULT);
+  printf ("news of a missing record until it was read: %u\n", server.checks - 1);
+  CU_ASSERT_EQUAL (server.watch->reads, server.reads_before + 1);
+  CU_ASSERT_TRUE (server.checks <= 5);
+  close_watch (&server);
+}
+
 /* Guards against a fault: after an outage, a router waited for its next retry although
  * another router had read that there is a new record. */
 static void
@@ -845,6 +878,7 @@
   CU_ADD_TEST (suite, test_an_old_state_is_taken_only_if_nothing_newer_can_be_had);
   CU_ADD_TEST (suite, test_a_read_without_response_is_repeated);
   CU_ADD_TEST (suite, test_a_new_record_is_read_before_the_retry_is_due);
+  CU_ADD_TEST (suite, test_news_in_a_series_do_not_put_off_a_read);
   CU_ADD_TEST (suite, test_a_state_is_not_sent_as_newer_than_its_read);
   CU_ADD_TEST (suite,
                test_a_state_is_sent_with_the_age_of_the_newest_read_that_confirmed_it);
