--- a/include/limpetroad/http_head.h
+++ b/include/limpetroad/http_head.h
@@ -15,6 +15,8 @@
 
 /** A message with more fields than this is rejected. */
 #define LIMPET_HTTP_MAX_FIELDS 96
+/** Lines of the heads of a response, interim ones included, at libcurl's clients. */
+#define LIMPET_HTTP_MAX_HEAD_LINES (LIMPET_HTTP_MAX_FIELDS + 8)
 
 /** One header field. */
 typedef struct
--- a/src/liblimpetroad/threaded_router/attempt.c
+++ b/src/liblimpetroad/threaded_router/attempt.c
@@ -1,6 +1,7 @@
 #include "limpetroad/attempt.h"
 
 #include "limpetroad/counters.h"
+#include "limpetroad/http_head.h"
 #include "private/http_client.h"
 #include "private/target_connection.h"
 
@@ -35,6 +36,7 @@
   bool new_connection;
   LimpetAttemptState state;
   LimpetAttemptResponse response;
+  uint32_t head_lines; /* interim responses included */
   GString *error_body;
   curl_socket_t fd;
   int socket_events;     /* CURL_POLL_* */
@@ -165,6 +167,11 @@
   size_t length = size * count;
   char value[LIMPET_NAME_SIZE];
 
+  if (++attempt->head_lines > LIMPET_HTTP_MAX_HEAD_LINES)
+    {
+      attempt->aborted = true;
+      return 0;
+    }
   if (match_header (line, length, "X-Attempt-Id", value, sizeof value))
     response->id_matches = strcmp (value, attempt->id) == 0;
   else if (match_header (line, length, "X-Prompt-Tokens", value, sizeof value))
@@ -365,7 +372,7 @@
   if (attempt->aborted)
     return limpet_error_set (
         error, LIMPET_STATUS_BROKEN, "attempt", peer,
-        "the response does not carry the attempt id, or its body was rejected");
+        "the response does not carry the attempt id, or it was rejected");
   curl_easy_getinfo (attempt->connection->easy, CURLINFO_REQUEST_SIZE, &request_size);
   status = limpet_http_status (attempt->result, request_size);
   if (status != LIMPET_STATUS_OK)
