--- a/include/limpetroad/byte_account.h
+++ b/include/limpetroad/byte_account.h
@@ -15,6 +15,10 @@
  *  and a service each have a share of the budget, so that a faulty target or a greedy
  *  caller uses up its own share only.
  *
+ *  Threads may share an account; each holder belongs to one thread at a time. What
+ *  limpet_byte_holder_may_grow() allows, another thread may have taken a moment later, so
+ *  threads that share an account call limpet_byte_holder_try_hold().
+ *
  *  Opens no connections. The account says who may hold more; the holders stop reading,
  *  refuse or break off.
  */
@@ -44,6 +48,7 @@
 LimpetByteAccount *limpet_byte_account_new (size_t budget_bytes);
 /** All holders must have been cleared. \p account may be NULL. */
 void limpet_byte_account_delete (LimpetByteAccount *account);
+/** Must not run beside other calls for the account. */
 void limpet_byte_account_set_budget (LimpetByteAccount *account, size_t budget_bytes);
 size_t limpet_byte_account_budget (const LimpetByteAccount *account);
 /** Returns the bytes that all holders hold. */
@@ -62,6 +67,9 @@
 void limpet_byte_holder_set_bytes (LimpetByteHolder *holder, size_t bytes);
 /** Returns whether the holder may hold \p more bytes than now. */
 bool limpet_byte_holder_may_grow (const LimpetByteHolder *holder, size_t more);
+/** Counts \p bytes as what the holder holds now if it may hold as much. Returns whether
+ * it may. */
+bool limpet_byte_holder_try_hold (LimpetByteHolder *holder, size_t bytes);
 /** Must be called when the holder holds nothing any more. */
 void limpet_byte_holder_clear (LimpetByteHolder *holder);
 
--- a/src/liblimpetroad/private/chat.h
+++ b/src/liblimpetroad/private/chat.h
@@ -3,6 +3,7 @@
 
 #include "limpetroad/admission.h"
 #include "limpetroad/attempt.h"
+#include "limpetroad/byte_account.h"
 #include "limpetroad/retry_bucket.h"
 #include "limpetroad/latency.h"
 #include "private/sse.h"
@@ -32,6 +33,7 @@
 typedef struct
 {
   LimpetAdmission *admission;
+  LimpetByteAccount *account;
   LimpetRetryBucket *retry_bucket;
   LimpetLatency *first_token; /* time to first token of chats that are not long */
 } LimpetChatContext;
--- a/src/liblimpetroad/private/request.h
+++ b/src/liblimpetroad/private/request.h
@@ -36,6 +36,7 @@
   LimpetMs received_ms;
   LimpetBundle *bundle; /* a reference; the same bundle for the whole call */
   const LimpetTeam *team;
+  LimpetByteHolder holder; /* of what the request needs */
   char *body;
   size_t body_length;
   json_object *json; /* parsed body of a chat */
--- a/src/liblimpetroad/private/schema.h
+++ b/src/liblimpetroad/private/schema.h
@@ -46,6 +46,10 @@
                                   const char *file,
                                   LimpetError *error);
 
+/* Returns an estimate of the memory that parsing the text and writing the object as text
+ * again take, both counted. */
+size_t limpet_schema_needed_bytes (const char *text, size_t length);
+
 /* Reads object into the struct at base. An unknown key, a missing required key or a wrong
  * value is an error. path names the object in error messages, e.g. "path.key: is
  * missing". After an error the caller still frees the strings in the struct. */
--- a/src/liblimpetroad/routing/byte_account.c
+++ b/src/liblimpetroad/routing/byte_account.c
@@ -1,5 +1,8 @@
 #include "limpetroad/byte_account.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
+
 /* Part of the budget that is kept for small holders and the router's own calls. */
 #define SMALL_HOLDERS_PART 4
 /* Shares of the rest: a half for a caller, since many callers may share an address, and
@@ -23,7 +26,8 @@
 struct LimpetByteAccount
 {
   size_t budget_bytes;
-  size_t held_bytes;
+  _Atomic size_t held_bytes;
+  pthread_mutex_t lock; /* of the shares and of the bytes of all holders */
   GHashTable *shares[LIMPET_BYTE_OWNER_COUNT]; /* key → LimpetByteShare */
 };
 
@@ -33,6 +37,7 @@
   LimpetByteAccount *account = g_new0 (LimpetByteAccount, 1);
 
   account->budget_bytes = budget_bytes;
+  pthread_mutex_init (&account->lock, NULL);
   for (int i = 0; i < LIMPET_BYTE_OWNER_COUNT; i++)
     account->shares[i]
         = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -46,6 +51,7 @@
     return;
   for (int i = 0; i < LIMPET_BYTE_OWNER_COUNT; i++)
     g_hash_table_destroy (account->shares[i]);
+  pthread_mutex_destroy (&account->lock);
   g_free (account);
 }
 
@@ -133,16 +139,16 @@
 {
   if (holder->account == NULL || holder->keys[owner] == key)
     return;
+  pthread_mutex_lock (&holder->account->lock);
   release_share (holder, owner);
   holder->keys[owner] = key;
   ensure_share (holder, owner);
+  pthread_mutex_unlock (&holder->account->lock);
 }
 
-void
-limpet_byte_holder_set_bytes (LimpetByteHolder *holder, size_t bytes)
+static void
+set_bytes (LimpetByteHolder *holder, size_t bytes)
 {
-  if (holder->account == NULL || holder->bytes == bytes)
-    return;
   holder->account->held_bytes += bytes - holder->bytes;
   for (int i = 0; i < LIMPET_BYTE_OWNER_COUNT; i++)
     {
@@ -156,6 +162,16 @@
     ensure_share (holder, i);
 }
 
+void
+limpet_byte_holder_set_bytes (LimpetByteHolder *holder, size_t bytes)
+{
+  if (holder->account == NULL || holder->bytes == bytes)
+    return;
+  pthread_mutex_lock (&holder->account->lock);
+  set_bytes (holder, bytes);
+  pthread_mutex_unlock (&holder->account->lock);
+}
+
 /* Returns whether the owner's share has room for more bytes of the holder. */
 static bool
 share_has_room (const LimpetByteHolder *holder, LimpetByteOwner owner, size_t more)
@@ -174,14 +190,12 @@
   return held_bytes + more <= large_budget (account) / share_parts[owner];
 }
 
-bool
-limpet_byte_holder_may_grow (const LimpetByteHolder *holder, size_t more)
+static bool
+may_grow (const LimpetByteHolder *holder, size_t more)
 {
   const LimpetByteAccount *account = holder->account;
   bool is_small = holder->bytes + more <= LIMPET_SMALL_HOLDER_BYTES;
 
-  if (account == NULL)
-    return true;
   if (account->held_bytes + more
       > (is_small || holder->is_control ? account->budget_bytes : large_budget (account)))
     return false;
@@ -192,6 +206,34 @@
          || holder->bytes + more <= limpet_byte_account_largest_holding (account);
 }
 
+bool
+limpet_byte_holder_may_grow (const LimpetByteHolder *holder, size_t more)
+{
+  bool is_allowed;
+
+  if (holder->account == NULL)
+    return true;
+  pthread_mutex_lock (&holder->account->lock);
+  is_allowed = may_grow (holder, more);
+  pthread_mutex_unlock (&holder->account->lock);
+  return is_allowed;
+}
+
+bool
+limpet_byte_holder_try_hold (LimpetByteHolder *holder, size_t bytes)
+{
+  bool is_allowed;
+
+  if (holder->account == NULL)
+    return true;
+  pthread_mutex_lock (&holder->account->lock);
+  is_allowed = bytes <= holder->bytes || may_grow (holder, bytes - holder->bytes);
+  if (is_allowed)
+    set_bytes (holder, bytes);
+  pthread_mutex_unlock (&holder->account->lock);
+  return is_allowed;
+}
+
 void
 limpet_byte_holder_clear (LimpetByteHolder *holder)
 {
--- a/src/liblimpetroad/shared/schema.c
+++ b/src/liblimpetroad/shared/schema.c
@@ -9,6 +9,13 @@
 /* json-c counts a value in the innermost array or object as one more level. */
 #define MAX_CONTAINER_DEPTH (LIMPET_MAX_JSON_DEPTH - 1)
 
+/* What json-c allocates for an empty object or array, and for each value in one. */
+#define CONTAINER_BYTES 1024
+#define VALUE_BYTES 160
+/* Texts are in the parsed object, and in buffers of the parser and the writer, which may
+ * be twice as large as their content. */
+#define TEXT_FACTOR 4
+
 /* Returns the Levenshtein distance. Only the first LIMPET_NAME_SIZE characters count. */
 static size_t
 edit_distance (const char *a, const char *b)
@@ -264,6 +271,52 @@
   return object;
 }
 
+/* Returns the index of the last character of the string or comment that starts at index,
+ * or index if none does. */
+static size_t
+skip_text (const char *text, size_t length, size_t index)
+{
+  const char *start = text + index;
+  const char *end = NULL;
+
+  if (*start == '"' || *start == '\'')
+    {
+      while (++index < length && text[index] != *start)
+        index += text[index] == '\\';
+      return index;
+    }
+  if (*start != '/' || index + 1 >= length)
+    return index;
+  if (start[1] == '/')
+    end = memchr (start, '\n', length - index);
+  else if (start[1] == '*')
+    {
+      end = memmem (start + 2, length - index - 2, "*/", 2);
+      end = end != NULL ? end + 1 : NULL;
+    }
+  else
+    return index;
+  return end != NULL ? (size_t)(end - text) : length;
+}
+
+size_t
+limpet_schema_needed_bytes (const char *text, size_t length)
+{
+  size_t bytes = TEXT_FACTOR * length;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      i = skip_text (text, length, i);
+      if (i >= length)
+        break;
+      if (text[i] == '{' || text[i] == '[')
+        bytes += CONTAINER_BYTES;
+      else if (text[i] == ',' || text[i] == ':')
+        bytes += VALUE_BYTES;
+    }
+  return bytes;
+}
+
 LimpetStatus
 limpet_schema_read_file (const char *path,
                          char **text,
--- a/src/liblimpetroad/shared/settings.c
+++ b/src/liblimpetroad/shared/settings.c
@@ -52,6 +52,7 @@
   FIELD (LIMPET_FIELD_STRING, LimpetSettings, vm_list_url, .required = true),
   FIELD (LIMPET_FIELD_BOOL, LimpetSettings, author_may_approve),
   FIELD (LIMPET_FIELD_INT, LimpetSettings, workers, .min = 8, .max = 8192),
+  FIELD (LIMPET_FIELD_INT, LimpetSettings, memory_mb, .min = 16, .max = 1000000),
   FIELD (
       LIMPET_FIELD_INT, LimpetSettings, control_bytes_per_s, .min = 256, .max = 1000000),
   FIELD (LIMPET_FIELD_INT, LimpetSettings, drain_limit_ms, .min = 0, .max = 86400000),
@@ -156,6 +157,7 @@
 
   *settings = (LimpetSettings){
     .workers = 1024,
+    .memory_mb = 160,
     .log_retention_ms = 3600000,
     .control_bytes_per_s = 3300,
   };
--- a/src/liblimpetroad/threaded_router/filters.c
+++ b/src/liblimpetroad/threaded_router/filters.c
@@ -1,6 +1,7 @@
 #include "private/request.h"
 
 #include "limpetroad/counters.h"
+#include "limpetroad/logger.h"
 #include "private/schema.h"
 
 #include <glib.h>
@@ -12,6 +13,10 @@
 #define BODY_BLOCK_BYTES 16384
 /* Sent while the router has no configuration bundle. */
 #define RETRY_AFTER_STARTING_MS 1000
+/* Sent when there is no memory for a request. */
+#define RETRY_AFTER_MEMORY_MS 1000
+/* A buffer that grows may be twice as large as its content. */
+#define BUFFER_FACTOR 2
 /* Range of the X-Deadline-Ms header. */
 #define MIN_DEADLINE_MS 10
 #define MAX_DEADLINE_MS 600000
@@ -65,32 +70,69 @@
       call->team = limpet_bundle_team (call->bundle, key_hash);
     }
   if (call->team != NULL)
-    return LIMPET_FILTER_NEXT;
+    {
+      limpet_byte_holder_set_owner (&call->holder, LIMPET_BYTE_OWNER_CALLER,
+                                    g_str_hash (call->team->name) + 1ULL);
+      return LIMPET_FILTER_NEXT;
+    }
   limpet_counter_add (LIMPET_COUNTER_UNAUTHORIZED, 1);
   limpet_error_set (&error, LIMPET_STATUS_UNAUTHORIZED, "authenticate", NULL,
                     "no team has this API key");
   return reject (call, 401, 0, &error);
 }
 
-/* Returns false if the body is incomplete or too long. */
-static bool
+/* Rejects a request for which there is no memory now, or never. */
+static LimpetFilterResult
+reject_for_memory (LimpetRequest *call, size_t bytes)
+{
+  const LimpetByteAccount *account = call->holder.account;
+  LimpetError error;
+
+  limpet_counter_add (LIMPET_COUNTER_MEMORY_REFUSALS, 1);
+  limpet_log (LIMPET_LOG_WARNING, "memory", NULL,
+              "id=%s request refused held_bytes=%zu budget_bytes=%zu request_bytes=%zu",
+              call->request_id, limpet_byte_account_held (account),
+              limpet_byte_account_budget (account), bytes);
+  limpet_error_set (&error, LIMPET_STATUS_OVERLOADED, "memory", NULL,
+                    "no memory for the request");
+  if (bytes > limpet_byte_account_largest_holding (account))
+    return reject (call, 413, 0, &error);
+  return reject (call, 503, RETRY_AFTER_MEMORY_MS, &error);
+}
+
+/* Returns what a body may take of which so much has been read: the whole of it once its
+ * head has come, since bodies that each got a part could all wait for the rest. */
+static size_t
+needed_bytes (const LimpetRequest *call, size_t length)
+{
+  return BUFFER_FACTOR * (size_t)MAX (call->info->content_length, (long long)length);
+}
+
+/* Returns INVALID if the body is incomplete or too long, OVERLOADED if there is no memory
+ * for it. */
+static LimpetStatus
 read_blocks (LimpetRequest *call, GString *body)
 {
   char block[BODY_BLOCK_BYTES];
 
-  for (;;)
+  if (!limpet_byte_holder_try_hold (&call->holder, needed_bytes (call, 0)))
+    return LIMPET_STATUS_OVERLOADED;
+  while (body->len <= LIMPET_MAX_BODY_BYTES)
     {
       int length = mg_read (call->connection, block, sizeof block);
 
-      if (length < 0)
-        return false;
-      if (length == 0)
-        return call->info->content_length < 0
-               || body->len == (size_t)call->info->content_length;
+      if (length == 0
+          && (call->info->content_length < 0
+              || body->len == (size_t)call->info->content_length))
+        return LIMPET_STATUS_OK;
+      if (length <= 0)
+        return LIMPET_STATUS_INVALID;
+      if (!limpet_byte_holder_try_hold (&call->holder,
+                                        needed_bytes (call, body->len + (size_t)length)))
+        return LIMPET_STATUS_OVERLOADED;
       g_string_append_len (body, block, length);
-      if (body->len > LIMPET_MAX_BODY_BYTES)
-        return false;
     }
+  return LIMPET_STATUS_INVALID;
 }
 
 /* Reads the request body, up to LIMPET_MAX_BODY_BYTES. */
@@ -99,15 +141,19 @@
 {
   GString *body = g_string_new (NULL);
   LimpetError error;
-  bool complete;
+  LimpetStatus status = LIMPET_STATUS_INVALID;
+  size_t needed;
 
   (void)filter;
-  complete
-      = call->info->content_length <= LIMPET_MAX_BODY_BYTES && read_blocks (call, body);
+  if (call->info->content_length <= LIMPET_MAX_BODY_BYTES)
+    status = read_blocks (call, body);
+  needed = needed_bytes (call, body->len + BODY_BLOCK_BYTES);
   call->body_length = body->len;
   call->body = g_string_free (body, FALSE);
-  if (complete)
+  if (status == LIMPET_STATUS_OK)
     return LIMPET_FILTER_NEXT;
+  if (status == LIMPET_STATUS_OVERLOADED)
+    return reject_for_memory (call, needed);
   limpet_error_set (&error, LIMPET_STATUS_INVALID, "read", NULL,
                     "the request body is incomplete or longer than %d bytes",
                     LIMPET_MAX_BODY_BYTES);
@@ -236,12 +282,19 @@
 {
   LimpetError error;
   LimpetStatus status;
+  size_t needed = limpet_schema_needed_bytes (call->body, call->body_length);
 
   (void)filter;
   limpet_counter_add (LIMPET_COUNTER_CHATS, 1);
+  if (!limpet_byte_holder_try_hold (&call->holder, call->holder.bytes + needed))
+    return reject_for_memory (call, call->holder.bytes + needed);
   call->json = limpet_schema_parse (call->body, call->body_length, "body", &error);
   if (call->json == NULL)
     return reject (call, 400, 0, &error);
+  g_free (call->body);
+  call->body = NULL;
+  call->body_length = 0;
+  limpet_byte_holder_set_bytes (&call->holder, needed);
   if (!json_object_is_type (call->json, json_type_object))
     {
       limpet_error_set (&error, LIMPET_STATUS_INVALID, "check", NULL,
--- a/src/liblimpetroad/threaded_router/reply.c
+++ b/src/liblimpetroad/threaded_router/reply.c
@@ -97,6 +97,7 @@
 {
   json_object_put (call->json);
   g_free (call->body);
+  limpet_byte_holder_clear (&call->holder);
   limpet_bundle_unref (call->bundle);
 }
 
@@ -109,6 +110,7 @@
     .context = context,
     .connection = connection,
     .info = mg_get_request_info (connection),
+    .holder = { .account = context->chat.account },
     .received_ms = limpet_clock_mono_ms (),
     .outcome = LIMPET_OUTCOME_NOT_RUN,
   };
--- a/src/liblimpetroad/threaded_router/router.c
+++ b/src/liblimpetroad/threaded_router/router.c
@@ -17,6 +17,8 @@
 #define OPERATOR_THREADS "4"
 #define REQUEST_TIMEOUT_MS "10000"
 #define KEEP_ALIVE_TIMEOUT_MS "1000"
+/* Part of the VM's memory that the router holds for others at most. */
+#define BUDGET_PART 4
 
 const char *const limpet_router_phase_string[LIMPET_ROUTER_PHASE_COUNT] = {
   [LIMPET_ROUTER_NEW] = "new",         [LIMPET_ROUTER_STARTING] = "starting",
@@ -318,6 +320,8 @@
   context->bundles = limpet_bundle_controller_new (router->settings);
   context->chat = (LimpetChatContext){
     .admission = limpet_admission_new (context->targets),
+    .account = limpet_byte_account_new ((size_t)router->settings->memory_mb * 1024 * 1024
+                                        / BUDGET_PART),
     .retry_bucket = limpet_retry_bucket_new (),
     .first_token = limpet_latency_new (),
   };
@@ -391,6 +395,7 @@
   for (uint32_t i = router->controllers_count; i > 0; i--)
     router->controllers[i - 1]->ops->free (router->controllers[i - 1]);
   limpet_admission_delete (router->context.chat.admission);
+  limpet_byte_account_delete (router->context.chat.account);
   limpet_retry_bucket_delete (router->context.chat.retry_bucket);
   limpet_latency_delete (router->context.chat.first_token);
   limpet_targets_delete (router->context.targets);
--- a/src/test_liblimpetroad/byte_account_tests.c
+++ b/src/test_liblimpetroad/byte_account_tests.c
@@ -2,10 +2,13 @@
 
 #include "limpetroad/byte_account.h"
 
+#include <pthread.h>
+
 #define MIB (1024 * 1024)
 #define BUDGET_BYTES (28 * MIB)
 #define HOLDERS 500
 #define STEPS 100000
+#define THREADS 8
 
 static LimpetByteHolder
 make_holder (LimpetByteAccount *account,
@@ -141,6 +144,51 @@
   limpet_byte_account_delete (account);
 }
 
+/* Grows and clears holders at random. Returns whether more than the budget was held. */
+static void *
+hold_at_random (void *user)
+{
+  LimpetByteAccount *account = user;
+  LimpetByteHolder holders[16];
+  GRand *random = g_rand_new_with_seed (55);
+  bool is_exceeded = false;
+
+  for (int i = 0; i < 16; i++)
+    holders[i] = make_holder (account, (uint64_t)i % 5 + 1, (uint64_t)i % 7 + 1, 0);
+  for (int step = 0; step < STEPS; step++)
+    {
+      LimpetByteHolder *holder = &holders[g_rand_int_range (random, 0, 16)];
+
+      if (!limpet_byte_holder_try_hold (holder,
+                                        (size_t)g_rand_int_range (random, 0, 8 * MIB)))
+        limpet_byte_holder_set_bytes (holder, 0);
+      is_exceeded = is_exceeded || limpet_byte_account_held (account) > BUDGET_BYTES;
+    }
+  for (int i = 0; i < 16; i++)
+    limpet_byte_holder_clear (&holders[i]);
+  g_rand_free (random);
+  return GINT_TO_POINTER (is_exceeded);
+}
+
+static void
+test_threads_that_share_an_account_keep_to_its_budget (void)
+{
+  LimpetByteAccount *account = limpet_byte_account_new (BUDGET_BYTES);
+  pthread_t threads[THREADS];
+
+  for (int i = 0; i < THREADS; i++)
+    pthread_create (&threads[i], NULL, hold_at_random, account);
+  for (int i = 0; i < THREADS; i++)
+    {
+      void *is_exceeded = NULL;
+
+      pthread_join (threads[i], &is_exceeded);
+      CU_ASSERT_PTR_NULL (is_exceeded);
+    }
+  CU_ASSERT_EQUAL (limpet_byte_account_held (account), 0);
+  limpet_byte_account_delete (account);
+}
+
 void
 add_byte_account_tests (void)
 {
@@ -149,4 +197,5 @@
   CU_ADD_TEST (suite, test_a_target_a_service_and_a_caller_use_up_their_shares_only);
   CU_ADD_TEST (suite, test_small_holders_are_served_beside_full_shares);
   CU_ADD_TEST (suite, test_random_steps_leave_nothing_behind);
+  CU_ADD_TEST (suite, test_threads_that_share_an_account_keep_to_its_budget);
 }
--- a/src/test_liblimpetroad/settings_tests.c
+++ b/src/test_liblimpetroad/settings_tests.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <malloc.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -32,6 +33,9 @@
   { FIRST_FIELDS ADDRESSES APPROVERS ", \"worker\": 16}", "did you mean \"workers\"" },
   { FIRST_FIELDS ADDRESSES APPROVERS ", \"workers\": 2}",
     "settings.workers: 2 is outside 8 to 8192" },
+  { FIRST_FIELDS ADDRESSES APPROVERS ", \"memory_mb\": 112}", NULL },
+  { FIRST_FIELDS ADDRESSES APPROVERS ", \"memory_mb\": 15}",
+    "settings.memory_mb: 15 is outside 16 to 1000000" },
   { FIRST_FIELDS ADDRESSES APPROVERS ", \"workers\": 1.5}",
     "settings.workers: must be a whole number" },
   { FIRST_FIELDS ADDRESSES APPROVERS ", \"author_may_approve\": 1}",
@@ -121,11 +125,67 @@
     }
 }
 
+/* Returns the memory in use. */
+static size_t
+used_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+test_an_object_needs_no_more_memory_than_estimated (void)
+{
+  static const struct
+  {
+    const char *start;
+    const char *repeated;
+    const char *end;
+  } rows[] = {
+    { "[{}", ",{}", "]" },
+    { "[[]", ",[]", "]" },
+    { "[1", ",1", "]" },
+    { "[\"\"", ",\"\"", "]" },
+    { "[{\"a\":1}", ",{\"a\":{\"b\":[1]}}", "]" },
+    { "[\"", "a text ", "\"]" },
+    { "[\"", "\\\"", "\"]" },
+    { "[/*\"*/{}", ",{}", "]" },
+    { "[//\"\n{}", ",{}", "]" },
+    { "['\"'", ",{}", "]" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GString *text = g_string_new (rows[i].start);
+      size_t used;
+      json_object *object;
+
+      while (text->len < 200000)
+        g_string_append (text, rows[i].repeated);
+      g_string_append (text, rows[i].end);
+      used = used_bytes ();
+      object = limpet_schema_parse (text->str, text->len, "test", NULL);
+      CU_ASSERT_PTR_NOT_NULL (object);
+      json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN);
+      used = used_bytes () - used;
+      if (used > limpet_schema_needed_bytes (text->str, text->len))
+        {
+          g_printerr ("row %zu: %zu of %zu\n", i, used,
+                      limpet_schema_needed_bytes (text->str, text->len));
+          CU_FAIL ("an object needs more memory than estimated");
+        }
+      json_object_put (object);
+      g_string_free (text, TRUE);
+    }
+}
+
 void
 add_settings_tests (void)
 {
   CU_pSuite suite = CU_add_suite ("settings", NULL, NULL);
 
   CU_add_test (suite, "valid and invalid files", test_valid_and_invalid_files);
+  CU_ADD_TEST (suite, test_an_object_needs_no_more_memory_than_estimated);
   CU_ADD_TEST (suite, test_values_that_are_nested_too_deeply_become_null);
 }
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -18,6 +18,7 @@
 # What a router may hold beside its budget, a quarter of memory_mb: its 256 threads and their buffers.
 REST_MIB = 40
 LARGE_BYTES = 15900000
+UPLOAD_BYTES = 1000000
 HEAD = "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s"
 CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = "Content-Type: text/event-stream\r\n" + CHUNKED
@@ -141,6 +142,9 @@
         self.fleet.__exit__(*error)
 
     def respond(self, connection):
+        if self.kind == "uploads":
+            self.end.wait(20)
+            return
         message = Message(connection.makefile("rb"))
         ENDLESS[self.kind](connection, message.fields.get("x-attempt-id"))
 
@@ -205,17 +209,41 @@
         check(self.served >= 0.99 * self.asked, self.result())
 
 
-CHAT, SERVICE = "/v1/chat/completions", "/v1/services/booking/reserve"
+CHAT, SERVICE, SOUND = "/v1/chat/completions", "/v1/services/booking/reserve", "/v1/services/sound/reserve"
 STREAM = json.dumps(f.chat_body("tag")).encode()
+VALUES_CHAT = b'{"model":"kit-7b","messages":[%s]}' % b",".join([b"{}"] * 300000)
+UPLOAD = b"x" * UPLOAD_BYTES
 
 
 # Rows: kind, path, body, callers, whether they read.
 @table([("fields_service", "fields", SERVICE, b"x", 6, True),
         ("fields_chat", "fields", CHAT, STREAM, 100, True),
         ("body", "body", SERVICE, b"x", 100, True),
-        ("large_answer_wait", "large_answer", SERVICE, b"x", 100, False)])
+        ("large_answer_wait", "large_answer", SERVICE, b"x", 100, False),
+        ("uploads", "uploads", SERVICE, UPLOAD, 120, True),
+        ("chats_of_many_values", "uploads", CHAT, VALUES_CHAT, 6, True)])
 @own_process
 def test_peers_without_end_leave_a_router_of_the_own_interface_its_memory(kind, path, body, callers, reads):
     with Pressure(kind) as pressure:
         pressure.play(path, body, callers, reads)
         pressure.check()
+
+
+def test_an_upload_for_which_the_own_interface_has_no_memory_is_refused_and_has_not_run():
+    with Pressure("uploads") as pressure:
+        connections = [http.client.HTTPConnection("127.0.0.1", pressure.router["port"], timeout=10) for _ in range(40)]
+        fields = {"Authorization": "Bearer " + pressure.fleet.key("team-0"), "Content-Length": str(UPLOAD_BYTES)}
+        for connection in connections:
+            connection.putrequest("POST", SOUND)
+            for name, value in fields.items():
+                connection.putheader(name, value)
+            connection.endheaders(b"x" * 1000)
+        def is_refused():
+            status, headers, _ = f.request(pressure.router["port"], "POST", SOUND, UPLOAD, fields)
+            return status == 503 and float(headers["Retry-After"]) > 0 and headers["X-Outcome"] == "not_run"
+        f.wait_for(is_refused, "a refusal", 3)
+        check(pressure.call("sound", "GET") == 200)
+        check(pressure.fleet.counter("memory_refusals_total") > 0)
+        for connection in connections:
+            connection.close()
+        f.wait_for(lambda: pressure.call("sound", "POST", UPLOAD) == 200, "the memory to be free", 5)
