--- a/src/liblimpetroad/private/chat.h
+++ b/src/liblimpetroad/private/chat.h
@@ -13,7 +13,8 @@
 
 typedef struct LimpetChatSink LimpetChatSink;
 
-/* Receives the response. Each function returns false if the caller has disconnected. */
+/* Receives the response. Each function returns false if the caller has disconnected or
+ * the sink is full. */
 typedef struct
 {
   /* Called once, before the first event. */
@@ -27,6 +28,7 @@
 struct LimpetChatSink
 {
   const LimpetChatSinkOps *ops;
+  bool is_full; /* there is no memory for the rest of the response */
 };
 
 /* State of the router that all chats share. */
--- a/src/liblimpetroad/threaded_router/chat.c
+++ b/src/liblimpetroad/threaded_router/chat.c
@@ -704,7 +704,19 @@
       finish_transfer (&chat);
       end_chat (&chat, LIMPET_OUTCOME_DONE);
     }
-  if (chat.caller_disconnected)
+  if (sink->is_full)
+    {
+      limpet_counter_add (LIMPET_COUNTER_MEMORY_CUTS, 1);
+      limpet_error_set (&result->error, LIMPET_STATUS_OVERLOADED, "memory",
+                        chat.streams[0].target != NULL ? chat.streams[0].target->vm.id
+                                                       : NULL,
+                        "no memory for the response");
+      limpet_log (LIMPET_LOG_WARNING, "memory", result->error.peer,
+                  "id=%s ended tokens=%" PRId64, request->request_id,
+                  chat.delivered_tokens);
+      end_chat (&chat, LIMPET_OUTCOME_UNKNOWN);
+    }
+  else if (chat.caller_disconnected)
     {
       limpet_counter_add (LIMPET_COUNTER_CALLER_LEFT, 1);
       limpet_error_set (&result->error, LIMPET_STATUS_CANCELLED, "reply", NULL,
--- a/src/liblimpetroad/threaded_router/filter_chat.c
+++ b/src/liblimpetroad/threaded_router/filter_chat.c
@@ -1,6 +1,7 @@
 #include "private/request.h"
 
 #include "limpetroad/counters.h"
+#include "private/schema.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -19,11 +20,15 @@
 typedef struct
 {
   LimpetChatSink parent;
+  LimpetByteHolder holder;
   GString *content;
   LimpetAttemptResponse response;
   int64_t tokens;
 } BufferedSink;
 
+/* A response is in the buffer that collects it, in the object made of it and in the text
+ * made of that; buffers may be twice as large as their content. */
+#define RESPONSE_FACTOR 5
 #define CHUNK_SIZE_LINE_BYTES 10 /* eight hexadecimal digits and CRLF */
 
 static bool
@@ -91,13 +96,19 @@
 buffered_event (LimpetChatSink *sink, const LimpetSseEvent *event)
 {
   BufferedSink *self = (BufferedSink *)sink;
-  json_tokener *tokener = json_tokener_new_ex (LIMPET_MAX_JSON_DEPTH);
-  json_object *root
-      = json_tokener_parse_ex (tokener, event->data, (int)event->data_length);
+  size_t kept = RESPONSE_FACTOR * (self->content->len + event->data_length);
+  json_tokener *tokener;
+  json_object *root;
   json_object *choices = NULL;
   json_object *delta = NULL;
   json_object *content = NULL;
 
+  sink->is_full = !limpet_byte_holder_try_hold (
+      &self->holder, kept + limpet_schema_needed_bytes (event->data, event->data_length));
+  if (sink->is_full)
+    return false;
+  tokener = json_tokener_new_ex (LIMPET_MAX_JSON_DEPTH);
+  root = json_tokener_parse_ex (tokener, event->data, (int)event->data_length);
   if (json_object_is_type (root, json_type_object)
       && json_object_object_get_ex (root, "choices", &choices)
       && json_object_is_type (choices, json_type_array)
@@ -110,6 +121,7 @@
     }
   json_object_put (root);
   json_tokener_free (tokener);
+  limpet_byte_holder_set_bytes (&self->holder, kept);
   return true;
 }
 
@@ -233,16 +245,22 @@
 static void
 run_buffered (LimpetRequest *call, const LimpetChatRequest *request)
 {
-  BufferedSink sink = { .parent = { .ops = &buffered_ops } };
+  BufferedSink sink = {
+    .parent = { .ops = &buffered_ops },
+    .holder = { .account = call->context->chat.account },
+  };
   LimpetChatResult result;
 
   sink.content = g_string_new (NULL);
+  limpet_byte_holder_set_owner (&sink.holder, LIMPET_BYTE_OWNER_CALLER,
+                                call->holder.keys[LIMPET_BYTE_OWNER_CALLER]);
   limpet_chat_run (&call->context->chat, request, &sink.parent, &result);
   call->outcome = result.outcome;
   if (result.outcome == LIMPET_OUTCOME_DONE)
     reply_completion (call, &sink);
   else
     reply_failure (call, &result);
+  limpet_byte_holder_clear (&sink.holder);
   g_string_free (sink.content, TRUE);
   g_free (result.target_body);
 }
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -211,6 +211,7 @@
 
 CHAT, SERVICE, SOUND = "/v1/chat/completions", "/v1/services/booking/reserve", "/v1/services/sound/reserve"
 STREAM = json.dumps(f.chat_body("tag")).encode()
+WHOLE = json.dumps(f.chat_body("tag", stream=False)).encode()
 VALUES_CHAT = b'{"model":"kit-7b","messages":[%s]}' % b",".join([b"{}"] * 300000)
 UPLOAD = b"x" * UPLOAD_BYTES
 
@@ -220,6 +221,8 @@
         ("fields_chat", "fields", CHAT, STREAM, 100, True),
         ("body", "body", SERVICE, b"x", 100, True),
         ("large_answer_wait", "large_answer", SERVICE, b"x", 100, False),
+        ("events_whole", "events", CHAT, WHOLE, 6, True),
+        ("events_of_many_values", "event_values", CHAT, WHOLE, 100, True),
         ("uploads", "uploads", SERVICE, UPLOAD, 120, True),
         ("chats_of_many_values", "uploads", CHAT, VALUES_CHAT, 6, True)])
 @own_process
@@ -247,3 +250,12 @@
         for connection in connections:
             connection.close()
         f.wait_for(lambda: pressure.call("sound", "POST", UPLOAD) == 200, "the memory to be free", 5)
+
+
+def test_a_whole_chat_for_which_there_is_no_memory_fails_and_may_have_run():
+    with Pressure("events") as pressure:
+        status, headers, text = f.request(pressure.router["port"], "POST", CHAT, WHOLE,
+                                          {"Authorization": "Bearer " + pressure.fleet.key("team-0")}, 20)
+        error = json.loads(text)["error"]
+        check((status, headers["X-Outcome"], error["step"]) == (504, "unknown", "memory"), status, text[:300])
+        check(pressure.call("sound", "GET") == 200)
