--- a/src/liblimpetroad/threaded_router/service_call.c
+++ b/src/liblimpetroad/threaded_router/service_call.c
@@ -1,6 +1,7 @@
 #include "private/service_call.h"
 
 #include "limpetroad/counters.h"
+#include "limpetroad/logger.h"
 
 #include <glib.h>
 #include <sodium.h>
@@ -40,7 +41,8 @@
 
   if (status == LIMPET_STATUS_REFUSED && self->response.head.leaving)
     limpet_target_mark_leaving (target, "the X-Leaving header of its response");
-  else if (status != LIMPET_STATUS_REFUSED && status != LIMPET_STATUS_INVALID)
+  else if (status != LIMPET_STATUS_REFUSED && status != LIMPET_STATUS_INVALID
+           && status != LIMPET_STATUS_OVERLOADED)
     limpet_target_record_result (target, status);
   if (status != LIMPET_STATUS_REFUSED && status != LIMPET_STATUS_UNREACHABLE)
     self->may_have_run = true;
@@ -59,6 +61,14 @@
   target = self->request.target;
   limpet_service_response_clear (&self->response);
   status = limpet_service_exchange (&self->request, &self->response, &self->error);
+  if (self->response.lacks_memory)
+    {
+      limpet_counter_add (LIMPET_COUNTER_MEMORY_CUTS, 1);
+      limpet_log (LIMPET_LOG_WARNING, "memory", target->vm.id,
+                  "id=%s response ended held_bytes=%zu all_held_bytes=%zu",
+                  self->call->request_id, self->response.holder.bytes,
+                  limpet_byte_account_held (self->response.holder.account));
+    }
   record_status (self, target, status);
   limpet_admission_release (self->call->context->chat.admission, target, self->call->team,
                             false);
@@ -124,6 +134,7 @@
       .body = call->body_length > 0 ? call->body : NULL,
       .body_length = call->body_length,
       .request_id = call->request_id,
+      .holder = &call->holder,
       .timeout_ms = CLAMP (remaining_ms, 1, call->service->timeout_ms),
     },
   };
--- a/src/liblimpetroad/threaded_router/service_exchange.c
+++ b/src/liblimpetroad/threaded_router/service_exchange.c
@@ -4,6 +4,9 @@
 
 #include <inttypes.h>
 
+/* A buffer that grows may be twice as large as its content. */
+#define BUFFER_FACTOR 2
+
 static bool
 on_data (void *user, const char *data, size_t length)
 {
@@ -11,6 +14,10 @@
 
   if (response->body->len + length > LIMPET_MAX_BODY_BYTES)
     return false;
+  response->lacks_memory = !limpet_byte_holder_try_hold (
+      &response->holder, BUFFER_FACTOR * (response->body->len + length));
+  if (response->lacks_memory)
+    return false;
   g_string_append_len (response->body, data, (gssize)length);
   return true;
 }
@@ -52,7 +59,14 @@
   LimpetAttempt *attempt = limpet_attempt_new (request->target);
   LimpetStatus status;
 
-  *response = (LimpetServiceResponse){ .body = g_string_new (NULL) };
+  *response = (LimpetServiceResponse){
+    .body = g_string_new (NULL),
+    .holder = { .account = request->holder->account },
+  };
+  limpet_byte_holder_set_owner (&response->holder, LIMPET_BYTE_OWNER_CALLER,
+                                request->holder->keys[LIMPET_BYTE_OWNER_CALLER]);
+  limpet_byte_holder_set_owner (&response->holder, LIMPET_BYTE_OWNER_TARGET,
+                                request->target->id_hash);
   limpet_attempt_set_request (attempt, request->method, request->path, request->body,
                               request->body_length);
   limpet_attempt_set_body_handler (attempt, on_data, response);
@@ -65,6 +79,9 @@
   run_to_end (attempt, limpet_clock_mono_ms () + request->timeout_ms);
   response->head = *limpet_attempt_response (attempt);
   status = limpet_attempt_status (attempt, error);
+  if (response->lacks_memory)
+    status = limpet_error_set (error, LIMPET_STATUS_OVERLOADED, "memory",
+                               request->target->vm.id, "no memory for the response");
   if (status == LIMPET_STATUS_INVALID)
     g_string_assign (response->body, limpet_attempt_error_body (attempt));
   limpet_attempt_delete (attempt);
@@ -77,4 +94,5 @@
   if (response->body != NULL)
     g_string_free (response->body, TRUE);
   response->body = NULL;
+  limpet_byte_holder_clear (&response->holder);
 }
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -221,6 +221,7 @@
         ("fields_chat", "fields", CHAT, STREAM, 100, True),
         ("body", "body", SERVICE, b"x", 100, True),
         ("large_answer_wait", "large_answer", SERVICE, b"x", 100, False),
+        ("allowed_answer", "allowed_answer", SERVICE, b"x", 100, True),
         ("events_whole", "events", CHAT, WHOLE, 6, True),
         ("events_of_many_values", "event_values", CHAT, WHOLE, 100, True),
         ("uploads", "uploads", SERVICE, UPLOAD, 120, True),
