--- a/src/liblimpetroad/private/sse.h
+++ b/src/liblimpetroad/private/sse.h
@@ -32,4 +32,7 @@
  * LIMPET_MAX_EVENT_BYTES. */
 bool limpet_sse_parser_feed (LimpetSseParser *sse, const char *data, size_t length);
 
+/* Returns the size of the incomplete event at the end of the received data. */
+size_t limpet_sse_parser_pending (const LimpetSseParser *sse);
+
 #endif
--- a/src/liblimpetroad/threaded_router/chat.c
+++ b/src/liblimpetroad/threaded_router/chat.c
@@ -26,6 +26,9 @@
 #define MAX_RETRY_JITTER_MS 20
 #define FULL_TARGET_BACKOFF_MS 100 /* after an engine refused a request as full */
 #define RETRY_AFTER_MS 1000        /* used if admission gives no delay */
+/* An event is in the parser's buffer and in the sink's; those may be twice as large as
+ * their content. */
+#define EVENT_FACTOR 4
 
 typedef struct Chat Chat;
 
@@ -36,7 +39,8 @@
   LimpetAttempt *attempt; /* NULL if this entry is unused */
   LimpetTarget *target;
   LimpetSseParser *sse;
-  bool counted_long; /* its slot is counted as long work */
+  LimpetByteHolder holder; /* of its events under way */
+  bool counted_long;       /* its slot is counted as long work */
   bool is_hedge;
   bool got_token;
   bool from_start; /* started before the caller had a token */
@@ -86,6 +90,7 @@
     return;
   limpet_attempt_delete (stream->attempt);
   limpet_sse_parser_delete (stream->sse);
+  limpet_byte_holder_clear (&stream->holder);
   limpet_admission_release (chat->context->admission, stream->target, chat->request->team,
                             stream->counted_long);
   *stream = (EngineStream){ .chat = chat };
@@ -212,8 +217,10 @@
 on_data (void *user, const char *data, size_t length)
 {
   EngineStream *stream = user;
+  size_t pending = limpet_sse_parser_pending (stream->sse);
 
-  return limpet_sse_parser_feed (stream->sse, data, length);
+  return limpet_byte_holder_try_hold (&stream->holder, EVENT_FACTOR * (pending + length))
+         && limpet_sse_parser_feed (stream->sse, data, length);
 }
 
 /* Returns the X-Priority value of a chat that is not long (a long one has 0): higher for
@@ -235,6 +242,7 @@
     .target = target,
     .attempt = limpet_attempt_new (target),
     .sse = limpet_sse_parser_new (on_event, stream),
+    .holder = { .account = chat->context->account },
     .counted_long = chat->is_long,
     .started_ms = now_ms,
     .last_activity_ms = now_ms,
@@ -242,6 +250,8 @@
     .next_offset = chat->delivered_tokens,
     .from_start = chat->delivered_tokens == 0,
   };
+  limpet_byte_holder_set_owner (&stream->holder, LIMPET_BYTE_OWNER_TARGET,
+                                target->id_hash);
   limpet_attempt_set_request (stream->attempt, "POST", CHAT_PATH, request->body,
                               request->body_length);
   limpet_attempt_add_header (stream->attempt, "Content-Type: application/json");
--- a/src/liblimpetroad/threaded_router/filter_chat.c
+++ b/src/liblimpetroad/threaded_router/filter_chat.c
@@ -7,8 +7,8 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Forwards the events to the caller. All events of one read from the engine form one
- * chunk, which is sent with one write. */
+/* Forwards the events to the caller. The events of one read from the engine, up to
+ * MAX_CHUNK_BYTES and one event, form one chunk, which is sent with one write. */
 typedef struct
 {
   LimpetChatSink parent;
@@ -26,6 +26,8 @@
   int64_t tokens;
 } BufferedSink;
 
+/* libcurl may pass on several hundred KiB in one read from an engine. */
+#define MAX_CHUNK_BYTES (8 * 1024)
 /* A response is in the buffer that collects it, in the object made of it and in the text
  * made of that; buffers may be twice as large as their content. */
 #define RESPONSE_FACTOR 5
@@ -47,18 +49,6 @@
          > 0;
 }
 
-static bool
-stream_event (LimpetChatSink *sink, const LimpetSseEvent *event)
-{
-  StreamSink *self = (StreamSink *)sink;
-
-  /* Reserves space for the size line, which stream_flush() writes. */
-  if (self->chunk->len == 0)
-    g_string_append_len (self->chunk, "00000000\r\n", CHUNK_SIZE_LINE_BYTES);
-  g_string_append_len (self->chunk, event->raw, (gssize)event->raw_length);
-  return true;
-}
-
 static bool
 stream_flush (LimpetChatSink *sink)
 {
@@ -74,10 +64,27 @@
   g_string_append_len (self->chunk, "\r\n", 2);
   written = mg_write (self->call->connection, self->chunk->str, self->chunk->len)
             == (int)self->chunk->len;
+  if (self->chunk->allocated_len > LIMPET_SMALL_HOLDER_BYTES)
+    {
+      g_string_free (self->chunk, TRUE);
+      self->chunk = g_string_new (NULL);
+    }
   g_string_truncate (self->chunk, 0);
   return written;
 }
 
+static bool
+stream_event (LimpetChatSink *sink, const LimpetSseEvent *event)
+{
+  StreamSink *self = (StreamSink *)sink;
+
+  /* Reserves space for the size line, which stream_flush() writes. */
+  if (self->chunk->len == 0)
+    g_string_append_len (self->chunk, "00000000\r\n", CHUNK_SIZE_LINE_BYTES);
+  g_string_append_len (self->chunk, event->raw, (gssize)event->raw_length);
+  return self->chunk->len < MAX_CHUNK_BYTES || stream_flush (sink);
+}
+
 static const LimpetChatSinkOps stream_ops = {
   .begin = stream_begin,
   .event = stream_event,
--- a/src/liblimpetroad/threaded_router/sse.c
+++ b/src/liblimpetroad/threaded_router/sse.c
@@ -136,3 +136,9 @@
   limpet_text_buffer_drop_front (&sse->pending, (gsize)used);
   return sse->pending->len <= LIMPET_MAX_EVENT_BYTES;
 }
+
+size_t
+limpet_sse_parser_pending (const LimpetSseParser *sse)
+{
+  return sse->pending->len;
+}
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -224,6 +224,8 @@
         ("allowed_answer", "allowed_answer", SERVICE, b"x", 100, True),
         ("events_whole", "events", CHAT, WHOLE, 6, True),
         ("events_of_many_values", "event_values", CHAT, WHOLE, 100, True),
+        ("events_read", "events", CHAT, STREAM, 100, True),
+        ("events_wait", "events", CHAT, STREAM, 100, False),
         ("uploads", "uploads", SERVICE, UPLOAD, 120, True),
         ("chats_of_many_values", "uploads", CHAT, VALUES_CHAT, 6, True)])
 @own_process
