--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -27,6 +27,7 @@
 #define LIMPET_MAX_COMMENT_BYTES (64 * 1024)
 /* Response to a control request: to the log, the VM list or an operators' port. */
 #define LIMPET_MAX_CONTROL_BODY_BYTES (8 * 1024 * 1024)
+#define LIMPET_MAX_CONTROL_OBJECT_BYTES (8 * LIMPET_MAX_CONTROL_BODY_BYTES)
 /* Entries of the VM list, or targets in a router state. */
 #define LIMPET_MAX_TARGETS 4096
 #define LIMPET_MAX_ROUTERS 1024
--- a/src/liblimpetroad/cluster_state/target_controller.c
+++ b/src/liblimpetroad/cluster_state/target_controller.c
@@ -11,6 +11,7 @@
 #define VM_LIST_PERIOD_MS 1000
 /* Interval at which the load report of the next target in the list is polled. */
 #define LOAD_REPORT_PERIOD_MS 500
+#define MAX_REPORT_BYTES (16 * 1024)
 
 struct LimpetTargetController
 {
@@ -76,7 +77,8 @@
 
   if (response->code != 200)
     return;
-  root = limpet_schema_parse (response->body->str, response->body->len, "report", &error);
+  root = limpet_schema_parse_response (response->body->str, response->body->len, "report",
+                                       &error);
   if (!json_object_is_type (root, json_type_object))
     goto out;
   if (json_object_object_get_ex (root, "inflight", &value))
@@ -93,8 +95,9 @@
 poll_load_report (LimpetTargetController *self, LimpetHttpClient *http, uint32_t index)
 {
   LimpetTargetView *view = limpet_targets_snapshot (self->targets);
-  LimpetHttpRequest request
-      = { .method = "GET", .timeout_ms = LIMPET_CONTROL_TIMEOUT_MS };
+  LimpetHttpRequest request = { .method = "GET",
+                                .max_body_bytes = MAX_REPORT_BYTES,
+                                .timeout_ms = LIMPET_CONTROL_TIMEOUT_MS };
   LimpetHttpResponse response;
   LimpetTarget *target;
 
--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -136,7 +136,7 @@
     }
   length = response.body->len;
   text = limpet_schema_limit_depth (response.body->str, &length);
-  root = limpet_schema_parse (text, length, self->url, error);
+  root = limpet_schema_parse_response (text, length, self->url, error);
   status = root != NULL ? read_list (root, list, error) : LIMPET_STATUS_INVALID;
   if (status == LIMPET_STATUS_OK)
     g_strlcpy (self->etag, response.etag, sizeof self->etag);
--- a/src/liblimpetroad/log_state/log_client.c
+++ b/src/liblimpetroad/log_state/log_client.c
@@ -36,8 +36,8 @@
                 json_object **root,
                 LimpetError *error)
 {
-  *root
-      = limpet_schema_parse (response->body->str, response->body->len, self->url, error);
+  *root = limpet_schema_parse_response (response->body->str, response->body->len,
+                                        self->url, error);
   if (json_object_is_type (*root, json_type_object))
     return LIMPET_STATUS_OK;
   json_object_put (*root);
--- a/src/liblimpetroad/private/http_client.h
+++ b/src/liblimpetroad/private/http_client.h
@@ -22,6 +22,7 @@
   const char *url;
   const char *body; /* NULL for none */
   size_t body_length;
+  size_t max_body_bytes;      /* of the response; 0 for LIMPET_MAX_CONTROL_BODY_BYTES */
   LimpetMs timeout_ms;        /* longest time in which nothing is transferred */
   const char *const *headers; /* NULL-terminated, or NULL */
 } LimpetHttpRequest;
@@ -42,8 +43,8 @@
  * complete response, whatever its HTTP status. UNREACHABLE: no byte of the request was
  * sent. TIMEOUT, BROKEN: the peer may have processed the request. TIMEOUT also if the
  * transfer is slower than LIMPET_MIN_CONTROL_BYTES_PER_S. BROKEN also if the body
- * is longer than LIMPET_MAX_CONTROL_BODY_BYTES. INTERNAL: libcurl ran out of memory or
- * rejected the URL. */
+ * is longer than max_body_bytes, or the head than LIMPET_HTTP_MAX_HEAD_LINES. INTERNAL:
+ * libcurl ran out of memory or rejected the URL. */
 LimpetStatus limpet_http_client_exchange (LimpetHttpClient *http,
                                           const LimpetHttpRequest *request,
                                           LimpetHttpResponse *response,
--- a/src/liblimpetroad/private/schema.h
+++ b/src/liblimpetroad/private/schema.h
@@ -50,6 +50,13 @@
  * again take, both counted. */
 size_t limpet_schema_needed_bytes (const char *text, size_t length);
 
+/* Parses a response to a control request. As limpet_schema_parse(), but an object that
+ * would take more than LIMPET_MAX_CONTROL_OBJECT_BYTES is an error. */
+json_object *limpet_schema_parse_response (const char *text,
+                                           size_t length,
+                                           const char *peer,
+                                           LimpetError *error);
+
 /* Reads object into the struct at base. An unknown key, a missing required key or a wrong
  * value is an error. path names the object in error messages, e.g. "path.key: is
  * missing". After an error the caller still frees the strings in the struct. */
--- a/src/liblimpetroad/shared/schema.c
+++ b/src/liblimpetroad/shared/schema.c
@@ -317,6 +317,19 @@
   return bytes;
 }
 
+json_object *
+limpet_schema_parse_response (const char *text,
+                              size_t length,
+                              const char *peer,
+                              LimpetError *error)
+{
+  if (limpet_schema_needed_bytes (text, length) <= LIMPET_MAX_CONTROL_OBJECT_BYTES)
+    return limpet_schema_parse (text, length, peer, error);
+  limpet_error_set (error, LIMPET_STATUS_INVALID, "parse", peer,
+                    "the response has too many values");
+  return NULL;
+}
+
 LimpetStatus
 limpet_schema_read_file (const char *path,
                          char **text,
--- a/src/liblimpetroad/threaded_router/http_client.c
+++ b/src/liblimpetroad/threaded_router/http_client.c
@@ -1,5 +1,6 @@
 #include "private/http_client.h"
 
+#include "limpetroad/http_head.h"
 #include "limpetroad/limits.h"
 
 #include <netinet/in.h>
@@ -7,11 +8,16 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#define MAX_IDLE_BUFFER_BYTES (64 * 1024)
+
 struct LimpetHttpClient
 {
   CURLM *multi; /* holds easy during an exchange, and its connections */
   CURL *easy;
   curl_off_t transferred_bytes; /* of both bodies, in the exchange under way */
+  uint32_t head_lines;          /* likewise */
+  bool is_too_long;             /* likewise: the head or the body */
+  size_t max_body_bytes;
   GString *body;
   char etag[LIMPET_NAME_SIZE];
   LimpetCounter sent;
@@ -59,7 +65,8 @@
 {
   LimpetHttpClient *http = user;
 
-  if (http->body->len + size * count > LIMPET_MAX_CONTROL_BODY_BYTES)
+  http->is_too_long = http->body->len + size * count > http->max_body_bytes;
+  if (http->is_too_long)
     return 0;
   g_string_append_len (http->body, data, (gssize)(size * count));
   return size * count;
@@ -71,6 +78,9 @@
   LimpetHttpClient *http = user;
   size_t length = size * count;
 
+  http->is_too_long = ++http->head_lines > LIMPET_HTTP_MAX_HEAD_LINES;
+  if (http->is_too_long)
+    return 0;
   if (length > 5 && g_ascii_strncasecmp (line, "ETag:", 5) == 0)
     {
       size_t used = MIN (length - 5, sizeof http->etag - 1);
@@ -227,7 +237,16 @@
   CURLcode code;
   long request_size = 0;
 
+  if (http->body->allocated_len > MAX_IDLE_BUFFER_BYTES)
+    {
+      g_string_free (http->body, TRUE);
+      http->body = g_string_new (NULL);
+    }
   g_string_truncate (http->body, 0);
+  http->max_body_bytes = request->max_body_bytes != 0 ? request->max_body_bytes
+                                                      : LIMPET_MAX_CONTROL_BODY_BYTES;
+  http->head_lines = 0;
+  http->is_too_long = false;
   http->etag[0] = '\0';
   code = perform (http, request->timeout_ms);
   curl_easy_getinfo (http->easy, CURLINFO_REQUEST_SIZE, &request_size);
@@ -239,7 +258,9 @@
   if (status == LIMPET_STATUS_OK)
     curl_easy_getinfo (http->easy, CURLINFO_RESPONSE_CODE, &response->code);
   else
-    limpet_error_set (error, status, step, request->url, "%s", curl_easy_strerror (code));
+    limpet_error_set (error, status, step, request->url, "%s",
+                      http->is_too_long ? "the response is too long"
+                                        : curl_easy_strerror (code));
   curl_slist_free_all (headers);
   return status;
 }
--- a/src/limpetctl/router_commands.c
+++ b/src/limpetctl/router_commands.c
@@ -18,7 +18,8 @@
 
   if (limpet_http_client_exchange (http, &request, &response, "dump", error)
       == LIMPET_STATUS_OK)
-    root = limpet_schema_parse (response.body->str, response.body->len, router, error);
+    root = limpet_schema_parse_response (response.body->str, response.body->len, router,
+                                         error);
   g_free (url);
   return root;
 }
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -4,6 +4,8 @@
 import http.client
 import json
 import socket
+import subprocess
+import sys
 import threading
 
 import fleet as f
@@ -19,6 +21,7 @@
 REST_MIB = 40
 LARGE_BYTES = 15900000
 UPLOAD_BYTES = 1000000
+MAX_CTL_MIB = 48
 HEAD = "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s"
 CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = "Content-Type: text/event-stream\r\n" + CHUNKED
@@ -146,6 +149,9 @@
             self.end.wait(20)
             return
         message = Message(connection.makefile("rb"))
+        if self.kind == "report":
+            connection.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(VALUES) + VALUES)
+            return
         ENDLESS[self.kind](connection, message.fields.get("x-attempt-id"))
 
     def call(self, service, method, body=None):
@@ -226,6 +232,7 @@
         ("events_of_many_values", "event_values", CHAT, WHOLE, 100, True),
         ("events_read", "events", CHAT, STREAM, 100, True),
         ("events_wait", "events", CHAT, STREAM, 100, False),
+        ("report", "report", SERVICE, b"x", 6, True),
         ("uploads", "uploads", SERVICE, UPLOAD, 120, True),
         ("chats_of_many_values", "uploads", CHAT, VALUES_CHAT, 6, True)])
 @own_process
@@ -262,3 +269,31 @@
         error = json.loads(text)["error"]
         check((status, headers["X-Outcome"], error["step"]) == (504, "unknown", "memory"), status, text[:300])
         check(pressure.call("sound", "GET") == 200)
+
+
+VALUES = b"[" + b",".join([b"{}"] * 2700000) + b"]"
+# Prints the highest resident memory in MiB of the program that it runs.
+PEAK_OF_CHILD = """import resource, subprocess, sys
+code = subprocess.run(sys.argv[1:], stdout=subprocess.DEVNULL).returncode
+print(code, resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss // 1024)"""
+
+
+@table([("fields", b"HTTP/1.1 200 X\r\n", b"Field: x\r\n" * 6000, "too long"),
+        ("interim", b"", b"HTTP/1.1 100 X\r\n\r\n" * 3000, "too long"),
+        ("body", b"HTTP/1.1 200 X\r\n\r\n", BLOCK, "too long"),
+        ("chunks", b"HTTP/1.1 200 X\r\n" + CHUNKED.encode(), chunk(BLOCK), "too long"),
+        ("large_length", b"HTTP/1.1 200 X\r\nContent-Length: 900000000000\r\n\r\n", BLOCK, "too long"),
+        ("values", b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(VALUES), VALUES, "too many values")])
+def test_a_router_that_sends_without_end_ends_limpetctl_with_a_message(start, block, message):
+    def respond(connection):
+        Message(connection.makefile("rb"))
+        connection.sendall(start)
+        while True:
+            connection.sendall(block)
+    listener = Listener(respond)
+    result = subprocess.run([sys.executable, "-S", "-c", PEAK_OF_CHILD, f.program("limpetctl"), "--router",
+                             "http://127.0.0.1:%d" % listener.port, "dump"], capture_output=True, text=True)
+    listener.close()
+    code, peak = [int(text) for text in result.stdout.split()]
+    check(code != 0 and peak <= MAX_CTL_MIB, code, peak, result.stderr)
+    check("the response " in result.stderr and message in result.stderr, result.stderr)
