--- a/src/liblimpetroad/private/sse.h
+++ b/src/liblimpetroad/private/sse.h
@@ -28,8 +28,8 @@
 void limpet_sse_parser_delete (LimpetSseParser *sse);
 
 /* Parses a piece of the stream and calls the handler for each complete event. Returns
- * false if the handler did, or if an incomplete event is longer than
- * LIMPET_MAX_EVENT_BYTES. */
+ * false if the handler did, if an incomplete event is longer than LIMPET_MAX_EVENT_BYTES,
+ * or if more than LIMPET_MAX_COMMENT_BYTES have come without data. */
 bool limpet_sse_parser_feed (LimpetSseParser *sse, const char *data, size_t length);
 
 /* Returns the size of the incomplete event at the end of the received data. */
--- a/src/liblimpetroad/threaded_router/sse.c
+++ b/src/liblimpetroad/threaded_router/sse.c
@@ -10,7 +10,8 @@
 {
   LimpetSseHandler handler;
   void *user;
-  GString *pending; /* the incomplete event at the end of the received data */
+  GString *pending;     /* the incomplete event at the end of the received data */
+  size_t comment_bytes; /* since the last event with data */
 };
 
 LimpetSseParser *
@@ -91,7 +92,9 @@
       parse_line (&event, raw, (size_t)(newline - raw));
       raw = newline + 1;
     }
-  return sse->handler (sse->user, &event);
+  sse->comment_bytes = event.data != NULL ? 0 : sse->comment_bytes + event.raw_length;
+  return sse->comment_bytes <= LIMPET_MAX_COMMENT_BYTES
+         && sse->handler (sse->user, &event);
 }
 
 /* Handles the complete events in data. Returns the number of bytes consumed, or -1 if the
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import fleet as f
 from platform_fake import Listener, Message, chunk
@@ -271,6 +272,15 @@
         check(pressure.call("sound", "GET") == 200)
 
 
+def test_a_stream_of_comments_is_ended_at_the_own_interface():
+    with Pressure("comments") as pressure:
+        start = time.monotonic()
+        status, headers, _ = f.request(pressure.router["port"], "POST", CHAT, STREAM,
+                                       {"Authorization": "Bearer " + pressure.fleet.key("team-0")})
+        took_s = time.monotonic() - start
+        check((status, headers["X-Outcome"]) == (504, "unknown") and took_s < 1, status, took_s)
+
+
 VALUES = b"[" + b",".join([b"{}"] * 2700000) + b"]"
 # Prints the highest resident memory in MiB of the program that it runs.
 PEAK_OF_CHILD = """import resource, subprocess, sys
