--- a/include/limpetroad/settings.h
+++ b/include/limpetroad/settings.h
@@ -52,7 +52,7 @@
   char *vm_list_url;
   bool author_may_approve;     /**< allow authors to approve their own drafts */
   int64_t workers;             /**< maximum of concurrent requests */
-  int64_t memory_mb;           /**< of the VM; a quarter is held for others at most */
+  int64_t memory_mb;           /**< of the VM; a quarter is held for others */
   int64_t control_bytes_per_s; /**< rate limit for messages to peers */
   int64_t drain_limit_ms;      /**< time limit of a drain; 0 for none */
   LimpetApprover approvers[LIMPET_MAX_APPROVERS];
--- a/src/liblimpetroad/shared/settings.c
+++ b/src/liblimpetroad/shared/settings.c
@@ -5,6 +5,10 @@
 #include <glib.h>
 #include <string.h>
 #include <sys/stat.h>
+#include <unistd.h>
+
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB 1000000
 
 #define FIELD(type_, struct_, member_, ...)                                              \
   {                                                                                      \
@@ -52,7 +56,11 @@
   FIELD (LIMPET_FIELD_STRING, LimpetSettings, vm_list_url, .required = true),
   FIELD (LIMPET_FIELD_BOOL, LimpetSettings, author_may_approve),
   FIELD (LIMPET_FIELD_INT, LimpetSettings, workers, .min = 8, .max = 8192),
-  FIELD (LIMPET_FIELD_INT, LimpetSettings, memory_mb, .min = 16, .max = 1000000),
+  FIELD (LIMPET_FIELD_INT,
+         LimpetSettings,
+         memory_mb,
+         .min = MIN_MEMORY_MB,
+         .max = MAX_MEMORY_MB),
   FIELD (
       LIMPET_FIELD_INT, LimpetSettings, control_bytes_per_s, .min = 256, .max = 1000000),
   FIELD (LIMPET_FIELD_INT, LimpetSettings, drain_limit_ms, .min = 0, .max = 86400000),
@@ -146,6 +154,14 @@
   return status;
 }
 
+static int64_t
+machine_memory_mb (void)
+{
+  int64_t bytes = (int64_t)sysconf (_SC_PHYS_PAGES) * sysconf (_SC_PAGESIZE);
+
+  return CLAMP (bytes / 1024 / 1024, MIN_MEMORY_MB, MAX_MEMORY_MB);
+}
+
 LimpetStatus
 limpet_settings_load (LimpetSettings *settings, const char *path, LimpetError *error)
 {
@@ -157,7 +173,7 @@
 
   *settings = (LimpetSettings){
     .workers = 1024,
-    .memory_mb = 160,
+    .memory_mb = machine_memory_mb (),
     .log_retention_ms = 3600000,
     .control_bytes_per_s = 3300,
   };
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -17,7 +17,7 @@
 BLOCK = b"x" * 65536
 PLAY_S = 1.5             # and longer, until so many calls of the sound service have ended
 MIN_SOUND_CALLS = 21
-MEMORY_MB = 160          # the default of the setting memory_mb
+MEMORY_MB = 160
 # What a router may hold beside its budget, a quarter of memory_mb: its 256 threads and their buffers.
 REST_MIB = 40
 LARGE_BYTES = 15900000
@@ -122,7 +122,8 @@
         self.listeners = []
 
     def __enter__(self):
-        self.fleet = PressedFleet(routers=1, engines=0, services=1, fleet={"default_deadline_ms": 2000})
+        self.fleet = PressedFleet(routers=1, engines=0, services=1, fleet={"default_deadline_ms": 2000},
+                                  extra_settings={"memory_mb": MEMORY_MB})
         try:
             self.fleet.services[0]["group"] = "sound"
             for entries, name in ((self.fleet.engines, "e"), (self.fleet.services, "f")):
