--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -75,6 +75,22 @@
   g_free (request);
 }
 
+static size_t
+backlog (const LimpetCaller *caller)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
+}
+
+static void
+count_held_bytes (LimpetCaller *caller)
+{
+  size_t pipelined = caller->pipelined != NULL ? caller->pipelined->len : 0;
+
+  limpet_byte_holder_set_bytes (&caller->holder,
+                                limpet_http_reader_held_bytes (&caller->reader)
+                                    + pipelined + backlog (caller));
+}
+
 /* Shuts down the sending side only; the connection is closed later. A close while
  * received bytes are unread resets the connection, which may destroy the response before
  * the caller has read it (RFC 9112, section 9.6). */
@@ -85,6 +101,8 @@
 
   caller->is_lingering = true;
   caller->wait_start_ms = limpet_clock_mono_ms ();
+  limpet_http_reader_next (&caller->reader); /* no further request is read */
+  count_held_bytes (caller);
   if (uv_shutdown (request, (uv_stream_t *)&caller->tcp, on_shutdown) != 0)
     {
       g_free (request);
@@ -92,20 +110,6 @@
     }
 }
 
-static size_t
-backlog (const LimpetCaller *caller)
-{
-  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
-}
-
-static void
-count_held_bytes (LimpetCaller *caller)
-{
-  size_t pipelined = caller->pipelined != NULL ? caller->pipelined->len : 0;
-
-  limpet_byte_holder_set_bytes (&caller->holder, pipelined + backlog (caller));
-}
-
 static void continue_reading (LimpetCaller *caller);
 
 static void
@@ -187,7 +191,8 @@
   limpet_log (LIMPET_LOG_WARNING, "memory", NULL,
               "request refused held_bytes=%zu budget_bytes=%zu request_bytes=%zu",
               limpet_byte_account_held (account), limpet_byte_account_budget (account),
-              caller->task->holder.bytes);
+              caller->holder.bytes
+                  + (caller->task != NULL ? caller->task->holder.bytes : 0));
   return false;
 }
 
@@ -253,6 +258,17 @@
                              caller->reader.error_status == 503 ? NO_MEMORY_RETRY_MS : 0);
 }
 
+/* Counts the head that arrives, and refuses the request if there is no memory for it. */
+static void
+count_head (LimpetCaller *caller)
+{
+  count_held_bytes (caller);
+  if (limpet_byte_holder_may_grow (&caller->holder, 0))
+    return;
+  refuse_for_memory (caller);
+  refuse_message (caller);
+}
+
 static void
 stop_reading (LimpetCaller *caller)
 {
@@ -281,6 +297,7 @@
   LimpetTask *task = caller->task;
 
   limpet_http_reader_next (&caller->reader);
+  count_held_bytes (caller);
   task->is_body_complete = true;
   limpet_task_start (task);
 }
@@ -318,6 +335,8 @@
           caller->has_more_input = offset < length;
           start_task (caller);
         }
+      else if (!caller->reader.head_done)
+        count_head (caller);
     }
 }
 
--- a/src/liblimpetroad/exchange/http_reader.c
+++ b/src/liblimpetroad/exchange/http_reader.c
@@ -252,6 +252,12 @@
   limpet_http_reader_next (reader);
 }
 
+size_t
+limpet_http_reader_held_bytes (const LimpetHttpReader *reader)
+{
+  return reader->text->allocated_len;
+}
+
 void
 limpet_http_reader_clear (LimpetHttpReader *reader)
 {
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -51,10 +51,12 @@
   if (text == NULL || head->fields_count == 0)
     {
       task->head_text = g_strdup (head->target);
+      task->head_text_bytes = strlen (head->target) + 1;
       task->head->target = task->head_text;
       return;
     }
   task->head_text = g_memdup2 (text->str, text->len + 1);
+  task->head_text_bytes = text->len + 1;
   task->head->target = task->head_text + (head->target - text->str);
   for (uint32_t i = 0; i < head->fields_count; i++)
     {
@@ -356,8 +358,8 @@
 void
 limpet_task_count_held_bytes (LimpetTask *task)
 {
-  size_t bytes
-      = sizeof *task + sizeof *task->head + MAX (task->reserved_bytes, task->body->len);
+  size_t bytes = sizeof *task + sizeof *task->head + task->head_text_bytes
+                 + MAX (task->reserved_bytes, task->body->len);
 
   if (task->response_head != NULL)
     bytes += task->response_head->allocated_len;
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -702,7 +702,7 @@
 size_t
 limpet_upstream_head_bytes (const LimpetUpstream *upstream)
 {
-  return upstream->reader.text->allocated_len;
+  return limpet_http_reader_held_bytes (&upstream->reader);
 }
 
 void
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -130,6 +130,7 @@
   LimpetCall call;
   LimpetHttpHead *head; /* copy of the request head */
   char *head_text;      /* holds the strings of head */
+  size_t head_text_bytes;
   bool is_http10;
   bool closes_connection;  /* close the caller's connection after the response */
   GByteArray *body;        /* not changed any more once the request is complete */
--- a/src/liblimpetroad/private/http_reader.h
+++ b/src/liblimpetroad/private/http_reader.h
@@ -74,7 +74,10 @@
  * message is complete or ends with the stream, else ERROR. */
 LimpetHttpProgress limpet_http_reader_end (LimpetHttpReader *reader);
 
-/* Prepares for the next message of the stream. */
+/* Prepares for the next message of the stream. Frees the memory of a large head. */
 void limpet_http_reader_next (LimpetHttpReader *reader);
 
+/* Returns the memory that the text of a head takes. */
+size_t limpet_http_reader_held_bytes (const LimpetHttpReader *reader);
+
 #endif
--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -1,11 +1,12 @@
 """Peers that send without end, and callers that do not read: a router's memory stays bounded, and others are served."""
 
+import random
 import socket
 import threading
 import time
 
 import fleet as f
-from platform_fake import Platform, chunk, route
+from platform_fake import HOST, Platform, chunk, route
 from run_all import own_process, table
 from test_platform import check
 
@@ -88,15 +89,15 @@
 
     served, asked: calls to the sound service. peak_mib: highest resident memory."""
 
-    def __init__(self, kind, memory_mb):
+    def __init__(self, kind, memory_mb, slots=64, **limits):
         self.platform = Platform(start=False, memory_mb=memory_mb, max_body_bytes=4194304, routes=[
             route("faulty", "/faulty/", "unsafe", "plain"), route("again", "/again/", "safe", "plain"),
             route("stream", "/stream/", "streaming", "model"),
-            route("sound", "/sound/", "safe", "sound")])
+            route("sound", "/sound/", "safe", "sound")], **limits)
         handle = ENDLESS.get(kind, self.read_nothing)
         for service in ("plain", "model"):
             for _ in range(3):
-                self.platform.add_server(service, slots=64, on_request=handle)
+                self.platform.add_server(service, slots=slots, on_request=handle)
         for _ in range(2):
             self.platform.add_server("sound", slots=64)
         self.end = threading.Event()
@@ -143,20 +144,56 @@
             self.end.wait(0.02)
 
     def play(self, path, callers, reads=True, body_bytes=1):
-        threads = [threading.Thread(target=self.call_faulty, args=(path, reads, body_bytes), daemon=True)
-                   for _ in range(callers)]
-        threads += [threading.Thread(target=self.call_sound, daemon=True) for _ in range(4)]
-        for thread in threads:
-            thread.start()
+        for _ in range(callers):
+            threading.Thread(target=self.call_faulty, args=(path, reads, body_bytes), daemon=True).start()
+        self.play_sound()
+
+    def play_sound(self):
+        for _ in range(4):
+            threading.Thread(target=self.call_sound, daemon=True).start()
         self.end.wait(PLAY_S)
         f.wait_for(lambda: self.asked >= MIN_SOUND_CALLS, "calls of the sound service")
         self.peak_mib = peak_mib(self.platform)
         self.end.set()
 
+    def play_once(self, request, callers):
+        """Each caller sends the bytes of request(), and leaves its connection open."""
+        router = self.platform.routers[0]
+        connections = [socket.create_connection((router["ip"], router["port"]), 5) for _ in range(callers)]
+        for connection in connections:
+            connection.setblocking(False)
+            try:
+                connection.sendall(request())
+            except OSError:
+                pass  # the router does not read all
+        self.play_sound()
+        for connection in connections:
+            connection.close()
+
     def check(self):
         check_router(self.platform, self.peak_mib, self.served, self.asked)
 
 
+# Returns a request; all callers hold the same key.
+def request(path="/faulty/1", fields=""):
+    return ("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %016x\r\nDeadline-Ms: 8000\r\n"
+            "Authorization: Token key-1\r\nContent-Length: 1\r\n%s\r\nx"
+            % (path, HOST, random.getrandbits(64), fields)).encode()
+
+
+# Rows: kind, what each of 1,000 callers sends.
+CROWDS = [("slow_head", lambda: b"POST /faulty/1 HTTP/1.1\r\n" + LARGE_HEAD.encode()),
+          ("waiting_head", lambda: request(fields=LARGE_HEAD))]
+
+
+@table([(kind, kind, send) for kind, send in CROWDS])
+@own_process
+def test_what_a_crowd_makes_a_router_hold_leaves_it_its_memory(kind, send):
+    with Pressure(kind, 112, slots=400, max_header_bytes=65536, header_timeout_ms=5000) as pressure:
+        pressure.play_once(send, 1000)
+        pressure.check()
+
+
 # Rows: kind, path, callers, whether they read.
 ROWS = [(kind, "/faulty/1", 6, True) for kind in ENDLESS if "event" not in kind and kind != "comments"] \
     + [(kind, "/stream/1", 6, True) for kind in ENDLESS] \
