--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -677,7 +677,6 @@
   upstream->call_count++;
   upstream->skipped_response = false;
   upstream->skipped_count = 0;
-  limpet_http_reader_next (&upstream->reader);
   upstream->reader.request_is_head = strcmp (task->head->method, "HEAD") == 0;
   if (upstream->is_connected)
     write_request (upstream);
@@ -693,6 +692,7 @@
       limpet_upstream_close (upstream);
       return;
     }
+  limpet_http_reader_next (&upstream->reader);
   upstream->is_idle = true;
   upstream->idle_since_ms = limpet_clock_mono_ms ();
   g_queue_push_head_link (&pool_of (upstream->target)->idle, &upstream->link);
--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -42,6 +42,11 @@
     return True
 
 
+def reply_large_head(server, message, connection):
+    connection.sendall(head(LARGE_HEAD + "Content-Length: 1\r\n\r\n")(server, message) + b"x")
+    return True
+
+
 CHUNKED = "Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = "Content-Type: text/event-stream\r\n" + CHUNKED
 # What a faulty server sends, by kind.
@@ -94,7 +99,7 @@
             route("faulty", "/faulty/", "unsafe", "plain"), route("again", "/again/", "safe", "plain"),
             route("stream", "/stream/", "streaming", "model"),
             route("sound", "/sound/", "safe", "sound")], **limits)
-        handle = ENDLESS.get(kind, self.read_nothing)
+        handle = ENDLESS.get(kind) or HELD.get(kind, self.read_nothing)
         for service in ("plain", "model"):
             for _ in range(3):
                 self.platform.add_server(service, slots=slots, on_request=handle)
@@ -174,6 +179,10 @@
         check_router(self.platform, self.peak_mib, self.served, self.asked)
 
 
+# What a server sends that a router may keep, by kind; the servers of other kinds do not respond.
+HELD = {"idle_connection": reply_large_head}
+
+
 # Returns a request; all callers hold the same key.
 def request(path="/faulty/1", fields=""):
     return ("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %016x\r\nDeadline-Ms: 8000\r\n"
@@ -183,7 +192,7 @@
 
 # Rows: kind, what each of 1,000 callers sends.
 CROWDS = [("slow_head", lambda: b"POST /faulty/1 HTTP/1.1\r\n" + LARGE_HEAD.encode()),
-          ("waiting_head", lambda: request(fields=LARGE_HEAD))]
+          ("waiting_head", lambda: request(fields=LARGE_HEAD)), ("idle_connection", request)]
 
 
 @table([(kind, kind, send) for kind, send in CROWDS])
