--- a/src/liblimpetroad/exchange/http_reader.c
+++ b/src/liblimpetroad/exchange/http_reader.c
@@ -208,13 +208,19 @@
   return 0;
 }
 
+void
+limpet_http_reader_drop_head (LimpetHttpReader *reader)
+{
+  limpet_text_buffer_drop_front (&reader->text, reader->text->len);
+}
+
 void
 limpet_http_reader_next (LimpetHttpReader *reader)
 {
   http_parser_init (&reader->parser, reader->is_response ? HTTP_RESPONSE : HTTP_REQUEST);
   reader->parser.data = reader;
   reader->head = (LimpetHttpHead){ .content_length = -1 };
-  limpet_text_buffer_drop_front (&reader->text, reader->text->len);
+  limpet_http_reader_drop_head (reader);
   reader->offsets_count = 0;
   reader->head_bytes = 0;
   reader->framing_bytes = 0;
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -1,5 +1,6 @@
 #include "limpetroad/counters.h"
 #include "limpetroad/logger.h"
+#include "private/text_buffer.h"
 #include "private/upstream.h"
 
 #include <inttypes.h>
@@ -110,6 +111,17 @@
   task->scan.user = task;
 }
 
+const char *
+limpet_relay_count_incomplete (LimpetTask *task)
+{
+  limpet_task_count_held_bytes (task);
+  if (limpet_task_incomplete_bytes (task) <= LIMPET_SMALL_HOLDER_BYTES
+      || limpet_byte_holder_may_grow (&task->holder, 0))
+    return NULL;
+  limpet_counter_add (LIMPET_COUNTER_MEMORY_CUTS, 1);
+  return "no memory for an incomplete head or event";
+}
+
 const char *
 limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head)
 {
@@ -155,8 +167,7 @@
     return "the response does not continue the stream";
   if (!task->head_sent)
     copy_head (task, head);
-  limpet_task_count_held_bytes (task);
-  return NULL;
+  return limpet_relay_count_incomplete (task);
 }
 
 /* Has the close of the caller's connection end the response; until it has acknowledged
@@ -321,12 +332,23 @@
       write_part (task, events->str, events->len);
     }
   g_string_free (events, TRUE);
-  limpet_task_count_held_bytes (task);
   if (!is_accepted)
     return "the first event does not continue the stream";
   return limpet_event_splitter_exceeds_limit (&task->events)
              ? "an event too large, or comments without an event"
-             : NULL;
+             : limpet_relay_count_incomplete (task);
+}
+
+void
+limpet_relay_discard_response (LimpetTask *task)
+{
+  limpet_relay_discard_body (task);
+  limpet_response_scan_clear (&task->scan);
+  if (task->response_head != NULL)
+    g_string_free (g_steal_pointer (&task->response_head), TRUE);
+  if (task->events.text != NULL)
+    limpet_text_buffer_drop_front (&task->events.text, task->events.text->len);
+  limpet_task_count_held_bytes (task);
 }
 
 static const char *
@@ -347,8 +369,7 @@
   if (limpet_response_scan_feed (&task->scan, data, length, part))
     cause = relay_part (task, part->str, part->len);
   g_string_free (part, TRUE);
-  limpet_task_count_held_bytes (task);
-  return cause;
+  return cause != NULL ? cause : limpet_relay_count_incomplete (task);
 }
 
 /* Forwards what was held back, since the response ends with it. */
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -355,21 +355,29 @@
   limpet_task_finish (task, limpet_refusal_string[reason]);
 }
 
-void
-limpet_task_count_held_bytes (LimpetTask *task)
+size_t
+limpet_task_incomplete_bytes (const LimpetTask *task)
 {
-  size_t bytes = sizeof *task + sizeof *task->head + task->head_text_bytes
-                 + MAX (task->reserved_bytes, task->body->len);
+  size_t bytes = limpet_response_scan_held_bytes (&task->scan);
 
   if (task->response_head != NULL)
     bytes += task->response_head->allocated_len;
-  if (task->response_body != NULL)
-    bytes += task->response_body->len;
   if (task->events.text != NULL)
     bytes += task->events.text->allocated_len;
-  bytes += limpet_response_scan_held_bytes (&task->scan);
   if (task->upstream != NULL)
     bytes += limpet_upstream_head_bytes (task->upstream);
+  return bytes;
+}
+
+void
+limpet_task_count_held_bytes (LimpetTask *task)
+{
+  size_t bytes = sizeof *task + sizeof *task->head + task->head_text_bytes
+                 + MAX (task->reserved_bytes, task->body->len);
+
+  if (task->response_body != NULL)
+    bytes += task->response_body->len;
+  bytes += limpet_task_incomplete_bytes (task);
   limpet_byte_holder_set_bytes (&task->holder, bytes);
 }
 
@@ -595,7 +603,7 @@
   bool sent = status != LIMPET_STATUS_UNREACHABLE && has_path;
 
   task->upstream = NULL; /* already closed */
-  limpet_relay_discard_body (task);
+  limpet_relay_discard_response (task);
   if (task->events.last_id[0] != '\0')
     g_strlcpy (task->last_event_id, task->events.last_id, sizeof task->last_event_id);
   if (task->events.id_steps != LIMPET_ID_STEPS_UNKNOWN)
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -75,6 +75,7 @@
   upstream->is_closed = true;
   limpet_read_turn_cancel (&upstream->turn);
   upstream->task = NULL;
+  limpet_http_reader_drop_head (&upstream->reader);
   if (upstream->is_trial)
     limpet_paths_cancel_trial (upstream->exchange, upstream->target);
   if (upstream->is_idle)
@@ -140,6 +141,13 @@
     limpet_task_attempt_failed (task, status, cause);
 }
 
+static void
+fail_if (LimpetUpstream *upstream, const char *cause)
+{
+  if (cause != NULL)
+    fail (upstream, LIMPET_STATUS_BROKEN, cause);
+}
+
 /* The attempt fails at the end of what was received, which may be a complete response. */
 static void
 on_write_error (uv_stream_t *stream, int status)
@@ -289,7 +297,7 @@
       else if (progress == LIMPET_HTTP_COMPLETE)
         handle_response (upstream, offset < length, false);
       else if (!upstream->reader.head_done)
-        limpet_task_count_held_bytes (upstream->task);
+        fail_if (upstream, limpet_relay_count_incomplete (upstream->task));
     }
 }
 
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -223,6 +223,9 @@
 bool limpet_task_can_end (const LimpetTask *task);
 /* Reserves memory for a body. Returns false if there is none. */
 bool limpet_task_reserve (LimpetTask *task, size_t body_bytes);
+/* Returns the bytes of heads, and of events and a head in the body that are incomplete.
+ */
+size_t limpet_task_incomplete_bytes (const LimpetTask *task);
 /* Counts what the task holds now. */
 void limpet_task_count_held_bytes (LimpetTask *task);
 /* Runs the filters on the complete request and submits the call to the dispatcher. */
@@ -286,8 +289,13 @@
  * the attempt fails for this cause. */
 const char *limpet_relay_head (LimpetTask *task, const LimpetHttpHead *head);
 const char *limpet_relay_body (LimpetTask *task, const char *data, size_t length);
+/* Counts what the task holds. Returns why the attempt fails if there is no memory for the
+ * part of a head or event that has come: the rest may not come for long. */
+const char *limpet_relay_count_incomplete (LimpetTask *task);
 /* Frees the buffered part of a response. */
 void limpet_relay_discard_body (LimpetTask *task);
+/* Frees all that is held of the response of an attempt that has failed. */
+void limpet_relay_discard_response (LimpetTask *task);
 /* Processes the end of a target's response: forwards the response, or retries or fails
  * the call. reusable: the connection to the target may carry another request. */
 void limpet_relay_complete (LimpetTask *task, bool reusable);
--- a/src/liblimpetroad/private/http_reader.h
+++ b/src/liblimpetroad/private/http_reader.h
@@ -77,6 +77,9 @@
 /* Prepares for the next message of the stream. Frees the memory of a large head. */
 void limpet_http_reader_next (LimpetHttpReader *reader);
 
+/* Frees the text of the head, which must not be used any more. */
+void limpet_http_reader_drop_head (LimpetHttpReader *reader);
+
 /* Returns the memory that the text of a head takes. */
 size_t limpet_http_reader_held_bytes (const LimpetHttpReader *reader);
 
--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -42,6 +42,16 @@
     return True
 
 
+# Returns a handler that sends the parts and then nothing more.
+def send_and_wait(*parts):
+    def send(server, message, connection):
+        for part in parts:
+            connection.sendall(part(server, message) if callable(part) else part)
+        time.sleep(PLAY_S)
+        raise OSError("closed")
+    return send
+
+
 def reply_large_head(server, message, connection):
     connection.sendall(head(LARGE_HEAD + "Content-Length: 1\r\n\r\n")(server, message) + b"x")
     return True
@@ -180,7 +190,12 @@
 
 
 # What a server sends that a router may keep, by kind; the servers of other kinds do not respond.
-HELD = {"idle_connection": reply_large_head}
+HELD = {
+    "idle_connection": reply_large_head,
+    "head_of_response": send_and_wait(head(LARGE_HEAD + SEALED)),
+    "head_in_body": send_and_wait(head("\r\n"), b"HTTP/1.1 200 X\r\n" + LARGE_HEAD.encode()),
+    "event": send_and_wait(head(EVENTS), chunk(b"data: " + b"x" * 63000)),
+}
 
 
 # Returns a request; all callers hold the same key.
@@ -192,7 +207,8 @@
 
 # Rows: kind, what each of 1,000 callers sends.
 CROWDS = [("slow_head", lambda: b"POST /faulty/1 HTTP/1.1\r\n" + LARGE_HEAD.encode()),
-          ("waiting_head", lambda: request(fields=LARGE_HEAD)), ("idle_connection", request)]
+          ("waiting_head", lambda: request(fields=LARGE_HEAD)), ("idle_connection", request),
+          ("head_of_response", request), ("head_in_body", request), ("event", lambda: request("/stream/1"))]
 
 
 @table([(kind, kind, send) for kind, send in CROWDS])
