--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -205,17 +205,21 @@
             % (path, HOST, random.getrandbits(64), fields)).encode()
 
 
-# Rows: kind, what each of 1,000 callers sends.
-CROWDS = [("slow_head", lambda: b"POST /faulty/1 HTTP/1.1\r\n" + LARGE_HEAD.encode()),
-          ("waiting_head", lambda: request(fields=LARGE_HEAD)), ("idle_connection", request),
-          ("head_of_response", request), ("head_in_body", request), ("event", lambda: request("/stream/1"))]
+# Rows: kind, callers, what each of them sends.
+CROWDS = [("slow_head", 1000, lambda: b"POST /faulty/1 HTTP/1.1\r\n" + LARGE_HEAD.encode()),
+          ("slow_small_head", 4000, lambda: b"POST /faulty/1 HTTP/1.1\r\nField: " + b"x" * 6000),
+          ("waiting_head", 1000, lambda: request(fields=LARGE_HEAD)),
+          ("pipelined", 1000, lambda: b"".join(request() for _ in range(400))),
+          ("no_request", 10000, lambda: b""), ("idle_connection", 1000, request),
+          ("head_of_response", 1000, request), ("head_in_body", 1000, request),
+          ("event", 1000, lambda: request("/stream/1"))]
 
 
-@table([(kind, kind, send) for kind, send in CROWDS])
+@table([(kind, kind, callers, send) for kind, callers, send in CROWDS])
 @own_process
-def test_what_a_crowd_makes_a_router_hold_leaves_it_its_memory(kind, send):
+def test_what_a_crowd_makes_a_router_hold_leaves_it_its_memory(kind, callers, send):
     with Pressure(kind, 112, slots=400, max_header_bytes=65536, header_timeout_ms=5000) as pressure:
-        pressure.play_once(send, 1000)
+        pressure.play_once(send, callers)
         pressure.check()
 
 
