--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -209,6 +209,9 @@
           && (size_t)head->content_length
                  > limpet_byte_account_largest_holding (caller->exchange->account)))
     return refuse_size (caller);
+  count_held_bytes (caller);
+  if (!limpet_byte_holder_may_grow (&caller->holder, caller->reader.text->len))
+    return refuse_for_memory (caller);
   caller->task = limpet_task_new (caller, head);
   if (!limpet_task_reserve (caller->task, (size_t)MAX (0, head->content_length)))
     return refuse_for_memory (caller);
