--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -81,14 +81,23 @@
   return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
 }
 
+/* A small head does not count, as the connection does not: thousands of callers that send
+ * theirs slowly would have the requests of others refused. */
+static size_t
+head_bytes (const LimpetCaller *caller)
+{
+  size_t bytes = limpet_http_reader_held_bytes (&caller->reader);
+
+  return bytes > LIMPET_SMALL_HOLDER_BYTES ? bytes : 0;
+}
+
 static void
 count_held_bytes (LimpetCaller *caller)
 {
   size_t pipelined = caller->pipelined != NULL ? caller->pipelined->len : 0;
 
   limpet_byte_holder_set_bytes (&caller->holder,
-                                limpet_http_reader_held_bytes (&caller->reader)
-                                    + pipelined + backlog (caller));
+                                head_bytes (caller) + pipelined + backlog (caller));
 }
 
 /* Shuts down the sending side only; the connection is closed later. A close while
