--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -63,7 +63,7 @@
   LimpetMs changed_ms;       /* last change of the record */
   LimpetMs pending_since_ms; /* when the request became pending; 0 if it never was */
   LimpetMs own_pending_ms;   /* when this router last found it so; 0 if it does not */
-  LimpetMs own_crash_ms;     /* last crash that this router observed; 0 if none */
+  LimpetMs own_crash_ms;     /* latest crash that this router observed; 0 if none */
   LimpetMs probe_ms;         /* when a call was last admitted after the quarantine */
   LimpetMs release_delay_ms; /* random time added to the quarantine */
   bool is_changed;           /* other routers have to be told */
@@ -556,7 +556,7 @@
       if (!add_crash (quarantine, suspect, &crash, suspect->record.is_quarantined,
                       now_ms))
         continue;
-      suspect->own_crash_ms = now_ms;
+      suspect->own_crash_ms = MAX (suspect->own_crash_ms, now_ms);
       if (suspect->record.is_quarantined && quarantine->ops->on_quarantined != NULL)
         quarantine->ops->on_quarantined (quarantine->user, &suspect->record);
     }
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -121,6 +121,25 @@
     limpet_quarantine_delete (quarantines[i]);
 }
 
+/* Guards against a fault: a router took the crash that it added last for its latest one,
+ * and nobody wrote the quarantine to the store. */
+static void
+test_a_quarantine_is_written_by_a_router_that_saw_earlier_crashes_after_the_last (void)
+{
+  static const LimpetQuarantineOps counting_ops = { .on_quarantined = count_verdict };
+  uint32_t verdicts = 0;
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&counting_ops, &verdicts, 1);
+
+  crash (quarantine, CRASHING, 1, 20200);
+  crash (quarantine, CRASHING, 2, 20000);
+  crash (quarantine, CRASHING, 3, 20000);
+  succeed (quarantine, SESSION, 20500); /* clears the part of the team */
+  tick_until (quarantine, 20500, 23000);
+  CU_ASSERT_TRUE (is_found (quarantine, CRASHING, 23000));
+  CU_ASSERT_EQUAL (verdicts, 1);
+  limpet_quarantine_delete (quarantine);
+}
+
 /* Two targets may crash by chance under a request and its retry. */
 static void
 test_two_crashes_do_not_quarantine_a_part (void)
@@ -868,6 +887,9 @@
   CU_ADD_TEST (suite, test_a_verdict_on_a_request_holds_at_routers_with_another_view);
   CU_ADD_TEST (suite,
                test_a_quarantine_is_written_by_a_router_that_saw_one_of_the_last_crashes);
+  CU_ADD_TEST (
+      suite,
+      test_a_quarantine_is_written_by_a_router_that_saw_earlier_crashes_after_the_last);
   CU_ADD_TEST (suite, test_many_crashes_at_once_are_told_within_the_traffic_limit);
   CU_ADD_TEST (
       suite,
