--- a/include/limpetroad/quarantine.h
+++ b/include/limpetroad/quarantine.h
@@ -122,6 +122,12 @@
                                           const LimpetFingerprints *fingerprints,
                                           LimpetMs now_ms);
 
+/** Returns whether it is known that a target crashed under such a call after the request
+ *  became pending at \p since_ms. */
+bool limpet_quarantine_has_crash_since (const LimpetQuarantine *quarantine,
+                                        const LimpetFingerprints *fingerprints,
+                                        LimpetMs since_ms);
+
 /** Merges a record from another router or from durable storage. */
 void limpet_quarantine_receive (LimpetQuarantine *quarantine,
                                 const LimpetSuspect *received,
--- a/src/liblimpetroad/cluster_state/quarantine.c
+++ b/src/liblimpetroad/cluster_state/quarantine.c
@@ -465,6 +465,18 @@
   return suspect != NULL && is_pending (suspect, now_ms) ? suspect->pending_since_ms : 0;
 }
 
+bool
+limpet_quarantine_has_crash_since (const LimpetQuarantine *quarantine,
+                                   const LimpetFingerprints *fingerprints,
+                                   LimpetMs since_ms)
+{
+  const Suspect *suspect = find_suspect (quarantine, fingerprints->request);
+
+  return suspect != NULL
+         && limpet_suspect_last_crash_ms (&suspect->record)
+                > since_ms + MAX_TIME_ERROR_MS;
+}
+
 /* Returns the time until calls with the suspect are admitted again; 0 or less if they
  * are. */
 static LimpetMs
--- a/src/liblimpetroad/exchange/pending_crashes.c
+++ b/src/liblimpetroad/exchange/pending_crashes.c
@@ -215,6 +215,20 @@
     }
 }
 
+/* Returns whether the request broke at a target to which it was sent after that time. */
+static bool
+has_broken_since (const GQueue *list, uint64_t request, LimpetMs since_ms)
+{
+  for (GList *link = list->head; link != NULL; link = link->next)
+    {
+      const PendingCrash *pending = link->data;
+
+      if (pending->fingerprints.request == request && pending->sent_ms > since_ms)
+        return true;
+    }
+  return false;
+}
+
 bool
 limpet_pending_crashes_hold (const LimpetTask *task)
 {
@@ -222,13 +236,21 @@
   LimpetFingerprints fingerprints = limpet_call_fingerprints (&task->call);
   LimpetMs now_ms = limpet_clock_boot_ms ();
   LimpetMs since_ms;
+  LimpetMs own_since_ms;
 
   if (exchange->quarantine == NULL)
     return false;
   since_ms
       = limpet_quarantine_pending_since (exchange->quarantine, &fingerprints, now_ms);
-  if (since_ms == 0
-      || limpet_clock_mono_ms () - exchange->responded_ms < now_ms - since_ms)
+  if (since_ms == 0)
+    return false;
+  /* A target that joined later responds to others also if the request crashes it. */
+  own_since_ms = limpet_clock_mono_ms () - (now_ms - since_ms);
+  if (exchange->responded_ms > own_since_ms
+      && !has_broken_since (&exchange->pending_crashes, fingerprints.request,
+                            own_since_ms)
+      && !limpet_quarantine_has_crash_since (exchange->quarantine, &fingerprints,
+                                             since_ms))
     return false;
   limpet_log (LIMPET_LOG_INFO, "quarantine", NULL, "id=%s request=%" PRIx64 " state=held",
               task->call.id, fingerprints.request);
--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -795,6 +795,25 @@
 
 /* Guards against a fault: each request that broke at one target became a suspect, and
  * displaced those that are known to have crashed targets. */
+/* Guards against a fault: a response of a new target ended the hold of a request that
+ * crashed the new targets, too. */
+static void
+test_a_crash_after_a_request_became_pending_is_told_from_earlier_ones (void)
+{
+  LimpetQuarantine *quarantine = limpet_quarantine_new (&quarantine_ops, NULL, 1);
+  LimpetFingerprints fingerprints = plain (CRASHING_REQUEST);
+
+  CU_ASSERT_FALSE (limpet_quarantine_has_crash_since (quarantine, &fingerprints, 20000));
+  limpet_quarantine_record_crash (quarantine, &fingerprints, 1, 19900);
+  record_pending (quarantine, CRASHING_REQUEST, 20000);
+  CU_ASSERT_FALSE (limpet_quarantine_has_crash_since (quarantine, &fingerprints, 20000));
+  limpet_quarantine_record_crash (quarantine, &fingerprints, 4, 20500);
+  CU_ASSERT_TRUE (limpet_quarantine_has_crash_since (quarantine, &fingerprints, 20000));
+  limpet_quarantine_record_success (quarantine, &fingerprints, 20600);
+  CU_ASSERT_FALSE (limpet_quarantine_has_crash_since (quarantine, &fingerprints, 20000));
+  limpet_quarantine_delete (quarantine);
+}
+
 static void
 test_requests_that_broke_at_one_target_do_not_displace_suspects (void)
 {
@@ -896,6 +915,8 @@
       test_a_request_that_may_crash_targets_is_held_by_all_routers_while_it_is_unknown);
   CU_ADD_TEST (suite, test_a_request_completed_lately_is_not_held);
   CU_ADD_TEST (suite, test_known_and_pending_crashes_of_a_request_are_added_up);
+  CU_ADD_TEST (suite,
+               test_a_crash_after_a_request_became_pending_is_told_from_earlier_ones);
   CU_ADD_TEST (suite, test_requests_that_broke_at_one_target_do_not_displace_suspects);
   CU_ADD_TEST (suite, test_a_call_without_a_fingerprint_is_not_held);
   CU_ADD_TEST (suite, test_records_of_pending_requests_do_not_displace_suspects);
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -203,7 +203,7 @@
 
 
 class CutFleet(RequestsFleet):
-    """Sound servers that take CALL_S for each call, and whose links to all routers may be cut."""
+    """Sound servers that take CALL_S for each request "900d", and whose links to all routers may be cut."""
 
     CALL_S = 0.5
 
@@ -211,7 +211,8 @@
         super().__init__(SAFE_POST, routers)
 
     def on_request(self, server, message, connection):
-        time.sleep(self.CALL_S)
+        if message.body == b"900d":
+            time.sleep(self.CALL_S)
         server.reply(connection, message)
         return True
 
@@ -283,6 +284,40 @@
         check(len(served) == count and max(served) <= fleet.CALL_S + 2, served)
 
 
+def test_a_request_that_broke_at_all_servers_of_a_replaced_service_is_served_soon_by_the_new_ones():
+    """Guards against a hold that ends only once the lost servers respond. Routers that did not send it get it."""
+    with CutFleet(3) as fleet:
+        fleet.restart_s = 3.2
+        fleet.begin_requests(1)
+        for server in list(fleet.platform.servers):
+            fleet.crash(server, (time.monotonic(), "900d"))
+        replaced = time.monotonic() + fleet.restart_s
+        served = []
+
+        def send_others(index):
+            for number in range(1000):
+                if len(served) == 2 or time.monotonic() > replaced + 10:
+                    return
+                fleet.request("%x" % (0x1000 * (index + 1) + number), index)
+                time.sleep(0.02)
+
+        def repeat(index):
+            time.sleep(fleet.restart_s - 1)
+            while time.monotonic() < replaced + 10:
+                if fleet.request("900d", index):
+                    served.append(time.monotonic() - replaced)
+                    return
+                time.sleep(0.05)
+
+        callers = [threading.Thread(target=call, args=(index,), daemon=True)
+                   for index in (1, 2) for call in (send_others, repeat)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        check(len(served) == 2 and max(served) <= fleet.CALL_S + 2, served)
+
+
 @table([("stream", STREAM), ("resumable", RESUMABLE)])
 def test_a_request_that_crashes_servers_after_its_first_events_is_kept_from_them(kind):
     with RequestsFleet(kind, events=2) as fleet:
