--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -6,6 +6,7 @@
 import time
 
 from crashing_fleet import CrashingFleet
+from fleet import wait_for
 from platform_fake import Listener, chunk, event, reset, route
 from run_all import table
 from test_platform import check, stream_events
@@ -144,6 +145,21 @@
         times = [at for at, crashed in self.crashes if crashed == mark]
         return times[2] if len(times) > 2 else times[-1]
 
+    # Returns what tells why servers crashed, with seconds of the wall clock: arrivals, crashes, stored records, and
+    # lines of the routers' logs, which they and those that replaced them share.
+    def story(self, routers):
+        to_wall = time.time() - time.monotonic()
+        store = self.platform.store
+        records = zip(store.appended["keyed.routers"], store.topics["keyed.routers"])
+        lines = ["%.3f arrives %s" % (at + to_wall, mark) for at, mark in self.arrivals]
+        lines += ["%.3f crashed by %s" % (at + to_wall, mark) for at, mark in self.crashes]
+        lines += ["%.3f record %s %s" % (at + to_wall, *record) for at, record in records
+                  if record[0].startswith("request:")]
+        for router in routers:
+            lines += [line for line in router["process"].log_text().splitlines()
+                      if "step=servers" in line or "step=quarantine" in line and "state=" in line]
+        return "\n".join(lines)
+
     def check_kept_away(self, marks=("bad",)):
         for mark in marks:
             late = self.arrivals_after(self.third_crash(mark) + STABLE_WINDOW_S, mark)
@@ -342,16 +358,37 @@
 def test_restarted_routers_know_the_request_that_crashes_servers(count):
     with RequestsFleet(SAFE_GET) as fleet:
         fleet.play(6)
-        for router in fleet.platform.routers[:count]:
+        routers = list(fleet.platform.routers)
+        for router in routers[:count]:
             router["process"].kill()
         del fleet.platform.routers[:count]
         for _ in range(count):
             fleet.platform.add_router()
         fleet.platform.wait_for_routers(3)
         fleet.play(6)
+        if len(fleet.crashes) > SERVERS:
+            print(fleet.story(routers))
         fleet.check_kept_away()
 
 
+def test_routers_that_all_start_again_keep_a_quarantined_request_from_servers_as_soon_as_they_are_ready():
+    """Guards against a router that is ready before it has read the records of quarantined requests."""
+    with RequestsFleet(SAFE_GET) as fleet:
+        fleet.play(6)
+        crashes = len(fleet.crashes)
+        check(crashes >= 3, crashes)
+        routers = list(fleet.platform.routers)
+        for router in routers:
+            router["process"].kill()
+        fleet.platform.routers.clear()
+        for _ in routers:
+            fleet.platform.add_router(wait=False)
+        for number, router in enumerate(fleet.platform.routers):
+            wait_for(lambda: fleet.platform.is_ready(router), "the router to be ready")
+            fleet.request("bad", number)
+        check(len(fleet.crashes) == crashes, crashes, len(fleet.crashes))
+
+
 def reply_late_to_slow_requests(server, message, connection):
     """Replies to the body "slow" only after the time-out of the route (400 ms)."""
     if message.body == b"slow":
