--- a/src/test_liblimpetroad/quarantine_tests.c
+++ b/src/test_liblimpetroad/quarantine_tests.c
@@ -793,8 +793,6 @@
   limpet_quarantine_delete (quarantine);
 }
 
-/* Guards against a fault: each request that broke at one target became a suspect, and
- * displaced those that are known to have crashed targets. */
 /* Guards against a fault: a response of a new target ended the hold of a request that
  * crashed the new targets, too. */
 static void
@@ -814,6 +812,8 @@
   limpet_quarantine_delete (quarantine);
 }
 
+/* Guards against a fault: each request that broke at one target became a suspect, and
+ * displaced those that are known to have crashed targets. */
 static void
 test_requests_that_broke_at_one_target_do_not_displace_suspects (void)
 {
