--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -17,6 +17,14 @@
 #define MAX_CLIENTS 256
 /* Between reads of a store whose responses are outdated. */
 #define READ_PAUSE_MS 450
+#define ITEM(key) "{\"key\":" key ",\"value\":\"YQ==\",\"offset\":0}"
+#define PAGE(items, truncated)                                                           \
+  "{\"items\":[" items "],\"truncated\":" truncated ",\"end\":3}"
+#define WHOLE_PAGE PAGE (ITEM ("\"well\""), "false")
+/* Most reads of a page that stays unusable, while a test runs. */
+#define MAX_REPEATED_READS 10
+/* Runs of 100 ms until a page that is well again must have been read. */
+#define MAX_FURTHER_RUNS 20
 
 /* A minimal store server. It serves one connection after the other and closes new ones
  * while a request has no response yet, and delays its response to the first read of
@@ -48,6 +56,11 @@
   LimpetMs state_age_ms;        /* of the newest read that the watch is told of */
   LimpetMs last_read_ms;        /* boot clock of the last request for records */
   bool is_outdated;             /* it responds as before its newest record */
+  const char *const *pages;   /* its responses to requests for snapshots; the last one is
+                                 repeated; NULL if there are none */
+  uint32_t page;              /* index of the next one */
+  uint32_t snapshot_requests; /* that have got one */
+  bool is_well;               /* it responds with the whole snapshot instead */
   char buffer[4096];
 } StoreServer;
 
@@ -123,6 +136,26 @@
   platform_watch_apply_batch (server->watch, &batch);
 }
 
+/* The snapshot ends at offset 3, and so does the topic. */
+static void
+respond_with_page (StoreServer *server, bool is_snapshot)
+{
+  const char *page = WHOLE_PAGE;
+
+  if (!is_snapshot)
+    {
+      server->read_requests++;
+      respond (server, "\0\0\0\0\0\0\0\3\0\0\0\0\0\0\0\0", 16);
+      return;
+    }
+  if (!server->is_well)
+    page = server->pages[server->page];
+  if (server->pages[server->page + 1] != NULL)
+    server->page++;
+  server->snapshot_requests++;
+  respond (server, page, strlen (page));
+}
+
 static void
 on_request (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
@@ -136,6 +169,11 @@
     return;
   server->awaits_response = true;
   server->requests++;
+  if (server->pages != NULL)
+    {
+      respond_with_page (server, strstr (buffer->base, "log-newest") != NULL);
+      return;
+    }
   if (strstr (buffer->base, "log-newest") != NULL)
     {
       if (server->requests > 1 || server->is_silent)
@@ -862,6 +900,46 @@
   close_watch (&server);
 }
 
+static const struct
+{
+  const char *name;
+  const char *pages[4];
+  const char *values; /* of the pages that are usable */
+} unusable_snapshots[] = {
+  { "no items, but truncated", { PAGE ("", "true") }, "" },
+  { "only unreadable items, but truncated", { PAGE ("7,null", "true") }, "" },
+};
+
+/* Guards against partial lists that count as whole, reads without a pause, and crashes.
+ */
+static void
+test_an_unusable_page_of_a_snapshot_is_read_again_after_a_pause (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (unusable_snapshots); i++)
+    {
+      StoreServer server
+          = { .values = g_string_new (NULL), .pages = unusable_snapshots[i].pages };
+      char *values = g_strconcat (unusable_snapshots[i].values, "a", NULL);
+      uint32_t failures = CU_get_number_of_failures ();
+
+      run_watch (&server);
+      CU_ASSERT_STRING_EQUAL (server.values->str, unusable_snapshots[i].values);
+      CU_ASSERT_TRUE (server.snapshot_requests > server.page + 1);
+      CU_ASSERT_TRUE (server.snapshot_requests <= server.page + MAX_REPEATED_READS);
+      CU_ASSERT_EQUAL (server.watch->offset, -1);
+      server.is_well = true;
+      for (uint32_t runs = 0; runs < MAX_FURTHER_RUNS && server.watch->offset < 0; runs++)
+        uv_run (&server.loop, UV_RUN_DEFAULT);
+      CU_ASSERT_EQUAL (server.watch->offset,
+                       limpet_log_position (platform_store_era (), 3));
+      CU_ASSERT_STRING_EQUAL (server.values->str, values);
+      g_free (values);
+      close_watch (&server);
+      if (CU_get_number_of_failures () > failures)
+        printf ("case failed: %s\n", unusable_snapshots[i].name);
+    }
+}
+
 void
 add_watch_tests (void)
 {
@@ -885,6 +963,7 @@
   CU_ADD_TEST (suite,
                test_a_state_compressed_before_the_clock_was_set_back_is_not_sent_again);
   CU_ADD_TEST (suite, test_outdated_responses_with_pauses_between_them_are_no_loss);
+  CU_ADD_TEST (suite, test_an_unusable_page_of_a_snapshot_is_read_again_after_a_pause);
   /* The eras stay known, so no other test of a watch may follow. */
   CU_ADD_TEST (suite, test_news_of_ever_later_eras_cause_few_reads);
 }
