--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -908,6 +908,12 @@
 } unusable_snapshots[] = {
   { "no items, but truncated", { PAGE ("", "true") }, "" },
   { "only unreadable items, but truncated", { PAGE ("7,null", "true") }, "" },
+  { "no items on a later page, but truncated",
+    { PAGE (ITEM ("\"k\""), "true"), PAGE ("", "true") },
+    "a" },
+  { "the same page again",
+    { PAGE (ITEM ("\"k\""), "true"), PAGE (ITEM ("\"k\""), "true") },
+    "a" },
 };
 
 /* Guards against partial lists that count as whole, reads without a pause, and crashes.
