--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -914,6 +914,14 @@
   { "the same page again",
     { PAGE (ITEM ("\"k\""), "true"), PAGE (ITEM ("\"k\""), "true") },
     "a" },
+  { "key null", { PAGE (ITEM ("null"), "false") }, "" },
+  { "key of wrong type", { PAGE (ITEM ("7"), "false") }, "" },
+  { "key missing", { PAGE ("{\"value\":\"YQ==\"}", "false") }, "" },
+  { "value null", { PAGE ("{\"key\":\"k\",\"value\":null}", "false") }, "" },
+  { "value of wrong type", { PAGE ("{\"key\":\"k\",\"value\":7}", "false") }, "" },
+  { "value missing", { PAGE ("{\"key\":\"k\"}", "false") }, "" },
+  { "item null", { PAGE (ITEM ("\"k\"") ",null", "false") }, "" },
+  { "item of wrong type", { PAGE (ITEM ("\"k\"") ",7", "false") }, "" },
 };
 
 /* Guards against partial lists that count as whole, reads without a pause, and crashes.
