--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -323,6 +323,7 @@
   .next_read_delay_ms = delay_of_single_read,
   .router_count = many_routers,
   .first_read_delay_ms = no_delay,
+  .behind_read_delay_ms = no_delay,
   .max_state_age_ms = max_state_age_ms,
   .state_age_ms = state_age_ms,
   .pick_router = pick_router,
@@ -922,6 +923,19 @@
   { "value missing", { PAGE ("{\"key\":\"k\"}", "false") }, "" },
   { "item null", { PAGE (ITEM ("\"k\"") ",null", "false") }, "" },
   { "item of wrong type", { PAGE (ITEM ("\"k\"") ",7", "false") }, "" },
+  { "truncated null", { PAGE (ITEM ("\"k\""), "null") }, "" },
+  { "truncated 0", { PAGE (ITEM ("\"k\""), "0") }, "" },
+  { "truncated 1", { PAGE (ITEM ("\"k\""), "1") }, "" },
+  { "truncated a text", { PAGE (ITEM ("\"k\""), "\"\"") }, "" },
+  { "truncated a list", { PAGE (ITEM ("\"k\""), "[true]") }, "" },
+  { "truncated missing", { "{\"items\":[" ITEM ("\"k\"") "],\"end\":3}" }, "" },
+  { "end null", { "{\"items\":[],\"truncated\":false,\"end\":null}" }, "" },
+  { "end a text", { "{\"items\":[],\"truncated\":false,\"end\":\"3\"}" }, "" },
+  { "end negative", { "{\"items\":[],\"truncated\":false,\"end\":-1}" }, "" },
+  { "end a fraction", { "{\"items\":[],\"truncated\":false,\"end\":2.5}" }, "" },
+  { "end missing", { "{\"items\":[],\"truncated\":false}" }, "" },
+  { "no page", { "[]" }, "" },
+  { "no JSON", { "<html>" }, "" },
 };
 
 /* Guards against partial lists that count as whole, reads without a pause, and crashes.
