--- a/test/test_snapshot_pages.py
+++ b/test/test_snapshot_pages.py
@@ -155,6 +155,10 @@
     ("items_of_wrong_type", b'{"items":{},"truncated":false,"end":0}'),
     ("truncated_without_items", b'{"items":[],"truncated":true,"end":9}'),
     ("truncated_without_key", b'{"items":[{"value":"YQ==","offset":0}],"truncated":true,"end":9}'),
+    ("truncated_missing", b'{"items":[],"end":9}'),
+    ("truncated_null", b'{"items":[],"truncated":null,"end":9}'),
+    ("truncated_of_wrong_type", b'{"items":[{"key":"b","value":"YQ==","offset":0}],"truncated":1,"end":9}'),
+    ("end_of_wrong_type", b'{"items":[],"truncated":false,"end":"9"}'),
 ]
 
 
