--- a/test/test_snapshot_pages.py
+++ b/test/test_snapshot_pages.py
@@ -249,3 +249,37 @@
         fleet.platform.store.alter_body = add_unreadable_entries
         start_beside_mark(fleet, "a")
         check_no_stream_goes_on(fleet)
+
+
+SERVERS_PATH = "log-newest?topic=keyed.servers"
+
+
+def add_to_items(entry):
+    """Returns what makes a page unusable by an entry beside the others."""
+    def alter(body):
+        page = json.loads(body)
+        page["items"].append(entry)
+        return json.dumps(page).encode()
+    return alter
+
+
+@table([("truncated_without_items", lambda body: b'{"items":[],"truncated":true,"end":9}'),
+        ("truncated_missing", lambda body: b'{"items":[],"end":9}'),
+        ("key_null", add_to_items({"key": None, "value": "YQ==", "offset": 0})),
+        ("value_null", add_to_items({"key": "s-00", "value": None, "offset": 0}))])
+def test_an_unusable_page_removes_no_known_server(alter):
+    """Guards against a snapshot that counts as complete without servers that are known."""
+    with PagedStore() as platform:
+        store = platform.store
+        store.alter_body = lambda path, body: alter(body) if SERVERS_PATH + "&part=0&after" in path else body
+        reads = store.count(SERVERS_PATH)
+        store.play_drill(LOST_S, AWAY_S)
+        time.sleep(STABLE_S)
+        reads = store.count(SERVERS_PATH) - reads
+        platform.check_servers([])
+        check("read_failed cause=\"unusable page" in platform.log())
+        check(4 <= reads <= 2 * MAX_READS, reads)
+        platform.change()
+        store.alter_body = lambda path, body: body
+        time.sleep(READABLE_AGAIN_S)
+        platform.check_servers([platform.paged[0], platform.paged[-1]])
