--- a/test/test_snapshot_pages.py
+++ b/test/test_snapshot_pages.py
@@ -251,6 +251,29 @@
         check_no_stream_goes_on(fleet)
 
 
+def test_pages_whose_keys_alternate_end_no_list_and_are_not_read_without_a_pause():
+    """Guards against a list that is read for ever, page after page, while the same keys come back."""
+    with VersionedFleet(routers=1, versions=("v1",)) as fleet:
+        platform, store = fleet.platform, fleet.platform.store
+        mark_as_mixed(store)
+
+        def alternate(path, body):
+            if LIST_PATH not in path:
+                return body
+            items = [{"key": "b" if "after=a" in path else "a", "value": "YQ==", "offset": 0}]
+            return json.dumps({"items": items, "truncated": True, "end": 9}).encode()
+
+        store.alter_body = alternate
+        before = registrations(store)
+        reads = store.count(LIST_PATH)
+        start_beside_mark(fleet, "a")
+        check_no_stream_goes_on(fleet)
+        reads = store.count(LIST_PATH) - reads
+        check(registrations(store) == before, "registered beside a list that it could not read")
+        check(platform.log().count(READ_FAILED) >= 2)
+        check(reads <= 3 * MAX_READS, reads)
+
+
 SERVERS_PATH = "log-newest?topic=keyed.servers"
 
 
