--- a/test/fleet.py
+++ b/test/fleet.py
@@ -135,6 +135,13 @@
         return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
+# Returns the highest resident memory of a process in MiB.
+def peak_mib(pid):
+    with open("/proc/%d/status" % pid) as file:
+        peak = [line for line in file if line.startswith("VmHWM")][0]
+    return int(peak.split()[1]) / 1024
+
+
 def program(name):
     return os.path.join(BUILD, name)
 
--- a/test/test_endless_bytes.py
+++ b/test/test_endless_bytes.py
@@ -86,9 +86,7 @@
 
 # Returns the highest resident memory of the first router.
 def peak_mib(platform):
-    with open("/proc/%d/status" % platform.routers[0]["process"].popen.pid) as file:
-        peak = [line for line in file if line.startswith("VmHWM")][0]
-    return int(peak.split()[1]) / 1024
+    return f.peak_mib(platform.routers[0]["process"].popen.pid)
 
 
 # Checks that the first router runs, in bounded memory, and has served the calls that it was asked for.
--- a/test/test_endless_bytes_own_interface.py
+++ b/test/test_endless_bytes_own_interface.py
@@ -91,13 +91,6 @@
 }
 
 
-# Returns the highest resident memory of a process in MiB.
-def peak_mib(pid):
-    with open("/proc/%d/status" % pid) as file:
-        peak = [line for line in file if line.startswith("VmHWM")][0]
-    return int(peak.split()[1]) / 1024
-
-
 class PressedFleet(f.Fleet):
     def bundle(self):
         bundle = super().bundle()
@@ -204,7 +197,7 @@
             thread.start()
         self.end.wait(PLAY_S)
         f.wait_for(lambda: self.asked >= MIN_SOUND_CALLS, "calls of the sound service", 10)
-        self.peak_mib = peak_mib(self.router["process"].popen.pid)
+        self.peak_mib = f.peak_mib(self.router["process"].popen.pid)
         self.runs = self.router["process"].popen.poll() is None
         self.end.set()
 
