Review: routers left by most others read the store late after a failure

Cause: a read of the store that fails is repeated after 50 to 100 ms for each known router, and routers that were killed count as known for 20 s. Nobody asks whether the others still run.

--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -8,6 +8,7 @@
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -53,11 +54,12 @@
 
 
 class Deployment:
-    def __init__(self, record, routes, max_fds=4100, memory_mb=260):
+    def __init__(self, record, routes, max_fds=4100, memory_mb=260, bounds=None):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.max_fds = max_fds
         self.memory_mb = memory_mb
+        self.bounds = dict(BOUNDS, **(bounds or {}))
         self.store = fake.Store()
         self.peer_port = f.free_port_range(4)
         self.routers = []
@@ -71,7 +73,7 @@
         self.routes = routes or self.routes
         self.store.put("keyed.op", "config", fake.configuration(self.version, self.routes, **more))
 
-    def add_router(self, seeds=()):
+    def add_router(self, seeds=(), waits=True):
         ip = "127.%d.%d.%d" % (random.randrange(1, 250), random.randrange(250),
                                random.randrange(1, 250))
         name = "front-%d" % (len(self.routers) + 1)
@@ -86,16 +88,16 @@
                     "listen": {"front": "%s:%d" % (ip, port), "ready": "%s:%d" % (ip, ready)},
                     "platform": {"address": "127.0.0.1:%d" % self.store.port, "form": "log",
                                  "writes_per_s": 400, "reads_per_s": 2000, "keep_s": 300},
-                    "bounds": BOUNDS}
+                    "bounds": self.bounds}
         path = os.path.join(self.folder, name + ".json")
         with open(path, "w") as file:
             json.dump(settings, file)
         router = {"name": name, "ip": ip, "port": port, "ready": ready, "settings": path}
         self.routers.append(router)
-        self.start_router(router)
+        self.start_router(router, waits)
         return router
 
-    def start_router(self, router):
+    def start_router(self, router, waits=True):
         log_path = os.path.join(self.folder, router["name"] + ".log")
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env["LIMPETROAD_BOOT"] = router["settings"]
@@ -104,9 +106,18 @@
         resource.prlimit(popen.pid, resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
         router.update(popen=popen, log_path=log_path)
         self.processes.append(popen)
+        if not waits:
+            return
         f.wait_for(lambda: fake.Platform.is_ready(None, router), router["name"] + " to be ready", 20)
         self.record.line("%s ready pid=%d" % (router["name"], popen.pid))
 
+    def metric(self, router, name):
+        """Returns the metric of a router whose line begins with name."""
+        with socket.create_connection((router["ip"], 9464), 1) as connection:
+            connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = fake.Message(connection.makefile("rb")).body.decode()
+        return sum(float(line.split()[-1]) for line in text.splitlines() if line.startswith(name))
+
     def log(self, router):
         with open(router["log_path"], errors="replace") as file:
             return file.read()
@@ -119,7 +130,6 @@
             popen.wait()
         self.store.listener.close()
         shutil.rmtree(self.folder, ignore_errors=True)
-        self.record.file.close()
 
 
 def run(folder, main):
