--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,7 +20,7 @@
 ROUNDS = 4       # streams that were cut twice; enough then
 KILL_AFTER_S = 0.4
 DOWN_S = 4.5
-LIMIT_S = 100
+LIMIT_S = 85
 
 
 class Servers:
