--- a/review/7/case.py
+++ b/review/7/case.py
@@ -46,7 +46,9 @@
 
     def kill(self, name):
         self.deployment.record.line("SIGKILL server %s" % name)
-        self.running.pop(name).kill()
+        popen = self.running.pop(name)
+        popen.kill()
+        popen.wait()
         self.down.append((time.monotonic() + DOWN_S, name.split("-")[1].rstrip("0123456789"), name))
 
     def restart(self):
