--- a/review/9/case.py
+++ b/review/9/case.py
@@ -117,6 +117,7 @@
         return judge(record, callers, revoked_at, server_record)
     finally:
         servers.kill()
+        servers.wait()
         deployment.close()
 
 
