--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -278,17 +278,18 @@
 {
   Connection *connection = g_new0 (Connection, 1);
   struct sockaddr_in address;
-  int code = 0;
+  int code;
 
   connection->client = client;
   client->connection = connection;
   limpet_http_reader_init (&connection->reader, true, MAX_RESPONSE_HEAD_BYTES,
                            &reader_ops, connection);
-  uv_tcp_init_ex (client->loop, &connection->tcp, AF_INET);
+  code = limpet_stream_init_socket (client->loop, &connection->tcp);
   connection->tcp.data = connection;
   connection->connect.data = connection;
-  uv_tcp_nodelay (&connection->tcp, 1);
-  if (client->source[0] != '\0')
+  if (code == 0)
+    uv_tcp_nodelay (&connection->tcp, 1);
+  if (code == 0 && client->source[0] != '\0')
     code = uv_ip4_addr (client->source, 0, &address);
   if (code == 0 && client->source[0] != '\0')
     code = uv_tcp_bind (&connection->tcp, (const struct sockaddr *)&address, 0);
--- a/src/liblimpetroad/exchange/datagram_port.c
+++ b/src/liblimpetroad/exchange/datagram_port.c
@@ -83,7 +83,7 @@
   port->handler = handler;
   port->user = user;
   port->open_handles = 3;
-  uv_udp_init_ex (loop, &port->udp, AF_INET);
+  uv_udp_init (loop, &port->udp); /* its socket is created when it is bound */
   uv_prepare_init (loop, &port->before_poll);
   uv_check_init (loop, &port->after_poll);
   port->udp.data = port;
--- a/src/liblimpetroad/exchange/stream_write.c
+++ b/src/liblimpetroad/exchange/stream_write.c
@@ -70,6 +70,17 @@
   return false;
 }
 
+int
+limpet_stream_init_socket (uv_loop_t *loop, uv_tcp_t *tcp)
+{
+  int code = uv_tcp_init_ex (loop, tcp, AF_INET);
+
+  /* A failure has taken the handle out of the loop, and to close it corrupts the loop. */
+  if (code != 0)
+    uv_tcp_init (loop, tcp);
+  return code;
+}
+
 bool
 limpet_stream_write_with_body (uv_stream_t *stream,
                                const char *head,
--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -307,13 +307,20 @@
   End *server = &tunnel->server;
   int code;
 
-  uv_tcp_init_ex (tunnel->exchange->loop, &server->tcp, AF_INET);
+  code = limpet_stream_init_socket (tunnel->exchange->loop, &server->tcp);
   server->tunnel = tunnel;
   server->tcp.data = server;
   server->is_open = true;
   set_owners (tunnel);
-  limpet_paths_set_target_options (&server->tcp);
   tunnel->connect.data = tunnel;
+  if (code != 0)
+    {
+      limpet_log (LIMPET_LOG_WARNING, "tunnel", tunnel->target->vm.id, "connect: %s",
+                  uv_strerror (code));
+      refuse (tunnel, LIMPET_TUNNEL_REFUSED); /* says nothing of the path to the target */
+      return;
+    }
+  limpet_paths_set_target_options (&server->tcp);
   code = limpet_paths_bind (tunnel->exchange, &server->tcp);
   if (code == 0)
     code = uv_ip4_addr (tunnel->target->vm.address, (int)tunnel->target->vm.port,
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -115,7 +115,8 @@
 {
   LimpetExchange *exchange = upstream->exchange;
 
-  if (upstream->relay_address != 0 || upstream->was_heard_since_send)
+  if (upstream->relay_address != 0 || upstream->was_heard_since_send
+      || (upstream->socket_error != 0 && !upstream->is_path_probe))
     return;
   if (upstream->is_path_probe)
     limpet_paths_record_probe (exchange, upstream->target, false);
@@ -518,6 +519,8 @@
       limpet_paths_record_probe (upstream->exchange, upstream->target, true);
       limpet_upstream_release (upstream, LIMPET_POOL_IDLE_MS);
     }
+  else if (upstream->socket_error != 0)
+    fail (upstream, LIMPET_STATUS_NO_PATH, uv_strerror (upstream->socket_error));
   else if (upstream->relay_address != 0 && !upstream->is_connected)
     fail_relay (upstream, "no reply in time");
   else
@@ -541,6 +544,25 @@
   return 0;
 }
 
+/* Returns 0 or a libuv error code. */
+static int
+start_connect (LimpetUpstream *upstream)
+{
+  struct sockaddr_in address;
+  int code;
+
+  if (upstream->relay_address != 0)
+    limpet_paths_set_router_options (&upstream->tcp);
+  else
+    limpet_paths_set_target_options (&upstream->tcp);
+  code = limpet_paths_bind (upstream->exchange, &upstream->tcp);
+  if (code == 0)
+    code = get_peer_address (upstream, &address);
+  return code != 0 ? code
+                   : uv_tcp_connect (&upstream->connect, &upstream->tcp,
+                                     (struct sockaddr *)&address, on_connected);
+}
+
 /* Starts to connect to address; relay_address: of the router that relays, or 0. If that
  * fails at once, the timer expires in the next iteration of the event loop and reports
  * the failure. */
@@ -548,7 +570,6 @@
 connect_to (LimpetExchange *exchange, LimpetTarget *target, uint32_t relay_address)
 {
   LimpetUpstream *upstream = g_new0 (LimpetUpstream, 1);
-  struct sockaddr_in address;
   int code;
 
   upstream->exchange = exchange;
@@ -559,22 +580,13 @@
   limpet_target_ref (target);
   limpet_http_reader_init (&upstream->reader, true, MAX_RESPONSE_HEAD_BYTES, &reader_ops,
                            upstream);
-  uv_tcp_init_ex (exchange->loop, &upstream->tcp, AF_INET);
+  upstream->socket_error = limpet_stream_init_socket (exchange->loop, &upstream->tcp);
   uv_timer_init (exchange->loop, &upstream->timer);
   upstream->tcp.data = upstream;
   upstream->timer.data = upstream;
   upstream->connect.data = upstream;
   upstream->relay_address = relay_address;
-  if (relay_address != 0)
-    limpet_paths_set_router_options (&upstream->tcp);
-  else
-    limpet_paths_set_target_options (&upstream->tcp);
-  code = limpet_paths_bind (exchange, &upstream->tcp);
-  if (code == 0)
-    code = get_peer_address (upstream, &address);
-  if (code == 0)
-    code = uv_tcp_connect (&upstream->connect, &upstream->tcp,
-                           (struct sockaddr *)&address, on_connected);
+  code = upstream->socket_error != 0 ? upstream->socket_error : start_connect (upstream);
   uv_timer_start (&upstream->timer, on_idle_or_connect_timeout,
                   code == 0 ? LIMPET_CONNECT_TIMEOUT_MS : 0, 0);
   return upstream;
--- a/src/liblimpetroad/private/stream_write.h
+++ b/src/liblimpetroad/private/stream_write.h
@@ -15,6 +15,11 @@
   void (*on_written) (uv_stream_t *stream);
 } LimpetStreamWriteOps;
 
+/* Initializes a handle and creates its socket. Returns 0 or a libuv error code. After a
+ * failure, e.g. for want of a descriptor, the handle is initialized without a socket: it
+ * has to be closed all the same, and must not be connected. */
+int limpet_stream_init_socket (uv_loop_t *loop, uv_tcp_t *tcp);
+
 /* Writes bytes to a stream. Bytes that the socket does not accept at once are copied and
  * queued. Returns false if the write fails at once; on_error is not called then. */
 bool limpet_stream_write (uv_stream_t *stream,
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -25,6 +25,7 @@
   LimpetMs idle_since_ms;
   uint32_t call_count;    /* calls sent on the connection */
   uint32_t skipped_count; /* interim responses and responses to other calls */
+  int socket_error;       /* libuv error code; the connection has a socket if it is 0 */
   int write_error;        /* libuv error code of a failed write; 0 if none failed */
   int open_handles;       /* handles whose close callback has not run yet */
   bool is_connected;
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -8,6 +8,7 @@
 {
   add_settings_tests ();
   add_byte_account_tests ();
+  add_descriptor_tests ();
   add_bundle_tests ();
   add_claim_tests ();
   add_policy_tests ();
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -6,6 +6,7 @@
 /* Each function adds one suite to the CUnit registry. */
 void add_settings_tests (void);
 void add_byte_account_tests (void);
+void add_descriptor_tests (void);
 void add_bundle_tests (void);
 void add_claim_tests (void);
 void add_policy_tests (void);
