--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -475,14 +475,19 @@
     limpet_quarantine_record_success (quarantine, &fingerprints, limpet_clock_boot_ms ());
 }
 
-/* Returns whether a stream broke off although its connection was closed in order: a
- * stream that only the close ends is complete if it ends after an event. */
-static bool
-is_broken_off (const LimpetTask *task)
+/* Returns why a stream that only the close of its connection ended may have broken off,
+ * or NULL. One that ends after an event is passed on with the same end, which does not
+ * tell its caller more than the router knows. That is impossible if an earlier response
+ * began the stream in chunks: the last chunk would claim that it is complete. */
+static const char *
+break_off_cause (const LimpetTask *task)
 {
-  return task->is_streaming && task->ends_with_close
-         && (!task->has_first_event
-             || (task->events.text != NULL && task->events.text->len > 0));
+  if (!task->is_streaming || !task->ends_with_close)
+    return NULL;
+  if (!task->has_first_event || (task->events.text != NULL && task->events.text->len > 0))
+    return "the stream ended inside an event";
+  return task->is_chunked_to_caller ? "a close does not prove that the stream is complete"
+                                    : NULL;
 }
 
 /* Ends an attempt whose response cannot be used. */
@@ -516,10 +521,11 @@
       limpet_task_attempt_not_run (task);
       return;
     }
-  if (is_broken_off (task))
+  cause = break_off_cause (task);
+  if (cause != NULL)
     {
       limpet_pending_crashes_add_disconnect (task);
-      fail_attempt (task, "the stream ended inside an event");
+      fail_attempt (task, cause);
       return;
     }
   if (is_success && !limpet_continuation_accepts_end (task))
--- a/test/test_stream_continuations.py
+++ b/test/test_stream_continuations.py
@@ -1,12 +1,14 @@
 """Streams that break off and go on at another server, whose response may not continue them."""
 
 import gzip
+import socket
 
 from platform_fake import Client, Message, Platform, break_off, chunk, event, route
 from run_all import table
 from test_platform import check, stream_events
 
 FIRST = 6   # events before the stream breaks off
+MIDDLE = 9  # event after which its second server crashes
 LAST = 12   # events of the whole stream
 ERROR = b'{"error":"bad"}'
 ERROR_EVENT = b"event: error\ndata: error\n\n"
@@ -148,6 +150,37 @@
         check(stream.continuations == expected_sends, stream.continuations)
 
 
+@table([("attempt_left", 3, LAST), ("no_attempt_left", 2, MIDDLE)])
+def test_a_continuation_that_only_the_close_ends_gets_no_last_chunk(max_attempts, last):
+    """Guards against a stream that looked complete although its last server had crashed after an event."""
+    firsts = []
+
+    def on_request(server, message, connection):
+        first = int(message.fields.get("last-event-id", 0)) + 1
+        firsts.append(first)
+        if first == 1:
+            stream_events(server, connection, message, first, FIRST, end=False)
+            break_off(connection)
+        if first == FIRST + 1:
+            connection.sendall(server.head(message, 200, EVENTS + "\r\n"))
+            connection.sendall(b"".join(event(n) for n in range(first, MIDDLE + 1)))
+            connection.shutdown(socket.SHUT_WR)  # as the kernel does for a process that is killed
+            raise OSError("crashed")
+        stream_events(server, connection, message, first, LAST)
+        return True
+
+    with Platform(routes=[route("resume", "/resume/", "streaming", "model", resumable=True,
+                                max_attempts=max_attempts)], start=False) as platform:
+        for _ in range(4):
+            platform.add_server("model", on_request=on_request)
+        platform.start()
+        with platform.client() as client:
+            client.send("/resume/", "POST", body=b"p")
+            body, is_complete = read_stream(client)
+    check(body == b"".join(event(n) for n in range(1, last + 1)), body, firsts)
+    check(is_complete == (last == LAST) and len(firsts) == max_attempts, is_complete, firsts)
+
+
 def test_a_stream_whose_events_have_no_ids_does_not_start_again():
     def on_request(server, message, connection):
         server.ran.append(1)
