--- a/include/limpetroad/counters.h
+++ b/include/limpetroad/counters.h
@@ -38,12 +38,14 @@
   LIMPET_COUNTER_QUARANTINED,     /**< attempts refused because of the quarantine */
   LIMPET_COUNTER_MEMORY_REFUSALS, /**< requests refused for want of memory */
   LIMPET_COUNTER_MEMORY_CUTS,     /**< calls and connections ended for want of memory */
-  LIMPET_COUNTER_RELAYED,         /**< attempts sent through another router */
-  LIMPET_COUNTER_TUNNELS,         /**< connections to targets relayed for other routers */
-  LIMPET_COUNTER_RELAY_FAILED,    /**< other routers that failed to relay an attempt */
-  LIMPET_COUNTER_CLOSE_ENDED,     /**< responses that only the end of the target's
-                                     connection ended, in order or not */
-  LIMPET_COUNTER_TOKENS,          /**< token events received from targets */
+  LIMPET_COUNTER_IDLE_CALLERS_CLOSED, /**< idle connections closed for new ones */
+  LIMPET_COUNTER_CALLERS_TURNED_AWAY, /**< connections closed at once: too many */
+  LIMPET_COUNTER_RELAYED,             /**< attempts sent through another router */
+  LIMPET_COUNTER_TUNNELS,      /**< connections to targets relayed for other routers */
+  LIMPET_COUNTER_RELAY_FAILED, /**< other routers that failed to relay an attempt */
+  LIMPET_COUNTER_CLOSE_ENDED,  /**< responses that only the end of the target's
+                                  connection ended, in order or not */
+  LIMPET_COUNTER_TOKENS,       /**< token events received from targets */
   LIMPET_COUNTER_OFF_FIRST_CHOICE, /**< exposed but never incremented */
   LIMPET_COUNTER_SLOW_MARKS,       /**< times that a target was marked as slow */
   LIMPET_COUNTER_BUNDLE_ROLLS,
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -110,6 +110,11 @@
 /** Returns the account of these bytes, in which the router's own calls are to be counted,
  *  too. It lives as long as the exchange. */
 LimpetByteAccount *limpet_exchange_byte_account (LimpetExchange *exchange);
+/** Sets how many sockets the process may have open; 0, the default, for any number. The
+ *  exchange leaves some of them to the other parts of the router. While its own part is
+ *  used up, it closes the connections that have been idle for longest, and turns callers
+ *  away if none is idle. */
+void limpet_exchange_set_max_sockets (LimpetExchange *exchange, uint32_t count);
 /** Sets the addresses of the routers that share the load, this one first. */
 void limpet_exchange_set_routers (LimpetExchange *exchange,
                                   const uint32_t *addresses,
--- a/src/liblimpetroad/exchange/caller.c
+++ b/src/liblimpetroad/exchange/caller.c
@@ -34,6 +34,28 @@
   g_free (caller);
 }
 
+static size_t
+backlog (const LimpetCaller *caller)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
+}
+
+/* Adds the connection to the idle ones, or removes it. */
+static void
+update_idle (LimpetCaller *caller)
+{
+  GQueue *queue = &caller->exchange->idle_callers;
+  bool is_idle = !caller->is_closed && !caller->is_lingering && caller->task == NULL
+                 && !caller->reader.started && caller->pipelined == NULL
+                 && backlog (caller) == 0;
+
+  if (is_idle && !caller->is_idle)
+    g_queue_push_tail_link (queue, &caller->idle_link);
+  else if (!is_idle && caller->is_idle)
+    g_queue_unlink (queue, &caller->idle_link);
+  caller->is_idle = is_idle;
+}
+
 /* Closes the connection, with a TCP reset if by_reset is set. */
 static void
 close_connection (LimpetCaller *caller, bool by_reset)
@@ -43,6 +65,8 @@
   if (caller->is_closed)
     return;
   caller->is_closed = true;
+  caller->exchange->open_connections--;
+  update_idle (caller);
   limpet_read_turn_cancel (&caller->turn);
   caller->task = NULL;
   g_queue_unlink (&caller->exchange->callers, &caller->link);
@@ -75,12 +99,6 @@
   g_free (request);
 }
 
-static size_t
-backlog (const LimpetCaller *caller)
-{
-  return uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
-}
-
 /* A small head does not count, as the connection does not: thousands of callers that send
  * theirs slowly would have the requests of others refused. */
 static size_t
@@ -109,6 +127,7 @@
   uv_shutdown_t *request = g_new0 (uv_shutdown_t, 1);
 
   caller->is_lingering = true;
+  update_idle (caller);
   caller->wait_start_ms = limpet_clock_mono_ms ();
   limpet_http_reader_next (&caller->reader); /* no further request is read */
   count_held_bytes (caller);
@@ -140,6 +159,7 @@
     limpet_upstream_pause (caller->task->upstream, false);
   else if (caller->awaits_written)
     continue_reading (caller);
+  update_idle (caller);
 }
 
 static const LimpetStreamWriteOps write_ops
@@ -373,7 +393,10 @@
     process_input (caller, buffer->base, (size_t)count);
   else if (count < 0)
     limpet_caller_close (caller);
-  if (count > 0 && !caller->is_closed)
+  if (caller->is_closed)
+    return;
+  update_idle (caller);
+  if (count > 0)
     limpet_read_turn_end_if_full (&caller->turn, (size_t)count, buffer->len);
 }
 
@@ -436,15 +459,18 @@
     }
   else
     continue_reading (caller);
+  update_idle (caller);
 }
 
 void
 limpet_caller_accept (LimpetExchange *exchange)
 {
+  bool is_admitted = limpet_connections_admit_caller (exchange);
   LimpetCaller *caller = g_new0 (LimpetCaller, 1);
 
   caller->exchange = exchange;
   caller->link.data = caller;
+  caller->idle_link.data = caller;
   limpet_read_turn_init (&caller->turn, &exchange->read_turns, end_turn, begin_turn,
                          caller);
   caller->wait_start_ms = limpet_clock_mono_ms ();
@@ -453,7 +479,9 @@
   uv_tcp_init (exchange->loop, &caller->tcp);
   caller->tcp.data = caller;
   g_queue_push_tail_link (&exchange->callers, &caller->link);
-  if (uv_accept ((uv_stream_t *)&exchange->listener, (uv_stream_t *)&caller->tcp) != 0)
+  exchange->open_connections++;
+  if (uv_accept ((uv_stream_t *)&exchange->listener, (uv_stream_t *)&caller->tcp) != 0
+      || !is_admitted)
     {
       limpet_caller_close (caller);
       return;
@@ -463,6 +491,7 @@
   limpet_byte_holder_set_owner (&caller->holder, LIMPET_BYTE_OWNER_CALLER,
                                 limpet_stream_peer_address (&caller->tcp));
   start_reading (caller);
+  update_idle (caller);
 }
 
 /* Closes the connection once the caller has acknowledged the last response and had time
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -74,6 +74,8 @@
   exchange->durations = limpet_call_durations_new ();
   exchange->account = limpet_byte_account_new (DEFAULT_HELD_BYTES);
   g_queue_init (&exchange->callers);
+  g_queue_init (&exchange->idle_callers);
+  g_queue_init (&exchange->idle_upstreams);
   g_queue_init (&exchange->tasks);
   g_queue_init (&exchange->pending_crashes);
   g_queue_init (&exchange->awaiting_origin);
@@ -415,6 +417,7 @@
                           limpet_byte_account_held (exchange->account));
   g_string_append_printf (out, "limpetroad_held_bytes_budget %zu\n",
                           limpet_byte_account_budget (exchange->account));
+  limpet_connections_render_metrics (exchange, out);
   limpet_paths_render_metrics (exchange, out);
   g_string_append_printf (out, "limpetroad_tunnels %u\n", exchange->tunnels.length);
   for (int i = 0; i < LIMPET_ROUTE_KIND_COUNT; i++)
--- a/src/liblimpetroad/exchange/tunnel.c
+++ b/src/liblimpetroad/exchange/tunnel.c
@@ -86,6 +86,7 @@
   if (!end->is_open)
     return;
   end->tunnel->open_handles++;
+  end->tunnel->exchange->open_connections--;
   uv_close ((uv_handle_t *)&end->tcp, on_end_closed);
 }
 
@@ -311,6 +312,7 @@
   server->tunnel = tunnel;
   server->tcp.data = server;
   server->is_open = true;
+  tunnel->exchange->open_connections++;
   set_owners (tunnel);
   tunnel->connect.data = tunnel;
   if (code != 0)
@@ -353,7 +355,8 @@
   if (target == NULL || atomic_load (&target->leaving)
       || limpet_target_is_resting (target, limpet_clock_mono_ms ())
       || exchange->is_draining || limpet_paths_are_isolated (exchange, target)
-      || exchange->tunnels.length > MAX_TUNNELS)
+      || exchange->tunnels.length > MAX_TUNNELS
+      || !limpet_connections_admit_tunnel (exchange))
     {
       refuse (tunnel, LIMPET_TUNNEL_REFUSED);
       return;
@@ -409,6 +412,7 @@
   tunnel->router.tcp.data = &tunnel->router;
   tunnel->timer.data = tunnel;
   g_queue_push_tail_link (&exchange->tunnels, &tunnel->link);
+  exchange->open_connections++;
   if (uv_accept (listener, (uv_stream_t *)&tunnel->router.tcp) != 0)
     {
       close_tunnel (tunnel);
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -67,6 +67,23 @@
   return target->pool;
 }
 
+static void
+enter_pool (LimpetUpstream *upstream)
+{
+  upstream->is_idle = true;
+  upstream->idle_since_ms = limpet_clock_mono_ms ();
+  g_queue_push_head_link (&pool_of (upstream->target)->idle, &upstream->link);
+  g_queue_push_tail_link (&upstream->exchange->idle_upstreams, &upstream->idle_link);
+}
+
+static void
+leave_pool (LimpetUpstream *upstream)
+{
+  upstream->is_idle = false;
+  g_queue_unlink (&pool_of (upstream->target)->idle, &upstream->link);
+  g_queue_unlink (&upstream->exchange->idle_upstreams, &upstream->idle_link);
+}
+
 void
 limpet_upstream_close (LimpetUpstream *upstream)
 {
@@ -79,8 +96,9 @@
   if (upstream->is_trial)
     limpet_paths_cancel_trial (upstream->exchange, upstream->target);
   if (upstream->is_idle)
-    g_queue_unlink (&pool_of (upstream->target)->idle, &upstream->link);
-  upstream->is_idle = false;
+    leave_pool (upstream);
+  if (upstream->socket_error == 0)
+    upstream->exchange->open_connections--;
   upstream->open_handles = 2;
   uv_close ((uv_handle_t *)&upstream->timer, on_handle_closed);
   uv_close ((uv_handle_t *)&upstream->tcp, on_handle_closed);
@@ -563,6 +581,23 @@
                                      (struct sockaddr *)&address, on_connected);
 }
 
+/* A connection beyond the limit gets no socket, as if none could be created. */
+static void
+init_socket (LimpetUpstream *upstream)
+{
+  LimpetExchange *exchange = upstream->exchange;
+
+  if (limpet_connections_admit_upstream (exchange))
+    upstream->socket_error = limpet_stream_init_socket (exchange->loop, &upstream->tcp);
+  else
+    {
+      upstream->socket_error = UV_EMFILE;
+      uv_tcp_init (exchange->loop, &upstream->tcp);
+    }
+  if (upstream->socket_error == 0)
+    exchange->open_connections++;
+}
+
 /* Starts to connect to address; relay_address: of the router that relays, or 0. If that
  * fails at once, the timer expires in the next iteration of the event loop and reports
  * the failure. */
@@ -575,12 +610,13 @@
   upstream->exchange = exchange;
   upstream->target = target;
   upstream->link.data = upstream;
+  upstream->idle_link.data = upstream;
   limpet_read_turn_init (&upstream->turn, &exchange->read_turns, stop_reading,
                          resume_reading, upstream);
   limpet_target_ref (target);
   limpet_http_reader_init (&upstream->reader, true, MAX_RESPONSE_HEAD_BYTES, &reader_ops,
                            upstream);
-  upstream->socket_error = limpet_stream_init_socket (exchange->loop, &upstream->tcp);
+  init_socket (upstream);
   uv_timer_init (exchange->loop, &upstream->timer);
   upstream->tcp.data = upstream;
   upstream->timer.data = upstream;
@@ -621,8 +657,7 @@
   /* The first connection was used last: if it has been idle for too long, so have all. */
   if (upstream == NULL || upstream->idle_since_ms < min_idle_since_ms)
     return connect_upstream (exchange, target);
-  g_queue_unlink (&pool->idle, &upstream->link);
-  upstream->is_idle = false;
+  leave_pool (upstream);
   uv_timer_stop (&upstream->timer);
   return upstream;
 }
@@ -713,9 +748,7 @@
       return;
     }
   limpet_http_reader_next (&upstream->reader);
-  upstream->is_idle = true;
-  upstream->idle_since_ms = limpet_clock_mono_ms ();
-  g_queue_push_head_link (&pool_of (upstream->target)->idle, &upstream->link);
+  enter_pool (upstream);
   uv_timer_start (&upstream->timer, on_idle_or_connect_timeout, (uint64_t)max_idle_ms, 0);
 }
 
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -25,6 +25,7 @@
  *   stream_end.c     whether the end of a connection was orderly
  *   paths.c          own links to the targets, or other routers while these are cut
  *   held_bytes.c     ends what holds most while the memory for others is used up
+ *   connections.c    limits connections, and closes idle ones for new ones
  *   tunnel.c         connections to targets for routers whose own links are cut
  *   pending_crashes.c  broken calls, until it shows whether their target has crashed
  */
@@ -70,6 +71,10 @@
   GQueue read_turns;         /* see read_turn.h */
   uv_timer_t periodic_timer; /* checks callers' time-outs, calls the dispatcher's tick */
   GQueue callers;            /* of LimpetCaller */
+  GQueue idle_callers;       /* those without a request, longest idle first */
+  GQueue idle_upstreams;     /* those in the pools of all targets, longest idle first */
+  uint32_t open_connections; /* to callers, targets and, for tunnels, other routers */
+  uint32_t max_connections;  /* 0 for any number */
   GQueue tasks;              /* of LimpetTask, until they finish */
   GQueue pending_crashes;    /* broken calls, see pending_crashes.c */
   LimpetStreamOrigins *stream_origins; /* borrowed; NULL if there are none */
@@ -106,6 +111,7 @@
   LimpetExchange *exchange;
   uv_tcp_t tcp;
   GList link;
+  GList idle_link; /* in idle_callers if is_idle is set */
   LimpetHttpReader reader;
   LimpetTask *task; /* current request, from its head to its response; NULL if none */
   GByteArray *pipelined; /* bytes received after the current request; NULL if none */
@@ -117,6 +123,7 @@
   /* Start of the wait for a request, for the rest of it or for the caller to close. */
   LimpetMs wait_start_ms;
   bool is_reading;
+  bool is_idle;      /* has no request, nor bytes of one or of a response */
   bool is_lingering; /* the last response was written; waits for the caller to close */
   bool is_closed;
 };
@@ -186,6 +193,7 @@
                                    const char *source);
 
 /* caller.c */
+/* Accepts the connection that waits, and closes it at once if there are too many. */
 void limpet_caller_accept (LimpetExchange *exchange);
 void limpet_caller_close (LimpetCaller *caller);
 /* Closes the connection with a TCP reset, so that a response that ends with the
@@ -339,6 +347,15 @@
 void limpet_pending_crashes_probe_group (LimpetExchange *exchange, const char *group);
 void limpet_pending_crashes_clear (LimpetExchange *exchange);
 
+/* connections.c */
+/* Return whether a connection may be accepted from a caller, opened to a target, or
+ * accepted and opened for another router. The first two close idle connections if there
+ * are too many. */
+bool limpet_connections_admit_caller (LimpetExchange *exchange);
+bool limpet_connections_admit_upstream (LimpetExchange *exchange);
+bool limpet_connections_admit_tunnel (const LimpetExchange *exchange);
+void limpet_connections_render_metrics (const LimpetExchange *exchange, GString *out);
+
 /* held_bytes.c */
 /* While more is held than the budget, ends the call or connection that holds most. */
 void limpet_held_bytes_check (LimpetExchange *exchange);
--- a/src/liblimpetroad/private/upstream.h
+++ b/src/liblimpetroad/private/upstream.h
@@ -12,6 +12,7 @@
   LimpetTarget *target; /* owns a reference */
   LimpetTask *task;     /* NULL while idle */
   GList link;           /* in the pool of idle connections */
+  GList idle_link;      /* in the idle connections to all targets */
   uv_tcp_t tcp;
   uv_timer_t timer; /* connect time-out or idle time-out */
   uv_connect_t connect;
--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import struct
@@ -423,10 +424,12 @@
 
     As a context manager it ends the routers and closes the listeners."""
 
-    def __init__(self, routers=1, routes=None, start=True, memory_mb=160, **limits):
-        """limits: of the configuration."""
+    def __init__(self, routers=1, routes=None, start=True, memory_mb=160, max_fds=None, **limits):
+        """max_fds: descriptors of each router, for its settings and as a limit of its process; limits: of the
+        configuration."""
         self.directory = f.tempfile.mkdtemp(prefix="limpet-platform-")
         self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self.store = Store()
         self.second_store = None
         self.servers = []
@@ -489,7 +492,7 @@
         port, ready = self.free_ports()
         settings = {"node": name, "zone": "z", "ip": ip,
                     "port_range": [self.peer_port, self.peer_port + PEER_PORTS - 1],
-                    "beat_interval_ms": 1200, "limits": {"memory_mb": self.memory_mb},
+                    "beat_interval_ms": 1200, "limits": self.process_limits(),
                     "seeds": ["%s:%d" % (seed, self.peer_port) for seed in seeds],
                     "listen": {"front": "%s:%d" % (ip, port), "ready": "%s:%d" % (ip, ready)},
                     "platform": {"address": "127.0.0.1:%d" % (store or self.store).port},
@@ -501,10 +504,18 @@
                   "process": f.Process([f.program("limpetplatformd"), path],
                                        os.path.join(self.directory, name + ".log"))}
         self.routers.append(router)
+        if self.max_fds:
+            resource.prlimit(router["process"].popen.pid, resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds))
         if wait:
             f.wait_for(lambda: self.is_ready(router), name + " to be ready")
         return router
 
+    def process_limits(self):
+        limits = {"memory_mb": self.memory_mb}
+        if self.max_fds:
+            limits["max_fds"] = self.max_fds
+        return limits
+
     # Returns ports for callers and for readiness. The peer ports look free: they are in use at the
     # addresses of other routers only.
     def free_ports(self):
