--- a/include/limpetroad/http_head.h
+++ b/include/limpetroad/http_head.h
@@ -31,8 +31,10 @@
   const char *method; /**< of a request */
   const char *target; /**< path and query of a request */
   int status;         /**< of a response */
-  int minor_version;  /**< 0 for HTTP/1.0, 1 for HTTP/1.1 */
-  bool keep_alive;    /**< the sender keeps the connection open after the message */
+  /** The status code of the response has three digits and is from 100 to 599. */
+  bool has_valid_status;
+  int minor_version; /**< 0 for HTTP/1.0, 1 for HTTP/1.1 */
+  bool keep_alive;   /**< the sender keeps the connection open after the message */
   bool is_chunked;
   int64_t content_length; /**< in bytes; -1 if the message has no such field */
   LimpetHttpField fields[LIMPET_HTTP_MAX_FIELDS];
--- a/src/liblimpetroad/exchange/async_client.c
+++ b/src/liblimpetroad/exchange/async_client.c
@@ -142,8 +142,7 @@
 on_head (void *user, const LimpetHttpHead *head)
 {
   (void)user;
-  (void)head;
-  return true;
+  return head->has_valid_status;
 }
 
 static bool
--- a/src/liblimpetroad/exchange/http_reader.c
+++ b/src/liblimpetroad/exchange/http_reader.c
@@ -5,6 +5,10 @@
 #include <string.h>
 #include <strings.h>
 
+/* Places of the status code in a status line: "HTTP/1.1 200 OK". */
+#define STATUS_CODE_BEGIN 9
+#define STATUS_CODE_END 12
+
 /* Fields that concern only one connection (RFC 9110, section 7.6.1). Content-Length is
  * included because the router frames the body itself on each connection, and Expect
  * because the router sends the 100 response itself. */
@@ -171,6 +175,7 @@
     }
   head->method = http_method_str ((enum http_method)parser->method);
   head->status = (int)parser->status_code;
+  head->has_valid_status = reader->is_response && !reader->has_invalid_status;
   head->minor_version = parser->http_minor;
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->is_chunked = (parser->flags & F_CHUNKED) != 0;
@@ -223,6 +228,8 @@
   limpet_http_reader_drop_head (reader);
   reader->offsets_count = 0;
   reader->head_bytes = 0;
+  reader->status_line_bytes = 0;
+  reader->has_invalid_status = false;
   reader->framing_bytes = 0;
   reader->in_value = false;
   reader->started = false;
@@ -293,6 +300,29 @@
   return true;
 }
 
+/* Checks the bytes of a status code that a part of a head contains: three digits, from
+ * 100 to 599 (RFC 9110, section 15). The parser library accepts others, and leading
+ * zeros. */
+static void
+check_status_code (LimpetHttpReader *reader, const char *data, size_t length)
+{
+  for (size_t i = 0; i < length && reader->status_line_bytes <= STATUS_CODE_END; i++)
+    {
+      char byte = data[i];
+      size_t place = reader->status_line_bytes;
+
+      if (place == 0 && (byte == '\r' || byte == '\n'))
+        continue; /* an empty line before the message */
+      reader->status_line_bytes++;
+      if ((place == STATUS_CODE_BEGIN - 1 && byte != ' ')
+          || (place == STATUS_CODE_BEGIN && (byte < '1' || byte > '5'))
+          || (place > STATUS_CODE_BEGIN && place < STATUS_CODE_END
+              && !g_ascii_isdigit (byte))
+          || (place == STATUS_CODE_END && byte != ' ' && byte != '\r'))
+        reader->has_invalid_status = true;
+    }
+}
+
 /* Returns how many bytes of data to parse next as part of the head: up to the blank line
  * that ends the head if data contains it, else length. Returns at most 1 if the last byte
  * parsed was a CR or LF, because the blank line may then have begun before data, and if
@@ -344,6 +374,8 @@
                   "head contains a NUL or a line that does not end with CR LF");
           if (reader->error != NULL)
             return LIMPET_HTTP_ERROR;
+          if (reader->is_response)
+            check_status_code (reader, at, part_length);
         }
       reader->body_seen = !reader->head_done;
       parsed = http_parser_execute (&reader->parser, &reader->callbacks, at, part_length);
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -128,6 +128,8 @@
   LimpetExchange *exchange = task->exchange;
   LimpetMs now_ms = limpet_clock_mono_ms ();
 
+  if (!head->has_valid_status)
+    return "invalid status code";
   task->response = (LimpetTargetResponse){ .status = head->status };
   if (head->status / 100 == 1)
     return NULL;
--- a/src/liblimpetroad/private/http_reader.h
+++ b/src/liblimpetroad/private/http_reader.h
@@ -40,11 +40,13 @@
   GString *text;   /* request target, field names and values, each ended by a NUL */
   size_t *offsets; /* offsets in text: name, value, name, value, … */
   uint32_t offsets_count;
-  size_t head_bytes;    /* bytes of the head read so far */
-  size_t head_limit;    /* maximum of head_bytes, and of framing_bytes */
-  size_t framing_bytes; /* of chunks and trailers, since the last byte of the body */
-  bool in_value;        /* the last bytes parsed belong to a field value */
-  bool started;         /* a byte of the message has arrived */
+  size_t head_bytes;        /* bytes of the head read so far */
+  size_t status_line_bytes; /* of a response, up to the byte after the status code */
+  size_t head_limit;        /* maximum of head_bytes, and of framing_bytes */
+  size_t framing_bytes;     /* of chunks and trailers, since the last byte of the body */
+  bool has_invalid_status;
+  bool in_value; /* the last bytes parsed belong to a field value */
+  bool started;  /* a byte of the message has arrived */
   bool head_done;
   bool body_seen; /* the bytes parsed last contained a part of the body */
   bool complete;
--- a/src/test_liblimpetroad/http_tests.c
+++ b/src/test_liblimpetroad/http_tests.c
@@ -15,6 +15,7 @@
   GString *body;
   uint32_t head_count;
   int64_t content_length;
+  bool has_valid_status;
   char field[64];
 } Message;
 
@@ -26,6 +27,7 @@
 
   message->head_count++;
   message->content_length = head->content_length;
+  message->has_valid_status = head->has_valid_status;
   g_strlcpy (message->field, field != NULL ? field : "", sizeof message->field);
   return true;
 }
@@ -175,6 +177,42 @@
   g_string_free (message.body, TRUE);
 }
 
+/* Guards against a response with status 000 that callers got as it was. */
+static void
+test_status_codes_that_do_not_exist_are_recognised (void)
+{
+  static const struct
+  {
+    const char *begin;
+    bool is_valid;
+  } rows[] = {
+    { "HTTP/1.1 200 OK\r\n", true },  { "HTTP/1.0 100 \r\n", true },
+    { "HTTP/1.1 599\r\n", true },     { "\r\nHTTP/1.1 404 x\r\n", true },
+    { "HTTP/1.1 000 x\r\n", false },  { "HTTP/1.1 001 x\r\n", false },
+    { "HTTP/1.1 099 x\r\n", false },  { "HTTP/1.1 600 x\r\n", false },
+    { "HTTP/1.1 999 x\r\n", false },  { "HTTP/1.1 20 x\r\n", false },
+    { "HTTP/1.1 2\r\n", false },      { "HTTP/1.1 0200 x\r\n", false },
+    { "HTTP/1.1  200 x\r\n", false }, { "\r\nHTTP/1.1 000 x\r\n", false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *text = g_strconcat (rows[i].begin, "Content-Length: 0\r\n\r\n", NULL);
+
+      for (size_t part_size = 1; part_size <= strlen (text); part_size++)
+        {
+          Message message;
+          LimpetHttpProgress progress
+              = read_in_parts (text, strlen (text), part_size, true, &message);
+
+          CU_ASSERT_EQUAL (progress == LIMPET_HTTP_COMPLETE && message.has_valid_status,
+                           rows[i].is_valid);
+          g_string_free (message.body, TRUE);
+        }
+      g_free (text);
+    }
+}
+
 static void
 test_bytes_after_a_message_are_not_consumed (void)
 {
@@ -351,6 +389,7 @@
     { "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Name: a\r\n\r\n", true },
     { "HHTTP/HTTP/1.HTTP/1.1 20HTTP/1.1 200 OK\r\n",
       "HTTP/1.1 200 OK\r\nX-Name: a\r\n\r\n", true },
+    { "body", "HTTP/1.1 000 \r\nX-Name: a\r\n\r\n", true },
     { "HTTP/1.1 200 OK\nX-Name: a\n\n", "", false },
     { "HTTP/1.1 200 OK\r\nX-Name: a\r\n", "", false },
     { "HTTP/1.1 200 OK is text; so is HTTP/1", "", false },
@@ -467,6 +506,7 @@
   CU_ADD_TEST (suite, test_a_scanned_body_that_was_passed_on_keeps_no_memory);
   CU_ADD_TEST (suite, test_events_that_were_passed_on_keep_no_memory);
   CU_ADD_TEST (suite, test_a_connection_keeps_no_memory_for_a_head_that_was_used);
+  CU_ADD_TEST (suite, test_status_codes_that_do_not_exist_are_recognised);
   CU_ADD_TEST (suite, test_bytes_after_a_message_are_not_consumed);
   CU_ADD_TEST (suite, test_corrupted_messages_are_handled_safely);
   CU_ADD_TEST (suite, test_hop_by_hop_fields_are_not_forwarded);
--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -14,6 +14,7 @@
 from platform_fake import Platform, event, reset, route
 from run_all import table
 from test_answer_ends import read_all
+from test_endless_bytes_own_interface import SERVICE, Pressure
 from test_isolated_routers import ROUTERS, Caller, IsolatedFleet
 from test_platform import check
 
@@ -267,6 +268,78 @@
             check_end(client, SMALL, "reset")
 
 
+class EarlyResets(RelayedResponses):
+    """Servers that answer uploads through a relay early, which stands still meanwhile, and reset."""
+
+    def serve(self, server, connection):
+        router = self.router_of(connection)
+        if not self.is_tested or self.is_isolated(router):
+            super().serve(server, connection)
+            return
+        message = read_head(connection)
+        time.sleep(0.1)  # the relay has queued a part of the upload
+        connection.sendall(early_head(server, message, ""))
+        with stopped(self.platform.routers[router]):
+            connection.sendall(SMALL[0])
+            reset(connection)
+
+    def start_uploads(self):
+        self.platform.configure(max_body_bytes=2 * UPLOAD_BYTES)
+        for router in range(ROUTERS):
+            f.wait_for(lambda: self.upload(router).read().status == 200, "the configuration")
+        for server in self.platform.servers:
+            server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        self.isolate()
+
+    def upload(self, router):
+        client = self.platform.client(router)
+        client.send("/unsafe/1", "POST", body=b"x" * UPLOAD_BYTES, fields=CLOSE)
+        return client
+
+
+def test_a_relayed_response_that_is_reset_during_the_upload_does_not_look_complete():
+    with EarlyResets(None) as fleet:
+        fleet.start_uploads()
+        for _ in range(8):
+            with fleet.upload(0) as client:
+                check_end(client, SMALL, "reset")
+
+
+class EarlyServices(Pressure):
+    """Services of the own interface that answer before they have read the upload. reset: a part of a response without a
+    length, then a reset; whole: a response with a length."""
+
+    def __init__(self, part, end):
+        super().__init__("early")
+        self.part = part
+        self.end_of_response = end
+
+    def respond(self, connection):
+        head = read_head(connection).lower()
+        attempt_id = head.split("x-attempt-id: ")[1].split("\r\n")[0] if "x-attempt-id" in head else ""
+        fields = ("Connection: close\r\nContent-Length: %d\r\n" % len(self.part)
+                  if self.end_of_response == "whole" else "")
+        connection.sendall(("HTTP/1.1 200 X\r\nX-Attempt-Id: %s\r\n%s\r\n" % (attempt_id, fields)).encode() + self.part)
+        if self.end_of_response == "reset":
+            time.sleep(0.02)
+            reset(connection)
+            raise OSError("reset")
+        while connection.recv(65536):
+            pass
+
+
+@table([("%s_%s" % (size, end), part, end) for size, part in (("small", SMALL[0]), ("large", LARGE[0]))
+        for end in ("reset", "whole")])
+def test_a_response_that_is_reset_during_the_upload_does_not_look_complete_at_the_own_interface(part, end):
+    with EarlyServices(part, end) as services:
+        for _ in range(8):
+            status, headers, body = f.request(services.router["port"], "POST", SERVICE, b"x" * (UPLOAD_BYTES // 4),
+                                              {"Authorization": "Bearer " + services.fleet.key("team-0")})
+            expected = (504, "unknown") if end == "reset" else (200, "done")
+            check((status, headers["X-Outcome"]) == expected, status, headers, len(body))
+            check(end == "reset" or body.encode() == part, len(body))
+
+
 def test_a_relayed_response_with_a_length_is_whole_though_its_server_resets_during_the_upload():
     body = b"a" * 200000
 
