--- a/test/test_responses_ended_by_close.py
+++ b/test/test_responses_ended_by_close.py
@@ -268,40 +268,48 @@
             check_end(client, SMALL, "reset")
 
 
-class EarlyResets(RelayedResponses):
-    """Servers that answer uploads through a relay early, which stands still meanwhile, and reset."""
+class EarlyResponses(RelayedResponses):
+    """Servers that answer uploads through a relay early: respond_early(server, connection, request, relay) sends the
+    response, and ends the connection."""
+
+    def __init__(self, respond_early):
+        self.respond_early = respond_early
+        super().__init__(None)
 
     def serve(self, server, connection):
         router = self.router_of(connection)
         if not self.is_tested or self.is_isolated(router):
             super().serve(server, connection)
             return
-        message = read_head(connection)
+        request = read_head(connection)
         time.sleep(0.1)  # the relay has queued a part of the upload
-        connection.sendall(early_head(server, message, ""))
-        with stopped(self.platform.routers[router]):
-            connection.sendall(SMALL[0])
-            reset(connection)
+        self.respond_early(server, connection, request, self.platform.routers[router])
 
-    def start_uploads(self):
+    def isolate(self):
         self.platform.configure(max_body_bytes=2 * UPLOAD_BYTES)
         for router in range(ROUTERS):
             f.wait_for(lambda: self.upload(router).read().status == 200, "the configuration")
         for server in self.platform.servers:
             server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-        self.isolate()
+        super().isolate()
 
-    def upload(self, router):
+    def upload(self, router, fields=()):
+        """Sends an upload on a new connection, which it returns."""
         client = self.platform.client(router)
-        client.send("/unsafe/1", "POST", body=b"x" * UPLOAD_BYTES, fields=CLOSE)
+        client.send("/unsafe/1", "POST", body=b"x" * UPLOAD_BYTES, fields=fields)
         return client
 
 
 def test_a_relayed_response_that_is_reset_during_the_upload_does_not_look_complete():
-    with EarlyResets(None) as fleet:
-        fleet.start_uploads()
+    def respond(server, connection, request, relay):
+        connection.sendall(early_head(server, request, ""))
+        with stopped(relay):
+            connection.sendall(SMALL[0])
+            reset(connection)
+    with EarlyResponses(respond) as fleet:
+        fleet.isolate()
         for _ in range(8):
-            with fleet.upload(0) as client:
+            with fleet.upload(0, CLOSE) as client:
                 check_end(client, SMALL, "reset")
 
 
@@ -343,32 +351,18 @@
 def test_a_relayed_response_with_a_length_is_whole_though_its_server_resets_during_the_upload():
     body = b"a" * 200000
 
-    class EarlyResponses(RelayedResponses):
-        def serve(self, server, connection):
-            router = self.router_of(connection)
-            if not self.is_tested or self.is_isolated(router):
-                super().serve(server, connection)
-                return
-            message = read_head(connection)
-            time.sleep(0.1)  # the relay has queued a part of the upload
-            with stopped(self.platform.routers[0]):
-                connection.sendall(early_head(server, message, "Content-Length: %d\r\n" % len(body)) + body)
-                time.sleep(0.2)  # the relay has it, and the router's socket has no room for all of it
-                reset(connection)
-                time.sleep(0.2)
-
-    def upload(router):
-        with fleet.platform.client(router) as client:
-            return client.call("/unsafe/1", "POST", body=b"x" * UPLOAD_BYTES)
-    with EarlyResponses(None) as fleet:
-        fleet.platform.configure(max_body_bytes=2 * UPLOAD_BYTES)
-        f.wait_for(lambda: all(upload(router).status == 200 for router in range(ROUTERS)), "the configuration")
-        for server in fleet.platform.servers:
-            server.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    def respond(server, connection, request, relay):
+        with stopped(fleet.platform.routers[0]):
+            connection.sendall(early_head(server, request, "Content-Length: %d\r\n" % len(body)) + body)
+            time.sleep(0.2)  # the relay has it, and the router's socket has no room for all of it
+            reset(connection)
+            time.sleep(0.2)
+    with EarlyResponses(respond) as fleet:
         fleet.isolate()
         for _ in range(4):
-            response = upload(0)
-            check(response.status == 200 and response.body == body, response.line, len(response.body))
+            with fleet.upload(0) as client:
+                response = client.read()
+                check(response.status == 200 and response.body == body, response.line, len(response.body))
 
 
 # Only the reset of a response that the close ends shows that it is not whole.
