Gossip: comment of limpet_gossip_reader_count

Cause: the last read of the change found its last line out of line with the others. Change: the comment only. Result: make lint and the unit tests pass.

--- a/include/limpetroad/gossip.h
+++ b/include/limpetroad/gossip.h
@@ -214,8 +214,8 @@
 /** Returns the number of known routers, this one included. */
 uint32_t limpet_gossip_router_count (const LimpetGossip *gossip);
 /** Returns the number of routers that read the topics for each other, this one included:
- *  the known ones or, if few of these run or this router is cut off from them, 1. A
- * router stays known for a while after it has stopped without notice. */
+ *  the known ones or, if few of these run or this router is cut off from them, 1. Routers
+ *  stay known for a while after they have stopped without notice. */
 uint32_t limpet_gossip_reader_count (const LimpetGossip *gossip, LimpetMs now_ms);
 /** Returns the number of other known routers that have sent a message to this one. */
 uint32_t limpet_gossip_responding_count (const LimpetGossip *gossip);
