--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -3,6 +3,7 @@
 
 #include "limpetroad/target_response.h"
 #include "limpetroad/call.h"
+#include "limpetroad/cold_bound.h"
 #include "limpetroad/policy.h"
 #include "limpetroad/retry_budget.h"
 
@@ -62,6 +63,21 @@
 void limpet_dispatch_set_routers (LimpetDispatch *dispatch,
                                   const uint32_t *addresses,
                                   uint32_t count);
+/** Sets how many requests a cold target may get from all routers together. */
+void limpet_dispatch_set_cold_bound (LimpetDispatch *dispatch,
+                                     const LimpetColdBound *bound);
+/** Sets whether this router hears from the others, or there are none. A router that does
+ *  not sends nothing to cold targets. The default is true. */
+void limpet_dispatch_set_fleet_known (LimpetDispatch *dispatch, bool is_known);
+/** Sets the configuration in force, of which the services are read. */
+void limpet_dispatch_set_table (LimpetDispatch *dispatch, const LimpetRouteTable *table);
+/** Lets the targets of a zone that may get requests again count as cold. */
+void limpet_dispatch_zone_taken_back (LimpetDispatch *dispatch, const char *zone);
+/** Records that the target said at \p now_ms that it is cold for \p left_ms. */
+void limpet_dispatch_record_cold (LimpetDispatch *dispatch,
+                                  LimpetTarget *target,
+                                  LimpetMs left_ms,
+                                  LimpetMs now_ms);
 /** Requests a target. Calls exactly one of the functions of \p request, before it returns
  *  or later, unless the request is cancelled first. */
 void limpet_dispatch_submit (LimpetDispatch *dispatch, LimpetDispatchRequest *request);
--- a/include/limpetroad/exchange.h
+++ b/include/limpetroad/exchange.h
@@ -4,6 +4,7 @@
 #include "limpetroad/byte_account.h"
 #include "limpetroad/target_response.h"
 #include "limpetroad/call.h"
+#include "limpetroad/cold_bound.h"
 #include "limpetroad/http_head.h"
 #include "limpetroad/quarantine.h"
 #include "limpetroad/retry_budget.h"
@@ -120,6 +121,18 @@
                                   const uint32_t *addresses,
                                   uint32_t count);
 
+/** Sets whether this router hears from the others, or there are none; see
+ *  limpet_dispatch_set_fleet_known(). */
+void limpet_exchange_set_fleet_known (LimpetExchange *exchange, bool is_known);
+/** Sets how many requests a cold target may get from all routers together. */
+void limpet_exchange_set_cold_bound (LimpetExchange *exchange,
+                                     const LimpetColdBound *bound);
+/** Sets whether the targets of a zone are to get no requests, also those that wait to be
+ *  sent. What runs there goes on. */
+void limpet_exchange_set_zone_emptied (LimpetExchange *exchange,
+                                       const char *zone,
+                                       bool is_emptied);
+
 /** Sets the quarantine, which is borrowed: the exchange records crashes
  *  and successes there, and refuses calls with a quarantined part. */
 void limpet_exchange_set_quarantine (LimpetExchange *exchange,
--- a/include/limpetroad/route_table.h
+++ b/include/limpetroad/route_table.h
@@ -38,6 +38,10 @@
   char name[LIMPET_NAME_SIZE];
   bool is_engine;
   int64_t slots; /**< of one engine; 0 if not configured */
+  /** Requests per second that a cold target bears from all routers together; 0 if no
+   *  target of the service is ever cold. */
+  double cold_per_s;
+  LimpetMs cold_ms; /**< for how long a target is cold after its start */
 } LimpetRouteService;
 
 /** One of the services among which a route splits its requests. */
--- a/include/limpetroad/target_response.h
+++ b/include/limpetroad/target_response.h
@@ -33,6 +33,8 @@
   /** Time for which the target, which turned the call away, wants no further ones from
    *  this router; 0 if it named none. */
   LimpetMs rest_ms;
+  /** Time for which the target goes on to bear few requests; 0 if it named none. */
+  LimpetMs cold_ms;
   /** Time after which the target closes an idle connection; 0 if unknown. */
   LimpetMs keep_alive_ms;
 } LimpetTargetResponse;
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -79,6 +79,12 @@
   _Atomic LimpetMs failed_until_ms;
   /** Gets no request before this time, because of its rate limit. */
   _Atomic LimpetMs next_send_ms;
+  /** Bears few requests until this time, as it has started or may have; 0 if it never
+   *  did while this router knew it. */
+  _Atomic LimpetMs cold_until_ms;
+  /** Gets no request of this router before this time, because it is cold. */
+  _Atomic LimpetMs cold_next_send_ms;
+  _Atomic bool is_emptied;         /**< its zone is to get no requests at present */
   _Atomic int32_t failures;        /**< consecutive failed exchanges */
   _Atomic LimpetMs unreachable_ms; /**< last failed connect; 0 if there was none */
   _Atomic LimpetMs responded_ms;   /**< last response; 0 if there was none */
@@ -116,6 +122,9 @@
   int32_t slot_share;
   uint32_t slot_share_version;      /**< 0 before slot_share was set */
   LimpetTargetRateLimit rate_limit; /**< used by the dispatcher's thread only */
+  /** Requests per second that it may get from this router, as it is cold; 0 if it is not
+   *  or if it gets none. Used by the dispatcher's thread only. */
+  double cold_own_per_s;
 } LimpetTarget;
 
 /** An immutable list of all targets, ordered by id. */
@@ -139,6 +148,10 @@
  *  A list without targets is ignored. Call it from one thread only. */
 void limpet_targets_update (LimpetTargets *targets, const LimpetVmList *list);
 
+/** Sets whether the targets of a zone, also those that join later, are to get no
+ * requests. Call it from the thread that updates the list. */
+void
+limpet_targets_set_zone_emptied (LimpetTargets *targets, const char *zone, bool emptied);
 /** Returns the newest view; release it with limpet_target_view_release(). Thread-safe. */
 LimpetTargetView *limpet_targets_snapshot (LimpetTargets *targets);
 void limpet_target_view_release (LimpetTargetView *view);
@@ -170,8 +183,17 @@
 /** Returns whether the target has asked for rest beyond \p now_ms (monotonic clock). */
 bool limpet_target_is_resting (const LimpetTarget *target, LimpetMs now_ms);
 
+/** Returns whether the target may get requests at some time in its incarnation and its
+ *  zone at present. */
+bool limpet_target_is_usable (const LimpetTarget *target);
+
+/** Returns whether the target is cold at \p now_ms (monotonic clock). */
+bool limpet_target_is_cold (const LimpetTarget *target, LimpetMs now_ms);
+/** Lets the target count as cold until \p until_ms (monotonic clock) at least. */
+void limpet_target_extend_cold (LimpetTarget *target, LimpetMs until_ms);
+
 /** Returns whether the target must not get a request at \p now_ms (monotonic clock)
- *  because of its rate limit. */
+ *  because of its rate limit or because it is cold. */
 bool limpet_target_is_paced (const LimpetTarget *target, LimpetMs now_ms);
 
 /** Marks the target as leaving for the rest of its incarnation. \p source is logged as
--- a/include/limpetroad/topic_state.h
+++ b/include/limpetroad/topic_state.h
@@ -42,6 +42,8 @@
                                      size_t key_length,
                                      const char *value,
                                      size_t length);
+/** Returns whether \p key has a value. */
+bool limpet_topic_state_has (const LimpetTopicState *state, const char *key);
 /** Returns the number of keys that have a value. */
 uint32_t limpet_topic_state_count (const LimpetTopicState *state);
 
--- a/include/limpetroad/vm_list.h
+++ b/include/limpetroad/vm_list.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETROAD_VM_LIST_H
 #define LIMPETROAD_VM_LIST_H
 
+#include "limpetroad/clock.h"
 #include "limpetroad/limits.h"
 #include "limpetroad/status.h"
 
@@ -40,6 +41,9 @@
   char software_version[LIMPET_NAME_SIZE]; /**< of what runs there; empty if unknown */
   int64_t slots; /**< requests that an engine runs concurrently */
   bool leaving;  /**< takes no new requests */
+  /** Until when (monotonic) it bears few requests, as it has just started; 0 if it does
+   *  not say so. */
+  LimpetMs cold_until_ms;
 } LimpetVm;
 
 /** Returns whether \p a and \p b have the same address. */
--- a/src/liblimpetroad/cluster_state/directory.c
+++ b/src/liblimpetroad/cluster_state/directory.c
@@ -22,6 +22,9 @@
 #define MAX_LATE_WRITES 100
 /* For this time after the removal of a target, its stale entries can still arrive. */
 #define TOMBSTONE_LIFE_MS 60000
+/* A cold time that ends later by less is the same one: writes take different times to
+ * arrive. */
+#define MIN_COLD_GAIN_MS 1000
 
 typedef struct
 {
@@ -99,11 +102,22 @@
     limpet_directory_mark_leaving (directory, vm->id, vm->incarnation);
 }
 
+/* Returns whether the target has become cold since the last write. The same write may be
+ * read again later, and while a target is cold each write says so. */
+static bool
+becomes_cold (const Entry *entry, const LimpetVm *vm, int64_t sequence)
+{
+  return sequence != entry->sequence
+         && vm->cold_until_ms > entry->vm.cold_until_ms + MIN_COLD_GAIN_MS;
+}
+
 void
 limpet_directory_put (LimpetDirectory *directory, const LimpetVm *vm, int64_t sequence)
 {
   Entry *entry = g_hash_table_lookup (directory->entries, vm->id);
   bool stays_leaving;
+  bool keeps_cold;
+  LimpetMs cold_until_ms;
 
   if (entry != NULL && is_stale (entry, vm, sequence))
     {
@@ -120,12 +134,17 @@
   stays_leaving = entry->vm.leaving && entry->vm.incarnation == vm->incarnation
                   && limpet_vm_has_same_address (&entry->vm, vm);
   if (entry->is_tombstone || !limpet_vm_is_same (&entry->vm, vm)
-      || entry->vm.leaving != vm->leaving)
+      || entry->vm.leaving != vm->leaving || becomes_cold (entry, vm, sequence))
     directory->is_changed = true;
   if (entry->remove_at_ms > 0)
     limpet_log (LIMPET_LOG_NOTICE, "directory", vm->id,
                 "missing entry was written again");
+  cold_until_ms = entry->vm.cold_until_ms;
+  keeps_cold = !entry->is_tombstone && entry->vm.incarnation == vm->incarnation
+               && !becomes_cold (entry, vm, sequence);
   *entry = (Entry){ .vm = *vm, .sequence = sequence, .is_listed = true };
+  if (keeps_cold)
+    entry->vm.cold_until_ms = cold_until_ms;
   entry->vm.leaving = vm->leaving || stays_leaving;
 }
 
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -26,8 +26,9 @@
 
 struct LimpetTargets
 {
-  LimpetTargetView *view; /* protected by RCU */
-  GHashTable *departures; /* id → Departure */
+  LimpetTargetView *view;    /* protected by RCU */
+  GHashTable *departures;    /* id → Departure */
+  GHashTable *emptied_zones; /* names */
 };
 
 static void
@@ -88,6 +89,7 @@
 
   targets->view = view_new (0);
   targets->departures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  targets->emptied_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return targets;
 }
 
@@ -98,6 +100,7 @@
     return;
   limpet_target_view_release (targets->view);
   g_hash_table_destroy (targets->departures);
+  g_hash_table_destroy (targets->emptied_zones);
   g_free (targets);
 }
 
@@ -113,6 +116,18 @@
   return view;
 }
 
+void
+limpet_targets_set_zone_emptied (LimpetTargets *targets, const char *zone, bool emptied)
+{
+  if (emptied)
+    g_hash_table_add (targets->emptied_zones, g_strdup (zone));
+  else
+    g_hash_table_remove (targets->emptied_zones, zone);
+  for (uint32_t i = 0; i < targets->view->count; i++)
+    if (strcmp (targets->view->targets[i]->vm.zone, zone) == 0)
+      atomic_store (&targets->view->targets[i]->is_emptied, emptied);
+}
+
 static LimpetTarget *
 target_new (const LimpetVm *vm, LimpetMs slow_start_ms)
 {
@@ -131,6 +146,7 @@
   atomic_store (&target->own_weight, LIMPET_WEIGHT_FULL);
   atomic_store (&target->peers_weight, LIMPET_WEIGHT_FULL);
   atomic_store (&target->slow_start_ms, slow_start_ms);
+  atomic_store (&target->cold_until_ms, vm->cold_until_ms);
   target->joined_ms = limpet_clock_mono_ms ();
   return target;
 }
@@ -178,6 +194,7 @@
     {
       if (vm->leaving)
         limpet_target_mark_leaving (target, "the VM list");
+      limpet_target_extend_cold (target, vm->cold_until_ms);
       limpet_target_ref (target);
       return target;
     }
@@ -189,6 +206,8 @@
               (long)vm->incarnation,
               vm->software_version[0] != '\0' ? vm->software_version : "unknown");
   successor = target_new (vm, slow_start_begin_ms (targets, vm->id, now_ms));
+  atomic_store (&successor->is_emptied,
+                g_hash_table_contains (targets->emptied_zones, vm->zone));
   if (target != NULL && target->vm.incarnation == vm->incarnation
       && limpet_vm_has_same_address (&target->vm, vm) && atomic_load (&target->leaving))
     atomic_store (&successor->leaving, true);
@@ -321,7 +340,8 @@
 bool
 limpet_target_is_open (const LimpetTarget *target, LimpetMs now_ms)
 {
-  return !atomic_load (&target->leaving) && now_ms >= atomic_load (&target->full_until_ms)
+  return limpet_target_is_usable (target)
+         && now_ms >= atomic_load (&target->full_until_ms)
          && now_ms >= atomic_load (&target->failed_until_ms)
          && !limpet_target_is_resting (target, now_ms);
 }
@@ -332,10 +352,30 @@
   return now_ms < atomic_load (&target->rest_until_ms);
 }
 
+bool
+limpet_target_is_usable (const LimpetTarget *target)
+{
+  return !atomic_load (&target->leaving) && !atomic_load (&target->is_emptied);
+}
+
+bool
+limpet_target_is_cold (const LimpetTarget *target, LimpetMs now_ms)
+{
+  return now_ms < atomic_load (&target->cold_until_ms);
+}
+
+void
+limpet_target_extend_cold (LimpetTarget *target, LimpetMs until_ms)
+{
+  atomic_store (&target->cold_until_ms,
+                MAX (atomic_load (&target->cold_until_ms), until_ms));
+}
+
 bool
 limpet_target_is_paced (const LimpetTarget *target, LimpetMs now_ms)
 {
-  return now_ms < atomic_load (&target->next_send_ms);
+  return now_ms < atomic_load (&target->next_send_ms)
+         || now_ms < atomic_load (&target->cold_next_send_ms);
 }
 
 void
--- a/src/liblimpetroad/cluster_state/topic_state.c
+++ b/src/liblimpetroad/cluster_state/topic_state.c
@@ -137,6 +137,12 @@
   return false;
 }
 
+bool
+limpet_topic_state_has (const LimpetTopicState *state, const char *key)
+{
+  return g_hash_table_contains (state->entries, key);
+}
+
 uint32_t
 limpet_topic_state_count (const LimpetTopicState *state)
 {
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -142,6 +142,29 @@
   limpet_dispatch_set_routers (exchange->dispatch, addresses, count);
 }
 
+void
+limpet_exchange_set_fleet_known (LimpetExchange *exchange, bool is_known)
+{
+  limpet_dispatch_set_fleet_known (exchange->dispatch, is_known);
+}
+
+void
+limpet_exchange_set_cold_bound (LimpetExchange *exchange, const LimpetColdBound *bound)
+{
+  limpet_dispatch_set_cold_bound (exchange->dispatch, bound);
+}
+
+void
+limpet_exchange_set_zone_emptied (LimpetExchange *exchange,
+                                  const char *zone,
+                                  bool is_emptied)
+{
+  limpet_targets_set_zone_emptied (exchange->targets, zone, is_emptied);
+  if (!is_emptied)
+    limpet_dispatch_zone_taken_back (exchange->dispatch, zone);
+  limpet_dispatch_targets_changed (exchange->dispatch);
+}
+
 void
 limpet_exchange_set_brittle_observer (LimpetExchange *exchange,
                                       void (*observer) (void *user,
@@ -346,6 +369,7 @@
   if (old != NULL && table->version <= old->version)
     return;
   exchange->table = limpet_route_table_ref (table);
+  limpet_dispatch_set_table (exchange->dispatch, table);
   limpet_route_table_unref (old);
 }
 
@@ -443,6 +467,14 @@
       g_string_append_printf (out,
                               "limpetroad_target_open{target=\"%s\",group=\"%s\"} %d\n",
                               target->vm.id, target->vm.group, open);
+      if (limpet_target_is_cold (target, limpet_clock_mono_ms ()))
+        g_string_append_printf (
+            out,
+            "limpetroad_target_cold_left_ms{target=\"%s\",group=\"%s\"} %ld\n"
+            "limpetroad_target_cold_own_per_s{target=\"%s\",group=\"%s\"} %.3f\n",
+            target->vm.id, target->vm.group,
+            (long)(atomic_load (&target->cold_until_ms) - limpet_clock_mono_ms ()),
+            target->vm.id, target->vm.group, target->cold_own_per_s);
     }
   limpet_target_view_release (view);
 }
--- a/src/liblimpetroad/exchange/relay.c
+++ b/src/liblimpetroad/exchange/relay.c
@@ -139,6 +139,9 @@
     record_brittle (task);
   if (task->response.rest_ms > 0)
     record_rest (task);
+  if (task->response.cold_ms > 0)
+    limpet_dispatch_record_cold (exchange->dispatch, task->target, task->response.cold_ms,
+                                 now_ms);
   if (task->response.is_leaving)
     limpet_exchange_mark_leaving (exchange, task->target, "its response");
   if (task->response.is_for_other_call)
--- a/src/liblimpetroad/exchange/task.c
+++ b/src/liblimpetroad/exchange/task.c
@@ -577,6 +577,18 @@
         0);
 }
 
+void
+limpet_task_choose_again (LimpetTask *task)
+{
+  limpet_log (LIMPET_LOG_INFO, "choose_again", task->target->vm.id,
+              "id=%s cause=\"zone emptied\"", task->call.id);
+  limpet_task_end_attempt (task, 0);
+  if (task->caller == NULL)
+    limpet_task_finish (task, "caller_left");
+  else
+    limpet_task_submit (task);
+}
+
 /* Submits the call again for another attempt, on none of the targets attempted so far. */
 static void
 resubmit (LimpetTask *task, const char *cause)
--- a/src/liblimpetroad/exchange/upstream.c
+++ b/src/liblimpetroad/exchange/upstream.c
@@ -492,6 +492,8 @@
       end_probe (upstream);
       limpet_upstream_release (upstream, LIMPET_POOL_IDLE_MS);
     }
+  else if (upstream->request_head != NULL && atomic_load (&upstream->target->is_emptied))
+    limpet_task_choose_again (upstream->task);
   else if (upstream->request_head != NULL)
     write_request (upstream);
 }
--- a/src/liblimpetroad/private/exchange.h
+++ b/src/liblimpetroad/private/exchange.h
@@ -258,6 +258,8 @@
 /* Submits the call to the dispatcher. A stream that has begun is refused at once if no
  * target of its software version is left. */
 void limpet_task_submit (LimpetTask *task);
+/* Ends an attempt whose request has not been sent, and submits the call again. */
+void limpet_task_choose_again (LimpetTask *task);
 /* Starts an attempt on target; the task takes over the target's reference and slot. */
 void limpet_task_send (LimpetTask *task, LimpetTarget *target);
 /* Cancels the attempt and finishes the task. Unless the response has begun, its caller
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -6,6 +6,7 @@
 #include "limpetroad/popularity.h"
 #include "limpetroad/retry_budget.h"
 #include "private/brittle_targets.h"
+#include "private/cold_targets.h"
 #include "private/target_rate.h"
 
 #include <string.h>
@@ -23,6 +24,8 @@
  * limit, so retry_after_ms() also limits it to a third of the time left. */
 #define MIN_RETRY_AFTER_MS 150
 #define MAX_RETRY_AFTER_MS 4000
+/* The same where all targets are in emptied zones, or get nothing from this router. */
+#define CLOSED_RETRY_MS 1000
 /* Longest wait for a slot, as a fraction of the route's latency goal. A call that cannot
  * start by then is refused with a Retry-After delay. */
 #define MAX_WAIT_GOAL_FRACTION 1.0
@@ -53,6 +56,7 @@
   LimpetMs last_release_ms;
   LimpetRateBalancer *balancer;
   LimpetBrittleTargets *brittle;
+  LimpetColdTargets *cold;
   bool is_serving; /* serve_queue() is running; callbacks must not enter it again */
 };
 
@@ -73,6 +77,7 @@
   dispatch->popularity = limpet_popularity_new ();
   dispatch->balancer = limpet_rate_balancer_new ();
   dispatch->brittle = limpet_brittle_targets_new (limpet_clock_mono_ms ());
+  dispatch->cold = limpet_cold_targets_new (limpet_clock_mono_ms ());
   dispatch->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&dispatch->waiting);
   return dispatch;
@@ -86,6 +91,7 @@
   limpet_popularity_delete (dispatch->popularity);
   limpet_rate_balancer_delete (dispatch->balancer);
   limpet_brittle_targets_delete (dispatch->brittle);
+  limpet_cold_targets_delete (dispatch->cold);
   g_hash_table_destroy (dispatch->budgets);
   g_free (dispatch);
 }
@@ -128,6 +134,58 @@
   limpet_dispatch_set_router_count (dispatch, count);
   limpet_brittle_targets_set_routers (dispatch->brittle, addresses, count,
                                       limpet_clock_mono_ms ());
+  limpet_cold_targets_set_routers (dispatch->cold, count, limpet_clock_mono_ms ());
+}
+
+static void
+update_cold (LimpetDispatch *dispatch)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  limpet_cold_targets_update (dispatch->cold, view, limpet_clock_mono_ms ());
+  limpet_target_view_release (view);
+}
+
+void
+limpet_dispatch_set_cold_bound (LimpetDispatch *dispatch, const LimpetColdBound *bound)
+{
+  limpet_cold_targets_set_bound (dispatch->cold, bound);
+}
+
+void
+limpet_dispatch_set_fleet_known (LimpetDispatch *dispatch, bool is_known)
+{
+  limpet_cold_targets_set_fleet_known (dispatch->cold, is_known);
+}
+
+void
+limpet_dispatch_set_table (LimpetDispatch *dispatch, const LimpetRouteTable *table)
+{
+  limpet_cold_targets_set_services (dispatch->cold, table);
+  update_cold (dispatch);
+}
+
+void
+limpet_dispatch_zone_taken_back (LimpetDispatch *dispatch, const char *zone)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  for (uint32_t i = 0; i < view->count; i++)
+    if (strcmp (view->targets[i]->vm.zone, zone) == 0)
+      limpet_cold_targets_mark (dispatch->cold, view->targets[i],
+                                limpet_clock_mono_ms ());
+  limpet_target_view_release (view);
+  update_cold (dispatch);
+}
+
+void
+limpet_dispatch_record_cold (LimpetDispatch *dispatch,
+                             LimpetTarget *target,
+                             LimpetMs left_ms,
+                             LimpetMs now_ms)
+{
+  limpet_target_extend_cold (target, now_ms + left_ms);
+  update_cold (dispatch);
 }
 
 /* Returns the retry budget of the call's service, set to the current limits. */
@@ -215,6 +273,7 @@
       limpet_target_ref (target);
       atomic_fetch_add (&target->own_inflight, 1);
       limpet_target_rate_record_send (target, now_ms);
+      limpet_cold_targets_record_send (target, now_ms);
     }
   limpet_target_view_release (view);
   return target;
@@ -224,7 +283,7 @@
 may_get (const LimpetDispatchRequest *request, const LimpetTarget *target)
 {
   if (strcmp (target->vm.group, request->call->service->name) != 0
-      || atomic_load (&target->leaving)
+      || !limpet_target_is_usable (target)
       || (request->software_hash != 0 && request->software_hash != target->software_hash))
     return false;
   for (uint32_t i = 0; i < request->excluded_count; i++)
@@ -337,50 +396,57 @@
                 MAX (MIN_RETRY_AFTER_MS, max_delay_ms));
 }
 
-/* Returns when the first target that the request may get ends its rest; 0 if one of them
- * does not rest or there is none. */
-static LimpetMs
-all_rest_until_ms (LimpetDispatch *dispatch,
-                   const LimpetDispatchRequest *request,
-                   LimpetMs now_ms)
+/* What keeps this router from sending a request to the targets that it may get. */
+typedef struct
 {
-  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
-  LimpetMs first_ms = 0;
-  bool is_any_awake = false;
-
-  for (uint32_t i = 0; i < view->count && !is_any_awake; i++)
-    {
-      LimpetMs until_ms = atomic_load (&view->targets[i]->rest_until_ms);
+  bool has_target;
+  bool has_slot_share; /* this router has a part of the slots of one of them */
+  bool is_emptied;     /* there are some, all of which are in emptied zones */
+  LimpetMs open_ms;    /* when the first of them may get a request, as far as rests and
+                          cold targets go */
+} Availability;
 
-      if (!may_get (request, view->targets[i]))
-        continue;
-      is_any_awake = until_ms <= now_ms;
-      first_ms = first_ms == 0 ? until_ms : MIN (first_ms, until_ms);
-    }
-  limpet_target_view_release (view);
-  return is_any_awake ? 0 : first_ms;
+/* Returns until when a rest, or what it bears while it is cold, keeps requests away from
+ * the target. */
+static LimpetMs
+closed_until_ms (const LimpetTarget *target)
+{
+  return MAX (atomic_load (&target->rest_until_ms),
+              atomic_load (&target->cold_next_send_ms));
 }
 
-/* Returns whether this router now has no part of the slots of any target that the request
- * may get. */
-static bool
-lacks_slot_share (LimpetDispatch *dispatch, const LimpetDispatchRequest *request)
+static Availability
+find_availability (LimpetDispatch *dispatch, const LimpetDispatchRequest *request)
 {
   LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
-  bool has_target = false;
-  bool has_share = false;
+  Availability found = { .open_ms = G_MAXINT64 };
 
-  for (uint32_t i = 0; i < view->count && !has_share; i++)
+  for (uint32_t i = 0; i < view->count; i++)
     {
       const LimpetTarget *target = view->targets[i];
 
-      if (!may_get (request, target))
-        continue;
-      has_target = true;
-      has_share = !target->has_slot_share || target->slot_share > 0;
+      if (may_get (request, target))
+        {
+          found.has_target = true;
+          found.has_slot_share
+              = found.has_slot_share || !target->has_slot_share || target->slot_share > 0;
+          found.open_ms = MIN (found.open_ms, closed_until_ms (target));
+        }
+      else if (strcmp (target->vm.group, request->call->service->name) == 0
+               && !atomic_load (&target->leaving))
+        found.is_emptied = found.is_emptied || atomic_load (&target->is_emptied);
     }
   limpet_target_view_release (view);
-  return has_target && !has_share;
+  found.is_emptied = found.is_emptied && !found.has_target;
+  return found;
+}
+
+/* Returns the delay after which callers come back whose targets may all get no request
+ * until open_ms. */
+static LimpetMs
+closed_retry_ms (LimpetMs open_ms, LimpetMs now_ms)
+{
+  return open_ms - now_ms > LIMPET_MAX_REST_MS ? CLOSED_RETRY_MS : open_ms - now_ms;
 }
 
 void
@@ -390,7 +456,7 @@
   LimpetTarget *target = choose (dispatch, request, now_ms);
   const LimpetCall *call = request->call;
   LimpetMs wait_ms = (LimpetMs)(MAX_WAIT_GOAL_FRACTION * (double)call->route->goal_ms);
-  LimpetMs rest_until_ms;
+  Availability availability;
 
   if (target != NULL)
     {
@@ -399,14 +465,19 @@
     }
   request->order = dispatch->next_order++;
   request->wait_until_ms = MIN (now_ms + wait_ms, call->response_due_ms);
-  rest_until_ms = all_rest_until_ms (dispatch, request, now_ms);
-  if (rest_until_ms > request->wait_until_ms)
+  availability = find_availability (dispatch, request);
+  if (availability.is_emptied)
+    {
+      request->on_refused (request->user, CLOSED_RETRY_MS);
+      return;
+    }
+  if (availability.has_target && availability.open_ms > request->wait_until_ms)
     {
-      request->on_refused (request->user, rest_until_ms - now_ms);
+      request->on_refused (request->user, closed_retry_ms (availability.open_ms, now_ms));
       return;
     }
   if (expected_wait_ms (dispatch) > request->wait_until_ms - now_ms
-      || lacks_slot_share (dispatch, request))
+      || (availability.has_target && !availability.has_slot_share))
     {
       request->on_refused (request->user, retry_after_ms (dispatch, call, now_ms));
       return;
@@ -549,8 +620,13 @@
                                LimpetTarget *target,
                                LimpetStatus status)
 {
-  (void)dispatch;
   limpet_target_record_result (target, status);
+  /* A target that comes back from a crash is cold before its entry says so. */
+  if (status == LIMPET_STATUS_UNREACHABLE)
+    {
+      limpet_cold_targets_mark (dispatch->cold, target, limpet_clock_mono_ms ());
+      update_cold (dispatch);
+    }
 }
 
 void
@@ -643,6 +719,7 @@
 limpet_dispatch_targets_changed (LimpetDispatch *dispatch)
 {
   update_brittle (dispatch);
+  update_cold (dispatch);
   serve_queue (dispatch);
 }
 
@@ -690,6 +767,7 @@
   decay_reports (dispatch, now_ms);
   update_rates (dispatch, now_ms);
   update_brittle (dispatch);
+  update_cold (dispatch);
   detect_slow_engines (dispatch, now_ms);
   serve_queue (dispatch);
   refuse_overdue (dispatch, now_ms);
--- a/src/liblimpetroad/routing/policy.c
+++ b/src/liblimpetroad/routing/policy.c
@@ -44,7 +44,7 @@
          && strcmp (target->vm.group, request->group) == 0
          && (request->software_hash == 0
              || request->software_hash == target->software_hash)
-         && (request->ignore_backoff ? !atomic_load (&target->leaving)
+         && (request->ignore_backoff ? limpet_target_is_usable (target)
                                            && !limpet_target_is_resting (target, now_ms)
                                      : limpet_target_is_open (target, now_ms));
 }
--- a/src/liblimpetroad/routing/target_rate.c
+++ b/src/liblimpetroad/routing/target_rate.c
@@ -107,7 +107,7 @@
     {
       const LimpetTarget *target = view->targets[i];
 
-      if (strcmp (target->vm.group, group) != 0 || atomic_load (&target->leaving))
+      if (strcmp (target->vm.group, group) != 0 || !limpet_target_is_usable (target))
         continue;
       targets++;
       limits_per_s += target->rate_limit.per_s;
@@ -255,7 +255,7 @@
 is_engine_of (const LimpetTarget *target, const char *group)
 {
   return target->vm.kind == LIMPET_VM_ENGINE && strcmp (target->vm.group, group) == 0
-         && !atomic_load (&target->leaving);
+         && limpet_target_is_usable (target);
 }
 
 static Sums
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -22,6 +22,7 @@
   add_stale_load_tests ();
   add_isolation_tests ();
   add_brittle_tests ();
+  add_cold_target_tests ();
   add_platform_tests ();
   add_watch_tests ();
   add_log_era_tests ();
