--- a/include/limpetroad/call.h
+++ b/include/limpetroad/call.h
@@ -118,9 +118,12 @@
 /** Returns the number of tokens in the parts that may be shared: all but the last. */
 int64_t limpet_call_shared_tokens (const LimpetCall *call);
 
-/** Returns the team's priority if it has one, else the route's; 0 is the most urgent. The
- *  route must be set. */
-int64_t limpet_call_priority (const LimpetCall *call);
+/** Number of values of limpet_call_urgency(). */
+#define LIMPET_CALL_URGENCIES 100
+/** Returns how urgent \p call is, from 0, the most urgent, to LIMPET_CALL_URGENCIES - 1.
+ *  The priority of its team decides, or that of its route if the team has none; among
+ *  calls for which it is equal, the priority of the route. The route must be set. */
+int64_t limpet_call_urgency (const LimpetCall *call);
 
 /** Frees the strings, drops the reference to the table and zeroes the call. */
 void limpet_call_clear (LimpetCall *call);
--- a/include/limpetroad/dispatch.h
+++ b/include/limpetroad/dispatch.h
@@ -156,7 +156,9 @@
                                   LimpetMs rest_ms);
 /** Serves the queue after the view of the targets changed. */
 void limpet_dispatch_targets_changed (LimpetDispatch *dispatch);
-/** Decays the loads of old reports, detects slow engines, serves the queue and refuses
+/** Appends the load of each service and the refusals in the Prometheus text format. */
+void limpet_dispatch_render_metrics (const LimpetDispatch *dispatch, GString *out);
+/** Ages the loads of old reports, detects slow engines, serves the queue and refuses
  *  calls that have waited too long. Call it about every 100 ms
  *  (LIMPET_OUTLIER_PERIOD_MS). */
 void limpet_dispatch_tick (LimpetDispatch *dispatch, LimpetMs now_ms);
--- a/include/limpetroad/policy.h
+++ b/include/limpetroad/policy.h
@@ -27,8 +27,14 @@
   uint64_t slot_rounding_salt; /**< differs between routers; decides how own_slot_share is
                                   rounded */
   double load_limit; /**< "homes": highest load of an engine, as a multiple of the mean */
-  double key_rate_per_s;  /**< estimated calls of the key per second in the whole
-                             fleet; 0 if rare */
+  double key_rate_per_s; /**< estimated calls of the key per second in the whole
+                            fleet; 0 if rare */
+  /** "homes": the tokens that another target would have to read again, relative to the
+   *  mean of the service's calls; 0 if unknown. */
+  double reread_ratio;
+  /** "homes": if no home has room, the least loaded of a sample is chosen, one in so many
+   *  targets; 0 or 1 for all. */
+  uint32_t sample_interval;
   bool ignore_backoff;    /**< callers leave it false; set in a copy by
                              limpet_policy_choose() */
   uint32_t software_hash; /**< only targets with this one are considered; 0 for any */
--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -38,6 +38,23 @@
   int32_t inflight; /**< requests in flight on the target */
 } LimpetTargetReport;
 
+/** Number of sends and ends of calls that are remembered for each target. */
+#define LIMPET_OWN_EVENTS 8
+
+/** A call of this router that was sent to a target, or that ended. */
+typedef struct
+{
+  LimpetMs at_ms; /**< monotonic; 0 if there was none */
+  int8_t change;  /**< of the calls in flight: 1 or -1 */
+} LimpetOwnEvent;
+
+/** The last calls of this router, which a report of some time ago did not count. */
+typedef struct
+{
+  LimpetOwnEvent events[LIMPET_OWN_EVENTS]; /**< a ring */
+  uint32_t next;
+} LimpetOwnHistory;
+
 /** Requests per second that a target takes from all routers together. */
 typedef struct
 {
@@ -108,6 +125,10 @@
   double gap_ratio;
   bool is_slow; /**< marked as an outlier because of its gap ratio */
   LimpetTargetReport report;
+  /** Used by the dispatcher's thread only, as are the next two. */
+  LimpetOwnHistory own_history;
+  double group_mean_inflight; /**< for its slots, by the last reports of its group */
+  double usual_deviation;     /**< of its reports from that, a moving average */
   /** When bytes last arrived on this router's own connections to it; 0 before that. Used
    *  by the exchange's thread only. */
   LimpetMs heard_ms;
--- a/src/liblimpetroad/exchange/call.c
+++ b/src/liblimpetroad/exchange/call.c
@@ -49,11 +49,14 @@
 }
 
 int64_t
-limpet_call_priority (const LimpetCall *call)
+limpet_call_urgency (const LimpetCall *call)
 {
+  int64_t route = CLAMP (call->route->priority, 0, 9);
+  int64_t first = route;
+
   if (call->team != NULL && call->team->priority >= 0)
-    return call->team->priority;
-  return call->route->priority;
+    first = MIN (call->team->priority, 9);
+  return 10 * first + route;
 }
 
 void
--- a/src/liblimpetroad/exchange/exchange.c
+++ b/src/liblimpetroad/exchange/exchange.c
@@ -443,6 +443,7 @@
                           limpet_byte_account_budget (exchange->account));
   limpet_connections_render_metrics (exchange, out);
   limpet_paths_render_metrics (exchange, out);
+  limpet_dispatch_render_metrics (exchange->dispatch, out);
   g_string_append_printf (out, "limpetroad_tunnels %u\n", exchange->tunnels.length);
   for (int i = 0; i < LIMPET_ROUTE_KIND_COUNT; i++)
     {
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -7,6 +7,8 @@
 #include "limpetroad/retry_budget.h"
 #include "private/brittle_targets.h"
 #include "private/cold_targets.h"
+#include "private/load_belief.h"
+#include "private/room.h"
 #include "private/target_rate.h"
 
 #include <string.h>
@@ -29,16 +31,20 @@
 /* Longest wait for a slot, as a fraction of the route's latency goal. A call that cannot
  * start by then is refused with a Retry-After delay. */
 #define MAX_WAIT_GOAL_FRACTION 1.0
-/* Weight of a new sample in release_gap_ms. */
-#define RELEASE_GAP_ALPHA 0.1
 /* A target that refused a call because it was full gets no new calls for this time. */
 #define FULL_BACKOFF_MS 100
 /* Consecutive error responses after which a target is put into backoff. */
 #define FAILURES_BEFORE_BACKOFF 4
-/* When the last load report of a target is older than this, the load from other
- * routers that it shows is multiplied by the factor at each tick. */
-#define REPORT_DECAY_AGE_MS 1500
-#define REPORT_DECAY_FACTOR 0.9
+/* With at least MIN_SAMPLING_ROUTERS, a router chooses the least loaded of
+ * SAMPLED_TARGETS engines, not of all: the others have the same reports. */
+#define MIN_SAMPLING_ROUTERS 9
+#define SAMPLED_TARGETS 4
+/* Weight of a new call in the mean of the tokens that may be cached. */
+#define SHARED_TOKENS_ALPHA 0.01
+/* Of a call without cached tokens; 0 stands for an unknown ratio. */
+#define MIN_REREAD_RATIO 0.01
+/* The lowest priority that an engine knows. */
+#define LOWEST_PRIORITY 9
 
 struct LimpetDispatch
 {
@@ -47,16 +53,16 @@
   LimpetFleetPart fleet;
   LimpetRetryLimits limits;
   LimpetPopularity *popularity;
-  GHashTable *budgets; /* service name → LimpetRetryBudget */
-  GQueue waiting;      /* of LimpetDispatchRequest, the most urgent first */
+  GHashTable *budgets;       /* service name → LimpetRetryBudget */
+  GHashTable *shared_tokens; /* service name → moving average of its calls, a double */
+  GQueue waiting;            /* of LimpetDispatchRequest, the most urgent first */
   double load_limit;
   uint32_t routers;
   uint64_t next_order;
-  double release_gap_ms; /* moving average of the time between releases */
-  LimpetMs last_release_ms;
   LimpetRateBalancer *balancer;
   LimpetBrittleTargets *brittle;
   LimpetColdTargets *cold;
+  LimpetRoom *room;
   bool is_serving; /* serve_queue() is running; callbacks must not enter it again */
 };
 
@@ -78,6 +84,9 @@
   dispatch->balancer = limpet_rate_balancer_new ();
   dispatch->brittle = limpet_brittle_targets_new (limpet_clock_mono_ms ());
   dispatch->cold = limpet_cold_targets_new (limpet_clock_mono_ms ());
+  dispatch->room = limpet_room_new ();
+  dispatch->shared_tokens
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   dispatch->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&dispatch->waiting);
   return dispatch;
@@ -92,7 +101,9 @@
   limpet_rate_balancer_delete (dispatch->balancer);
   limpet_brittle_targets_delete (dispatch->brittle);
   limpet_cold_targets_delete (dispatch->cold);
+  limpet_room_delete (dispatch->room);
   g_hash_table_destroy (dispatch->budgets);
+  g_hash_table_destroy (dispatch->shared_tokens);
   g_free (dispatch);
 }
 
@@ -162,6 +173,7 @@
 limpet_dispatch_set_table (LimpetDispatch *dispatch, const LimpetRouteTable *table)
 {
   limpet_cold_targets_set_services (dispatch->cold, table);
+  limpet_room_set_table (dispatch->room, table);
   update_cold (dispatch);
 }
 
@@ -207,12 +219,40 @@
   return budget;
 }
 
+static void
+record_shared_tokens (LimpetDispatch *dispatch, const LimpetCall *call)
+{
+  double tokens = (double)limpet_call_shared_tokens (call);
+  double *mean = g_hash_table_lookup (dispatch->shared_tokens, call->service->name);
+
+  if (mean != NULL)
+    *mean += SHARED_TOKENS_ALPHA * (tokens - *mean);
+  else
+    g_hash_table_insert (dispatch->shared_tokens, g_strdup (call->service->name),
+                         g_memdup2 (&tokens, sizeof tokens));
+}
+
+/* Returns the tokens that another target than the call's home would have to read again,
+ * relative to the mean of the service's calls; 0 if that is not known. */
+static double
+reread_ratio (const LimpetDispatch *dispatch, const LimpetCall *call)
+{
+  const double *mean = g_hash_table_lookup (dispatch->shared_tokens, call->service->name);
+
+  if (mean == NULL || *mean <= 0)
+    return 0;
+  return MAX (MIN_REREAD_RATIO, (double)limpet_call_shared_tokens (call) / *mean);
+}
+
 void
 limpet_dispatch_record_arrival (LimpetDispatch *dispatch,
                                 const LimpetCall *call,
                                 LimpetMs now_ms)
 {
   limpet_retry_budget_record_request (get_budget (dispatch, call), now_ms);
+  limpet_room_record_call (dispatch->room, call, now_ms);
+  if (call->service->is_engine)
+    record_shared_tokens (dispatch, call);
   if (call->context != 0)
     limpet_popularity_record (dispatch->popularity, call->context, now_ms);
 }
@@ -231,8 +271,7 @@
 int64_t
 limpet_dispatch_priority (const LimpetDispatch *dispatch, const LimpetCall *call)
 {
-  (void)dispatch;
-  return CLAMP (limpet_call_priority (call), 0, 9);
+  return MIN (limpet_room_rank (dispatch->room, call), LOWEST_PRIORITY);
 }
 
 /* Returns the calls per second of the context in the whole fleet, assuming that the other
@@ -260,6 +299,9 @@
     .own_slot_share = 1,
     .fleet = &dispatch->fleet,
     .load_limit = dispatch->load_limit,
+    .reread_ratio = reread_ratio (dispatch, call),
+    .sample_interval
+    = dispatch->routers >= MIN_SAMPLING_ROUTERS ? view->count / SAMPLED_TARGETS : 0,
     .software_hash = request->software_hash,
     .excluded_count = MIN (request->excluded_count, LIMPET_MAX_EXCLUDED_TARGETS),
   };
@@ -271,7 +313,7 @@
   if (target != NULL)
     {
       limpet_target_ref (target);
-      atomic_fetch_add (&target->own_inflight, 1);
+      limpet_load_belief_record_own (target, 1, now_ms);
       limpet_target_rate_record_send (target, now_ms);
       limpet_cold_targets_record_send (target, now_ms);
     }
@@ -335,15 +377,15 @@
   return source;
 }
 
-/* Orders the queue by priority, then by arrival. */
+/* Orders the queue by urgency, then by arrival. */
 static bool
 is_before (const LimpetDispatchRequest *request, const LimpetDispatchRequest *other)
 {
-  int64_t priority = limpet_call_priority (request->call);
-  int64_t other_priority = limpet_call_priority (other->call);
+  int64_t urgency = limpet_call_urgency (request->call);
+  int64_t other_urgency = limpet_call_urgency (other->call);
 
-  if (priority != other_priority)
-    return priority < other_priority;
+  if (urgency != other_urgency)
+    return urgency < other_urgency;
   return request->order < other->order;
 }
 
@@ -380,11 +422,28 @@
   g_queue_unlink (&dispatch->waiting, &request->link);
 }
 
-/* Estimates the wait of a call at the end of the queue. */
+/* Returns the number of queued calls of the call's service. */
+static uint32_t
+count_waiting (const LimpetDispatch *dispatch, const LimpetCall *call)
+{
+  uint32_t waiting = 0;
+
+  for (const GList *link = dispatch->waiting.head; link != NULL; link = link->next)
+    {
+      const LimpetDispatchRequest *other = link->data;
+
+      waiting += strcmp (other->call->service->name, call->service->name) == 0;
+    }
+  return waiting;
+}
+
+/* Estimates how long the service's releases at this router take to serve that many calls.
+ */
 static LimpetMs
-expected_wait_ms (const LimpetDispatch *dispatch)
+expected_wait_ms (const LimpetDispatch *dispatch, const LimpetCall *call, uint32_t calls)
 {
-  return (LimpetMs)((dispatch->waiting.length + 1) * dispatch->release_gap_ms);
+  return (LimpetMs)(calls
+                    * limpet_room_release_gap_ms (dispatch->room, call->service->name));
 }
 
 static LimpetMs
@@ -392,7 +451,9 @@
 {
   LimpetMs max_delay_ms = MIN (MAX_RETRY_AFTER_MS, (call->deadline_ms - now_ms) / 3);
 
-  return CLAMP (2 * expected_wait_ms (dispatch), MIN_RETRY_AFTER_MS,
+  uint32_t calls = count_waiting (dispatch, call) + 1;
+
+  return CLAMP (2 * expected_wait_ms (dispatch, call, calls), MIN_RETRY_AFTER_MS,
                 MAX (MIN_RETRY_AFTER_MS, max_delay_ms));
 }
 
@@ -449,15 +510,53 @@
   return open_ms - now_ms > LIMPET_MAX_REST_MS ? CLOSED_RETRY_MS : open_ms - now_ms;
 }
 
+/* Refuses a new call, and returns true, if there is no room for it. Calls that have been
+ * sent before, and streams that are resumed, are let in. */
+static bool
+refuse_without_room (LimpetDispatch *dispatch,
+                     LimpetDispatchRequest *request,
+                     LimpetMs now_ms)
+{
+  const LimpetCall *call = request->call;
+  LimpetTargetView *view;
+  LimpetRoomDecision decision;
+
+  if (request->excluded_count > 0 || call->last_event_id != NULL)
+    return false;
+  view = limpet_targets_snapshot (dispatch->targets);
+  decision = limpet_room_decide (dispatch->room, call, view, now_ms);
+  limpet_target_view_release (view);
+  if (decision.bound == LIMPET_ROOM_FREE)
+    return false;
+  limpet_room_record_refusal (dispatch->room, call, decision.bound,
+                              decision.retry_after_ms);
+  request->on_refused (request->user, decision.retry_after_ms);
+  return true;
+}
+
+/* Refuses a call that got no target, whose caller may come back when one should be free.
+ */
+static void
+refuse_queued (LimpetDispatch *dispatch, LimpetDispatchRequest *request, LimpetMs now_ms)
+{
+  LimpetMs retry_ms = retry_after_ms (dispatch, request->call, now_ms);
+
+  limpet_room_record_refusal (dispatch->room, request->call, LIMPET_ROOM_QUEUE, retry_ms);
+  request->on_refused (request->user, retry_ms);
+}
+
 void
 limpet_dispatch_submit (LimpetDispatch *dispatch, LimpetDispatchRequest *request)
 {
   LimpetMs now_ms = limpet_clock_mono_ms ();
-  LimpetTarget *target = choose (dispatch, request, now_ms);
+  LimpetTarget *target;
   const LimpetCall *call = request->call;
   LimpetMs wait_ms = (LimpetMs)(MAX_WAIT_GOAL_FRACTION * (double)call->route->goal_ms);
   Availability availability;
 
+  if (refuse_without_room (dispatch, request, now_ms))
+    return;
+  target = choose (dispatch, request, now_ms);
   if (target != NULL)
     {
       request->on_target (request->user, target);
@@ -476,10 +575,12 @@
       request->on_refused (request->user, closed_retry_ms (availability.open_ms, now_ms));
       return;
     }
-  if (expected_wait_ms (dispatch) > request->wait_until_ms - now_ms
+  /* The first in the queue waits: releases of other routers serve it as well. */
+  if (expected_wait_ms (dispatch, call, count_waiting (dispatch, call))
+          > request->wait_until_ms - now_ms
       || (availability.has_target && !availability.has_slot_share))
     {
-      request->on_refused (request->user, retry_after_ms (dispatch, call, now_ms));
+      refuse_queued (dispatch, request, now_ms);
       return;
     }
   limpet_counter_add (LIMPET_COUNTER_QUEUED, 1);
@@ -534,8 +635,7 @@
       if (now_ms < request->wait_until_ms)
         continue;
       limpet_dispatch_cancel (dispatch, request);
-      request->on_refused (request->user,
-                           retry_after_ms (dispatch, request->call, now_ms));
+      refuse_queued (dispatch, request, now_ms);
     }
 }
 
@@ -544,14 +644,10 @@
 {
   LimpetMs now_ms = limpet_clock_mono_ms ();
 
-  atomic_fetch_sub (&target->own_inflight, 1);
+  limpet_load_belief_record_own (target, -1, now_ms);
   limpet_rate_balancer_record_release (dispatch->balancer, target);
+  limpet_room_record_release (dispatch->room, target->vm.group, now_ms);
   limpet_target_unref (target);
-  if (dispatch->last_release_ms > 0)
-    dispatch->release_gap_ms
-        += RELEASE_GAP_ALPHA
-           * ((double)(now_ms - dispatch->last_release_ms) - dispatch->release_gap_ms);
-  dispatch->last_release_ms = now_ms;
   if (dispatch->waiting.length > 0)
     serve_queue (dispatch);
 }
@@ -562,17 +658,8 @@
                              int32_t inflight,
                              LimpetMs at_ms)
 {
-  int32_t own = atomic_load (&target->own_inflight);
-
   (void)dispatch;
-  if (at_ms < target->report.at_ms)
-    return;
-  target->report = (LimpetTargetReport){
-    .at_ms = at_ms,
-    .inflight = inflight,
-  };
-  atomic_store (&target->reported_inflight, inflight);
-  atomic_store (&target->peers_inflight, MAX (0, inflight - own));
+  limpet_load_belief_record_report (target, inflight, at_ms, limpet_clock_mono_ms ());
 }
 
 /* Sets this router's part of a target's rate limit. */
@@ -724,19 +811,11 @@
 }
 
 static void
-decay_reports (LimpetDispatch *dispatch, LimpetMs now_ms)
+age_loads (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
   LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
 
-  for (uint32_t i = 0; i < view->count; i++)
-    {
-      LimpetTarget *target = view->targets[i];
-
-      if (now_ms - target->report.at_ms > REPORT_DECAY_AGE_MS)
-        atomic_store (
-            &target->peers_inflight,
-            (int32_t)(atomic_load (&target->peers_inflight) * REPORT_DECAY_FACTOR));
-    }
+  limpet_load_belief_age (view, now_ms);
   limpet_target_view_release (view);
 }
 
@@ -752,6 +831,21 @@
   limpet_target_view_release (view);
 }
 
+static void
+update_room (LimpetDispatch *dispatch, LimpetMs now_ms)
+{
+  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
+
+  limpet_room_tick (dispatch->room, view, now_ms);
+  limpet_target_view_release (view);
+}
+
+void
+limpet_dispatch_render_metrics (const LimpetDispatch *dispatch, GString *out)
+{
+  limpet_room_render_metrics (dispatch->room, out);
+}
+
 static void
 detect_slow_engines (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
@@ -764,10 +858,11 @@
 void
 limpet_dispatch_tick (LimpetDispatch *dispatch, LimpetMs now_ms)
 {
-  decay_reports (dispatch, now_ms);
+  age_loads (dispatch, now_ms);
   update_rates (dispatch, now_ms);
   update_brittle (dispatch);
   update_cold (dispatch);
+  update_room (dispatch, now_ms);
   detect_slow_engines (dispatch, now_ms);
   serve_queue (dispatch);
   refuse_overdue (dispatch, now_ms);
--- a/src/liblimpetroad/routing/homes.c
+++ b/src/liblimpetroad/routing/homes.c
@@ -3,12 +3,19 @@
 #include "limpetroad/outlier.h"
 
 #include <glib.h>
+#include <string.h>
 #include <xxhash.h>
 
 /* Calls go to another target when the load of their home reaches this multiple of the
  * mean load plus this fraction of the home's slots (trials in docs/MEASURES.md). */
 #define HOME_LIMIT_MEAN_FACTOR 1.6
 #define HOME_LIMIT_SLOTS_FRACTION 0.25
+/* While the mean load is below the slots, the calls of a home wait there, beyond its
+ * slots, only up to this fraction of the slots for each multiple of the mean call's
+ * tokens that another target would have to read again. */
+#define WAIT_SLOTS_FRACTION 0.5
+/* Under more load than that, homes differ from the mean by this factor at least. */
+#define FULL_MEAN_FACTOR 1.15
 /* The users require that the load of a target stays within load_limit times the mean load
  * plus three requests. The policy plans with this fraction of load_limit, and with this
  * many requests instead of three. The rest is a margin for requests that other routers
@@ -117,21 +124,36 @@
          < SERVICE_SLOTS_FRACTION * (double)target->vm.slots;
 }
 
-/* Returns the load below which the target gets the calls whose home it is. The limit is
- * drawn from a range. The older the last report is, and the larger the fraction of the
- * load that is known only from reports, the closer the lower end of the range is to the
- * mean load. */
+/* Returns the load up to which it is cheaper for the call to wait at its home than to
+ * have its prompt read again elsewhere. */
+static double
+waiting_limit (const LimpetPolicyRequest *request, double slots, double mean)
+{
+  if (request->reread_ratio <= 0)
+    return G_MAXDOUBLE;
+  return MAX (slots * (1 + WAIT_SLOTS_FRACTION * request->reread_ratio),
+              FULL_MEAN_FACTOR * mean + 1);
+}
+
+/* Returns the load below which the target gets the calls whose home it is. The users'
+ * load limit refers to the whole group, of which load is the part that takes calls. The
+ * limit is drawn from a range. The older the last report is, and the larger the fraction
+ * of the load that is known only from reports, the closer the lower end of the range is
+ * to the mean load. */
 static double
 home_limit (const LimpetPolicyRequest *request,
             const LimpetTarget *target,
             const LimpetGroupLoad *load,
+            const LimpetGroupLoad *whole,
             LimpetMs now_ms)
 {
   double slots = (double)target->vm.slots;
   double mean = mean_load (load, target, 1);
-  double limit = MIN (HOME_LIMIT_MEAN_FACTOR * mean + HOME_LIMIT_SLOTS_FRACTION * slots,
-                      PLANNED_LOAD_LIMIT_FRACTION * request->load_limit * mean
-                          + PLANNED_LOAD_LIMIT_SLACK);
+  double home = MIN (HOME_LIMIT_MEAN_FACTOR * mean + HOME_LIMIT_SLOTS_FRACTION * slots,
+                     waiting_limit (request, slots, mean));
+  double limit = MIN (home, PLANNED_LOAD_LIMIT_FRACTION * request->load_limit
+                                    * mean_load (whole, target, 1)
+                                + PLANNED_LOAD_LIMIT_SLACK);
   double age = CLAMP ((double)(now_ms - target->report.at_ms) / OLD_REPORT_MS, 0, 1);
   double uncertainty = age * reported_load_fraction (target);
 
@@ -156,8 +178,20 @@
          + (double)(draw % 1024) / (1024.0 * 1024.0);
 }
 
-/* Chooses the target with the lowest relative load: for a call of a plain service, and
- * for a call of a model if no engine is below its home limit and not slow. */
+/* Returns whether the target is in the sample of targets from which the call's is chosen.
+ * If all routers chose the least loaded of all engines, they would overrun the one whose
+ * last report shows the least load. */
+static bool
+is_sampled (const LimpetPolicyRequest *request, const LimpetTarget *target)
+{
+  uint64_t draw = XXH64 (&request->seed, sizeof request->seed, target->route_hash);
+
+  return request->sample_interval <= 1 || draw % request->sample_interval == 0;
+}
+
+/* Chooses the target with the lowest relative load, of a sample if there is one in it:
+ * for a call of a plain service, and for a call of a model if no engine is below its home
+ * limit and not slow. */
 static LimpetTarget *
 choose_lowest_load (const LimpetPolicyRequest *request,
                     const LimpetTargetView *view,
@@ -166,20 +200,24 @@
 {
   LimpetTarget *best = NULL;
   double best_load = 0;
+  bool is_best_sampled = false;
 
   for (uint32_t i = 0; i < view->count; i++)
     {
       LimpetTarget *target = view->targets[i];
+      bool sampled = is_sampled (request, target);
       double relative;
 
       if (!limpet_policy_is_eligible (request, target, now_ms)
           || !has_capacity (request, target, load))
         continue;
       relative = relative_load (request, target, now_ms);
-      if (best == NULL || relative < best_load)
+      if (best == NULL || (sampled && !is_best_sampled)
+          || (sampled == is_best_sampled && relative < best_load))
         {
           best = target;
           best_load = relative;
+          is_best_sampled = sampled;
         }
     }
   return best;
@@ -246,6 +284,33 @@
   return load;
 }
 
+/* Returns whether the target takes few calls or none for a reason that the users' load
+ * limit does not know of, though it counts its slots. */
+static bool
+is_left_out (const LimpetPolicyRequest *request,
+             const LimpetTarget *target,
+             LimpetMs now_ms)
+{
+  return target->vm.kind == request->kind
+         && strcmp (target->vm.group, request->group) == 0
+         && !atomic_load (&target->leaving)
+         && (atomic_load (&target->is_emptied)
+             || now_ms < atomic_load (&target->cold_next_send_ms));
+}
+
+/* Adds the targets in emptied zones and the cold ones to the load of the others. */
+static LimpetGroupLoad
+sum_whole_load (const LimpetPolicyRequest *request,
+                const LimpetTargetView *view,
+                const LimpetGroupLoad *load,
+                LimpetMs now_ms)
+{
+  LimpetGroupLoad left_out = limpet_policy_sum_load (request, view, is_left_out, now_ms);
+
+  return (LimpetGroupLoad){ .inflight = load->inflight + left_out.inflight,
+                            .slots = load->slots + left_out.slots };
+}
+
 /* Returns the target whose rate limit was confirmed longest ago, if that is too long ago
  * and the call is one that probes. */
 static LimpetTarget *
@@ -286,6 +351,7 @@
 {
   LimpetPolicyRequest any_version = *request;
   LimpetGroupLoad load;
+  LimpetGroupLoad whole;
   Candidates best = { .count = 0 };
   LimpetTarget *probed;
 
@@ -294,6 +360,7 @@
   load = sum_load (&any_version, view, now_ms);
   if (request->kind != LIMPET_VM_ENGINE)
     return choose_lowest_load (request, view, &load, now_ms);
+  whole = sum_whole_load (&any_version, view, &load, now_ms);
   probed = choose_probed (request, view, now_ms);
   if (probed != NULL)
     return probed;
@@ -303,7 +370,8 @@
 
       if (limpet_policy_is_eligible (request, target, now_ms)
           && has_capacity (request, target, &load)
-          && limpet_target_inflight (target) < home_limit (request, target, &load, now_ms)
+          && limpet_target_inflight (target)
+                 < home_limit (request, target, &load, &whole, now_ms)
           && !limpet_outlier_is_slow (target))
         add_candidate (&best, target,
                        limpet_policy_rendezvous_score (target, request->key_hash));
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -23,6 +23,7 @@
   add_isolation_tests ();
   add_brittle_tests ();
   add_cold_target_tests ();
+  add_room_tests ();
   add_platform_tests ();
   add_watch_tests ();
   add_log_era_tests ();
@@ -30,6 +31,7 @@
 }
 
 /* Without an argument, runs all tests but those that the arguments --limit-stress,
+ * --room,
  * --record-writer, --clock-jumps and --clock-limits select. */
 int
 main (int argc, char **argv)
@@ -40,6 +42,10 @@
     return 2;
   if (argc > 1 && strcmp (argv[1], "--limit-stress") == 0)
     add_limit_stress_tests ();
+  else if (argc > 1 && strcmp (argv[1], "--room") == 0)
+    add_room_tests ();
+  else if (argc > 1 && strcmp (argv[1], "--room-stress") == 0)
+    add_room_stress_tests ();
   else if (argc > 1 && strcmp (argv[1], "--record-writer") == 0)
     add_record_writer_tests ();
   else if (argc > 1 && strcmp (argv[1], "--clock-jumps") == 0)
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -21,6 +21,9 @@
 void add_isolation_tests (void);
 void add_brittle_tests (void);
 void add_cold_target_tests (void);
+void add_room_tests (void);
+/* Run alone, by test/test_room.py. */
+void add_room_stress_tests (void);
 /* Run alone, by test/test_rate_limits.py. */
 void add_limit_stress_tests (void);
 void add_record_writer_tests (void);
