--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -125,8 +125,9 @@
   double gap_ratio;
   bool is_slow; /**< marked as an outlier because of its gap ratio */
   LimpetTargetReport report;
-  /** Used by the dispatcher's thread only, as are the next two. */
+  /** Used by the dispatcher's thread only, as are the next three. */
   LimpetOwnHistory own_history;
+  int32_t reported_peers;     /**< the calls of other routers in the last report */
   double group_mean_inflight; /**< for its slots, by the last reports of its group */
   double usual_deviation;     /**< of its reports from that, a moving average */
   /** When bytes last arrived on this router's own connections to it; 0 before that. Used
--- a/src/liblimpetroad/routing/homes.c
+++ b/src/liblimpetroad/routing/homes.c
@@ -135,25 +135,16 @@
               FULL_MEAN_FACTOR * mean + 1);
 }
 
-/* Returns the load below which the target gets the calls whose home it is. The users'
- * load limit refers to the whole group, of which load is the part that takes calls. The
- * limit is drawn from a range. The older the last report is, and the larger the fraction
- * of the load that is known only from reports, the closer the lower end of the range is
- * to the mean load. */
+/* Returns a limit drawn from a range below it. The older the last report is, and the
+ * larger the fraction of the load that is known only from reports, the closer the lower
+ * end of the range is to the mean load. */
 static double
-home_limit (const LimpetPolicyRequest *request,
-            const LimpetTarget *target,
-            const LimpetGroupLoad *load,
-            const LimpetGroupLoad *whole,
-            LimpetMs now_ms)
+uncertain_limit (const LimpetPolicyRequest *request,
+                 const LimpetTarget *target,
+                 double limit,
+                 double mean,
+                 LimpetMs now_ms)
 {
-  double slots = (double)target->vm.slots;
-  double mean = mean_load (load, target, 1);
-  double home = MIN (HOME_LIMIT_MEAN_FACTOR * mean + HOME_LIMIT_SLOTS_FRACTION * slots,
-                     waiting_limit (request, slots, mean));
-  double limit = MIN (home, PLANNED_LOAD_LIMIT_FRACTION * request->load_limit
-                                    * mean_load (whole, target, 1)
-                                + PLANNED_LOAD_LIMIT_SLACK);
   double age = CLAMP ((double)(now_ms - target->report.at_ms) / OLD_REPORT_MS, 0, 1);
   double uncertainty = age * reported_load_fraction (target);
 
@@ -161,6 +152,43 @@
                            limit - uncertainty * MAX (0, limit - mean));
 }
 
+/* Returns whether the target gets the calls whose home it is, by the load that it is
+ * believed to have. */
+static bool
+is_below_home_limit (const LimpetPolicyRequest *request,
+                     const LimpetTarget *target,
+                     const LimpetGroupLoad *load,
+                     LimpetMs now_ms)
+{
+  double slots = (double)target->vm.slots;
+  double mean = mean_load (load, target, 1);
+  double limit = MIN (HOME_LIMIT_MEAN_FACTOR * mean + HOME_LIMIT_SLOTS_FRACTION * slots,
+                      waiting_limit (request, slots, mean));
+
+  return limpet_target_inflight (target)
+         < uncertain_limit (request, target, limit, mean, now_ms);
+}
+
+/* Returns whether the target stays within the users' load limit, which refers to the
+ * whole group; load is the part of it that takes calls. What was reported counts in full
+ * here, however old it is. */
+static bool
+is_below_load_limit (const LimpetPolicyRequest *request,
+                     const LimpetTarget *target,
+                     const LimpetGroupLoad *load,
+                     const LimpetGroupLoad *whole,
+                     LimpetMs now_ms)
+{
+  double limit
+      = PLANNED_LOAD_LIMIT_FRACTION * request->load_limit * mean_load (whole, target, 1)
+        + PLANNED_LOAD_LIMIT_SLACK;
+  int32_t inflight = MAX (limpet_target_inflight (target),
+                          target->reported_peers + atomic_load (&target->own_inflight));
+
+  return inflight
+         < uncertain_limit (request, target, limit, mean_load (load, target, 1), now_ms);
+}
+
 /* Returns the load by which choose_lowest_load() compares targets: requests per slot with
  * one more request, divided by the target's weight. A number drawn from the call's seed
  * breaks ties. */
@@ -370,8 +398,8 @@
 
       if (limpet_policy_is_eligible (request, target, now_ms)
           && has_capacity (request, target, &load)
-          && limpet_target_inflight (target)
-                 < home_limit (request, target, &load, &whole, now_ms)
+          && is_below_home_limit (request, target, &load, now_ms)
+          && is_below_load_limit (request, target, &load, &whole, now_ms)
           && !limpet_outlier_is_slow (target))
         add_candidate (&best, target,
                        limpet_policy_rendezvous_score (target, request->key_hash));
--- a/src/liblimpetroad/routing/load_belief.c
+++ b/src/liblimpetroad/routing/load_belief.c
@@ -63,6 +63,7 @@
                                   LimpetMs now_ms)
 {
   double estimate;
+  int32_t own;
 
   if (at_ms < target->report.at_ms)
     return;
@@ -73,8 +74,9 @@
     .inflight = inflight,
   };
   atomic_store (&target->reported_inflight, inflight);
-  atomic_store (&target->peers_inflight,
-                (int32_t)MAX (0, estimate - own_inflight_at (target, at_ms) + 0.5));
+  own = own_inflight_at (target, at_ms);
+  target->reported_peers = MAX (0, inflight - own);
+  atomic_store (&target->peers_inflight, (int32_t)MAX (0, estimate - own + 0.5));
 }
 
 typedef struct
@@ -115,12 +117,13 @@
   return groups;
 }
 
+/* A target that gets no requests any more, as its zone is emptied, has none soon. */
 static void
 age_target (LimpetTarget *target)
 {
   double peers = atomic_load (&target->peers_inflight);
-  double expected
-      = MAX (0, target->group_mean_inflight - atomic_load (&target->own_inflight));
+  double mean = limpet_target_is_usable (target) ? target->group_mean_inflight : 0;
+  double expected = MAX (0, mean - atomic_load (&target->own_inflight));
 
   /* Rounded towards the expected value, which it would not reach otherwise. */
   peers += AGING_FRACTION * (expected - peers);
@@ -141,8 +144,11 @@
 
       target->group_mean_inflight
           = sums != NULL ? sums->inflight * (double)target->vm.slots / sums->slots : 0;
-      if (target->report.at_ms > 0 && !has_recent_report (target, now_ms))
-        age_target (target);
+      if (target->report.at_ms == 0 || has_recent_report (target, now_ms))
+        continue;
+      age_target (target);
+      target->reported_peers
+          = MIN (target->reported_peers, atomic_load (&target->peers_inflight));
     }
   g_hash_table_destroy (groups);
 }
