--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -245,6 +245,65 @@
   free_fixture (&fixture);
 }
 
+/* The priority of the team decides, then that of the route. */
+static void
+test_routes_order_calls_of_equally_urgent_teams (void)
+{
+  LimpetRoute urgent = { .priority = 0 };
+  LimpetRoute idle = { .priority = 2 };
+  LimpetRouteTeam usual = { .priority = 1 };
+  LimpetRouteTeam first = { .priority = 0 };
+  LimpetRouteTeam none = { .priority = -1 };
+  LimpetCall usual_urgent = { .route = &urgent, .team = &usual };
+  LimpetCall usual_idle = { .route = &idle, .team = &usual };
+  LimpetCall first_idle = { .route = &idle, .team = &first };
+  LimpetCall none_urgent = { .route = &urgent, .team = &none };
+
+  CU_ASSERT_TRUE (limpet_call_urgency (&usual_urgent)
+                  < limpet_call_urgency (&usual_idle));
+  CU_ASSERT_TRUE (limpet_call_urgency (&first_idle)
+                  < limpet_call_urgency (&usual_urgent));
+  CU_ASSERT_TRUE (limpet_call_urgency (&none_urgent) < limpet_call_urgency (&first_idle));
+}
+
+/* Many calls wait for the only engine, whose slots are freed slowly. A call for the plain
+ * service, which has just refused one for lack of capacity, waits all the same. */
+static void
+test_a_queue_for_engines_refuses_no_call_of_a_plain_service (void)
+{
+  Fixture fixture;
+  Attempt running[SLOTS];
+  Attempt waiting[4];
+  Attempt order;
+  LimpetTargetView *view;
+
+  make_fixture (&fixture, 1);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    submit (&fixture, &running[i], fixture.chat_route, 5, i);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      limpet_dispatch_release (fixture.dispatch, running[i].target);
+      g_usleep (250 * 1000);
+      submit (&fixture, &running[i], fixture.chat_route, 5, 50 + i);
+    }
+  for (uint32_t i = 0; i < G_N_ELEMENTS (waiting); i++)
+    submit (&fixture, &waiting[i], fixture.chat_route, 5, 100 + i);
+  view = limpet_targets_snapshot (fixture.targets);
+  for (uint32_t i = 0; i < view->count; i++)
+    if (view->targets[i]->vm.kind == LIMPET_VM_SERVICE)
+      atomic_store (&view->targets[i]->own_inflight, SLOTS);
+  submit (&fixture, &order, fixture.order_route, 0, 200);
+  CU_ASSERT_FALSE (order.refused);
+  CU_ASSERT_PTR_NULL (order.target);
+  limpet_dispatch_cancel (fixture.dispatch, &order.dispatch_request);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (waiting); i++)
+    limpet_dispatch_cancel (fixture.dispatch, &waiting[i].dispatch_request);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    limpet_dispatch_release (fixture.dispatch, running[i].target);
+  limpet_target_view_release (view);
+  free_fixture (&fixture);
+}
+
 /* All slots stay occupied. A call that is queued for longer than the goal of its route is
  * refused with a retry delay. */
 static void
@@ -565,6 +624,8 @@
   CU_ADD_TEST (suite, test_a_popular_context_has_few_homes_within_the_load_limit);
   CU_ADD_TEST (suite, test_calls_of_a_plain_service_are_spread_evenly);
   CU_ADD_TEST (suite, test_queued_calls_are_served_by_priority);
+  CU_ADD_TEST (suite, test_routes_order_calls_of_equally_urgent_teams);
+  CU_ADD_TEST (suite, test_a_queue_for_engines_refuses_no_call_of_a_plain_service);
   CU_ADD_TEST (suite, test_calls_that_cannot_start_in_time_are_refused);
   CU_ADD_TEST (suite, test_cancelled_calls_get_no_target);
   CU_ADD_TEST (suite, test_reported_loads_affect_the_choice);
--- a/src/test_liblimpetroad/platform_tests.c
+++ b/src/test_liblimpetroad/platform_tests.c
@@ -24,7 +24,7 @@
       "{\"name\":\"r3\",\"host\":\"a.example\",\"path_prefix\":\"/z/"
       "\",\"kind\":\"new\"}],"
       "\"services\":[{\"name\":\"m\",\"health_path\":\"/"
-      "h\",\"max_conns\":250,\"engine\":{"
+      "h\",\"max_conns\":250,\"cold_s\":3.5,\"cold_per_s\":8.7,\"engine\":{"
       "\"slots\":32,\"kv_capacity\":8000,\"stride\":7}},{\"name\":\"p\"}],\"limits\":{"
       "\"max_header_bytes\":9000,\"max_body_bytes\":100,\"header_timeout_ms\":3000,"
       "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\","
@@ -48,6 +48,9 @@
   CU_ASSERT_EQUAL (stream->total_weight, 100);
   CU_ASSERT_TRUE (stream->weighted_services[0].service->is_engine);
   CU_ASSERT_FALSE (stream->weighted_services[1].service->is_engine);
+  CU_ASSERT_EQUAL (stream->weighted_services[0].service->cold_ms, 3500);
+  CU_ASSERT_DOUBLE_EQUAL (stream->weighted_services[0].service->cold_per_s, 8.7, 1e-9);
+  CU_ASSERT_EQUAL (stream->weighted_services[1].service->cold_per_s, 0);
   CU_ASSERT_TRUE (limpet_route_table_find_route (table, "a.example", "/y/")->is_public);
   CU_ASSERT_PTR_NULL (limpet_route_table_find_route (table, "a.example", "/z/"));
   CU_ASSERT_EQUAL (limpet_route_table_find_team (table, "k2")->priority, 3);
@@ -154,6 +157,29 @@
   return platform_server_entry_parse ("i-1", text, strlen (text), &vm, &sequence, &error);
 }
 
+static void
+test_a_server_entry_says_until_when_its_server_is_cold (void)
+{
+  static const char *const left[] = { "0", "2500" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (left); i++)
+    {
+      GString *text = write_entry ("cold_left_ms", left[i]);
+      LimpetMs now_ms = limpet_clock_mono_ms ();
+      LimpetVm vm;
+      int64_t sequence;
+      LimpetError error;
+
+      CU_ASSERT_EQUAL (platform_server_entry_parse ("i-1", text->str, text->len, &vm,
+                                                    &sequence, &error),
+                       LIMPET_STATUS_OK);
+      CU_ASSERT_TRUE (i == 0 ? vm.cold_until_ms == 0
+                             : vm.cold_until_ms >= now_ms + 2500
+                                   && vm.cold_until_ms <= now_ms + 3500);
+      g_string_free (text, TRUE);
+    }
+}
+
 static void
 test_malformed_server_entries_are_rejected (void)
 {
@@ -385,6 +411,7 @@
 
   CU_ADD_TEST (suite, test_a_configuration_is_parsed);
   CU_ADD_TEST (suite, test_corrupted_configurations_are_handled_safely);
+  CU_ADD_TEST (suite, test_a_server_entry_says_until_when_its_server_is_cold);
   CU_ADD_TEST (suite, test_malformed_server_entries_are_rejected);
   CU_ADD_TEST (suite, test_settings_errors_name_the_field_and_the_file);
   CU_ADD_TEST (suite, test_request_headers_are_decoded);
