--- a/test/platform_fake.py
+++ b/test/platform_fake.py
@@ -307,6 +307,8 @@
     returns True."""
 
     count = 0  # number of servers created so far
+    zone = "z"
+    cold_until = 0  # as time.monotonic()
 
     def __init__(self, store, service, is_engine=False, slots=8, on_request=None, server_id=None,
                  version="v1", zone="z", cold_s=0):
