--- a/include/limpetroad/limits.h
+++ b/include/limpetroad/limits.h
@@ -55,6 +55,8 @@
 #define LIMPET_RATE_LIMIT_VALIDITY_MS 30000
 /* A target that asks for a longer rest gets requests again after this time. */
 #define LIMPET_MAX_REST_MS (3600 * 1000)
+/** Longest cold time that is believed of a target; a longer one is reduced to it. */
+#define LIMPET_MAX_COLD_MS (3600 * 1000)
 /* A connection whose sent data is not acknowledged for this long is closed. */
 #define LIMPET_TCP_USER_TIMEOUT_MS 1500
 
--- a/src/liblimpetroad/routing/cold_targets.c
+++ b/src/liblimpetroad/routing/cold_targets.c
@@ -4,7 +4,6 @@
 
 #include <glib.h>
 #include <math.h>
-#include <string.h>
 
 /* A router that has just started knows too few of the others to know its part. */
 #define MIN_RUNNING_MS 3000
--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -334,19 +334,6 @@
   return true;
 }
 
-bool
-limpet_dispatch_has_target (LimpetDispatch *dispatch,
-                            const LimpetDispatchRequest *request)
-{
-  LimpetTargetView *view = limpet_targets_snapshot (dispatch->targets);
-  bool has_target = false;
-
-  for (uint32_t i = 0; i < view->count && !has_target; i++)
-    has_target = may_get (request, view->targets[i]);
-  limpet_target_view_release (view);
-  return has_target;
-}
-
 const LimpetTarget *
 limpet_dispatch_cache_source (LimpetDispatch *dispatch,
                               const LimpetCall *call,
@@ -450,7 +437,6 @@
 retry_after_ms (const LimpetDispatch *dispatch, const LimpetCall *call, LimpetMs now_ms)
 {
   LimpetMs max_delay_ms = MIN (MAX_RETRY_AFTER_MS, (call->deadline_ms - now_ms) / 3);
-
   uint32_t calls = count_waiting (dispatch, call) + 1;
 
   return CLAMP (2 * expected_wait_ms (dispatch, call, calls), MIN_RETRY_AFTER_MS,
@@ -502,6 +488,13 @@
   return found;
 }
 
+bool
+limpet_dispatch_has_target (LimpetDispatch *dispatch,
+                            const LimpetDispatchRequest *request)
+{
+  return find_availability (dispatch, request).has_target;
+}
+
 /* Returns the delay after which callers come back whose targets may all get no request
  * until open_ms. */
 static LimpetMs
--- a/src/liblimpetroad/routing/room.c
+++ b/src/liblimpetroad/routing/room.c
@@ -198,6 +198,14 @@
   team->updated_ms = now_ms;
 }
 
+/* Returns a number from 0 to 1 that depends on the call; independent for different bits
+ * of its seed. */
+static double
+draw (const LimpetCall *call, int first_bit)
+{
+  return (double)(call->seed >> first_bit & 1023) / 1024;
+}
+
 /* Returns the load per slot of the service's targets that take calls now. */
 static double
 load_per_slot (const LimpetTargetView *view, const char *service, LimpetMs now_ms)
@@ -285,7 +293,7 @@
 static bool
 is_in_excess (const LimpetCall *call, double excess)
 {
-  return (double)(call->seed >> 20 & 1023) / 1024 >= 1 / excess;
+  return draw (call, 20) >= 1 / excess;
 }
 
 static bool
@@ -307,8 +315,7 @@
   double longest_ms
       = MIN (MAX_RETRY_AFTER_MS,
              RETRY_TIME_LEFT_FRACTION * (double)(call->deadline_ms - now_ms));
-  double spread = RETRY_SPREAD_LOW
-                  + 2 * (1 - RETRY_SPREAD_LOW) * (double)(call->seed % 1024) / 1024;
+  double spread = RETRY_SPREAD_LOW + 2 * (1 - RETRY_SPREAD_LOW) * draw (call, 0);
 
   return (LimpetMs)CLAMP (spread * MIN (tight_ms, longest_ms), MIN_RETRY_AFTER_MS,
                           MAX (MIN_RETRY_AFTER_MS, longest_ms));
@@ -320,7 +327,7 @@
 {
   if (is_returning (room, call))
     return 1 + LIMIT_SPREAD;
-  return 1 - LIMIT_SPREAD + 2 * LIMIT_SPREAD * (double)(call->seed >> 10 & 1023) / 1024;
+  return 1 - LIMIT_SPREAD + 2 * LIMIT_SPREAD * draw (call, 10);
 }
 
 LimpetRoomDecision
