--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -203,51 +203,49 @@
 
 
 class Server:
-    """A sound server of a plain service, which writes its entry each beat until told to stop."""
+    """A sound server of a plain service, or with models of an engine. Its beats change no more than seq, so they make no records
+    ("The entry changes when more than seq changes"): the entry is written when the state changes."""
 
-    def __init__(self, store, record, service="booking", slots=6, work_s=0.03, name=None):
+    def __init__(self, store, record, service="booking", slots=6, work_s=0.03, name=None,
+                 models=None):
         self.id = name or "i-%08x" % random.getrandbits(32)
         self.store, self.record, self.service = store, record, service
-        self.slots, self.work_s = slots, work_s
+        self.slots, self.work_s, self.models = slots, work_s, models
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.state = "ready"
-        self.is_beating = True
         self.arrivals = []  # (seconds of the record, id) of requests that name this server
         self.runs = []      # ids, in the order of their begin
         self.ended = []     # ids of the runs that came to their end
         self.lock = threading.Lock()
         self.listener = Listener(self.serve)
         self.write()
-        threading.Thread(target=self.beat, daemon=True).start()
 
     def write(self):
-        with self.lock:
-            if not self.is_beating:
-                return
-            self.seq += 1
-            self.store.put("keyed.servers", self.id, {
-                "service": self.service, "address": self.listener.address, "zone": "z-a",
-                "version": "v1", "slots": self.slots, "state": self.state, "cold_left_ms": 0,
-                "seq": self.seq, "born": self.born})
-
-    def beat(self):
-        while self.is_beating:
-            time.sleep(BEAT_MS / 1000)
-            self.write()
+        """Writes its entry. Returns when the store acknowledged that."""
+        self.seq += 1
+        entry = {"service": self.service, "address": self.listener.address, "zone": "z-a",
+                 "version": "v1", "slots": self.slots, "state": self.state, "cold_left_ms": 0,
+                 "seq": self.seq, "born": self.born}
+        if self.models:
+            entry.update({"stage": "both", "models": self.models})
+        self.store.put("keyed.servers", self.id, entry)
+        self.record.write(self.id, "entry written: " + self.state)
+        return self.record.now()
+
+    def drain(self):
+        self.state = "draining"
+        return self.write()
 
     def leave_registry(self):
         """Its entry is removed without that it ever said draining; it goes on serving. Returns when the
         store acknowledged that."""
-        with self.lock:
-            self.is_beating = False
-            self.store.put("keyed.servers", self.id, None)
+        self.store.put("keyed.servers", self.id, None)
         at = self.record.now()
         self.record.write(self.id, "entry removed; the server goes on serving")
         return at
 
     def exit(self):
-        self.is_beating = False
         self.listener.close()
         self.record.write(self.id, "exits, with %d runs under way" % (len(self.runs) - len(self.ended)))
 
@@ -265,6 +263,9 @@
                 self.runs.append(request)
             self.record.write(self.id, "runs %s %s" % (request, message.line.strip()))
             time.sleep(self.work_s)
+            if self.models:
+                self.stream(connection, request)
+                continue
             body = ("done by %s\n" % self.id).encode()
             seal = "Response-Seal: seal.%s\r\n" % self.id
             connection.sendall((head % ("200 OK", seal, len(body))).encode() + body)
@@ -272,15 +273,30 @@
                 self.ended.append(request)
 
 
+    def stream(self, connection, request):
+        """Sends a short event stream, as the engines do."""
+        connection.sendall(("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal.%s\r\n"
+                            "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n" % (request, self.id)).encode())
+        for number in (1, 2, 3):
+            event = b"id: %d\ndata: token\n\n" % number
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
+        with self.lock:
+            self.ended.append(request)
+
+
 def route(name, prefix, kind, service, **more):
     return dict({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind, "service": service,
                  "timeout_ms": 2500, "goal_ms": 150, "priority": 2, "max_attempts": 1, "public": False,
                  "sticky": False, "resumable": False, "gap_target_ms": 200}, **more)
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, engines=()):
     return {"version": version, "routes": routes,
-            "services": [{"name": name, "health_path": "/health", "max_conns": 110} for name in services],
+            "services": [{"name": name, "health_path": "/health", "max_conns": 110} for name in services]
+            + [{"name": name, "health_path": "/health", "max_conns": 250,
+                "engine": {"slots": 12, "kv_capacity": 290000}} for name in engines],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
             "tenants": [{"name": "hule930", "priority": 2, "api_keys": [KEY]}]}
@@ -359,7 +375,6 @@
                 router.process.kill()
             router.process.wait()
         for server in self.servers:
-            server.is_beating = False
             server.listener.close()
         self.store.listener.close()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -382,9 +397,9 @@
         known = [each.ip for each in self.routers[:2]] + [router.ip]
         return ["%s:%d" % (ip, self.first_port + 6) for ip in known]
 
-    def configure(self, routes, services):
+    def configure(self, routes, services, engines=()):
         self.version += 3
-        self.store.put("keyed.op", "config", configuration(self.version, routes, services))
+        self.store.put("keyed.op", "config", configuration(self.version, routes, services, engines))
         self.record.write("operator", "configuration %d acknowledged" % self.version)
 
     def add_server(self, **more):
@@ -394,12 +409,16 @@
     def add_routers(self, count):
         for number in range(1, count + 1):
             self.routers.append(Router(self, number))
-        deadline = time.monotonic() + 15
+        self.wait_in_touch()
+
+    def wait_in_touch(self):
+        """Waits until all routers are ready, and then stable_window_ms of the sheet and a little more."""
+        deadline = time.monotonic() + 20
         while not all(router.is_ready() for router in self.routers):
             if time.monotonic() > deadline:
                 raise CannotRun("a router did not get ready")
             time.sleep(0.05)
-        time.sleep(3.5)  # stable_window_ms of the sheet: all are in touch, and know each other
+        time.sleep(3.5)
 
 
 class Answer:
@@ -407,11 +426,12 @@
         self.status, self.fields, self.body = status, fields, body
 
 
-def call(record, router, path, method="GET", body=None, deadline_ms=2500, request=None):
+def call(record, router, path, method="GET", body=None, deadline_ms=2500, request=None, fields=()):
     """One client attempt on a new connection. Returns an Answer, or None if it was not answered."""
     request = request or "%016x" % random.getrandbits(64)
     lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST, "Request-Id: " + request,
              "Deadline-Ms: %d" % deadline_ms, "Authorization: Token " + KEY]
+    lines += ["%s: %s" % field for field in fields]
     if body is not None:
         lines.append("Content-Length: %d" % len(body))
     record.write("client", "sends %s %s %s to %s" % (request, method, path, router.name))
