--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -25,6 +25,7 @@
   add_cold_target_tests ();
   add_room_tests ();
   add_platform_tests ();
+  add_read_schedule_tests ();
   add_watch_tests ();
   add_log_era_tests ();
   add_clock_tests ();
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -29,6 +29,7 @@
 void add_record_writer_tests (void);
 void add_platform_tests (void);
 void add_watch_tests (void);
+void add_read_schedule_tests (void);
 void add_log_era_tests (void);
 void add_clock_tests (void);
 /* Run alone, by test/test_versions_in_force.py. */
