--- a/include/limpetroad/targets.h
+++ b/include/limpetroad/targets.h
@@ -167,7 +167,8 @@
 
 /** Replaces the view by one of the targets in a VM list. A target whose incarnation has
  *  not changed is kept with its state; a target that the list lacks is marked as leaving.
- *  A list without targets is ignored. Call it from one thread only. */
+ *  That holds for the last one as well: whether a list can be believed is up to the
+ *  caller. Call it from one thread only. */
 void limpet_targets_update (LimpetTargets *targets, const LimpetVmList *list);
 
 /** Sets whether the targets of a zone, also those that join later, are to get no
--- a/src/liblimpetroad/cluster_state/targets.c
+++ b/src/liblimpetroad/cluster_state/targets.c
@@ -266,11 +266,6 @@
     if (list->vms[i].kind != LIMPET_VM_ROUTER)
       view->targets[view->count++]
           = reuse_or_add_target (targets, old, &list->vms[i], now_ms);
-  if (view->count == 0)
-    {
-      limpet_target_view_release (view);
-      return;
-    }
   qsort (view->targets, view->count, sizeof *view->targets, compare_targets);
   for (uint32_t i = 0; i < view->count; i++)
     view->fingerprint
--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -96,6 +96,10 @@
         limpet_log (LIMPET_LOG_WARNING, "vm_list", NULL, "entry ignored: %s",
                     error->message);
     }
+  /* A complete list names at least the routers. */
+  if (list->count == 0)
+    return limpet_error_set (error, LIMPET_STATUS_INVALID, "vm_list", NULL,
+                             "vms: names no VM, not even a router");
   return LIMPET_STATUS_OK;
 }
 
--- a/src/test_liblimpetroad/main.c
+++ b/src/test_liblimpetroad/main.c
@@ -11,6 +11,7 @@
   add_descriptor_tests ();
   add_bundle_tests ();
   add_claim_tests ();
+  add_target_tests ();
   add_policy_tests ();
   add_stream_tests ();
   add_fuzz_tests ();
--- a/src/test_liblimpetroad/tests.h
+++ b/src/test_liblimpetroad/tests.h
@@ -9,6 +9,7 @@
 void add_descriptor_tests (void);
 void add_bundle_tests (void);
 void add_claim_tests (void);
+void add_target_tests (void);
 void add_policy_tests (void);
 void add_stream_tests (void);
 void add_fuzz_tests (void);
