--- a/src/liblimpetroad/routing/dispatch.c
+++ b/src/liblimpetroad/routing/dispatch.c
@@ -26,7 +26,8 @@
  * limit, so retry_after_ms() also limits it to a third of the time left. */
 #define MIN_RETRY_AFTER_MS 150
 #define MAX_RETRY_AFTER_MS 4000
-/* The same where all targets are in emptied zones, or get nothing from this router. */
+/* The same where there is no target, all are in emptied zones, or they get nothing from
+ * this router. */
 #define CLOSED_RETRY_MS 1000
 /* Longest wait for a slot, as a fraction of the route's latency goal. A call that cannot
  * start by then is refused with a Retry-After delay. */
@@ -558,7 +559,8 @@
   request->order = dispatch->next_order++;
   request->wait_until_ms = MIN (now_ms + wait_ms, call->response_due_ms);
   availability = find_availability (dispatch, request);
-  if (availability.is_emptied)
+  if (availability.is_emptied
+      || (!availability.has_target && request->excluded_count == 0))
     {
       request->on_refused (request->user, CLOSED_RETRY_MS);
       return;
--- a/src/test_liblimpetroad/dispatch_tests.c
+++ b/src/test_liblimpetroad/dispatch_tests.c
@@ -196,6 +196,23 @@
   free_fixture (&fixture);
 }
 
+/* Guards against calls that wait for a slot of a service that has no target left. */
+static void
+test_a_call_without_any_target_is_refused_at_once (void)
+{
+  LimpetVmList no_vms = { .count = 0 };
+  Fixture fixture;
+  Attempt attempt;
+
+  make_fixture (&fixture, ENGINES);
+  limpet_targets_update (fixture.targets, &no_vms);
+  submit (&fixture, &attempt, fixture.chat_route, 1, 1);
+  CU_ASSERT_TRUE (attempt.refused);
+  CU_ASSERT_TRUE (attempt.retry_after_ms > 0);
+  limpet_dispatch_cancel (fixture.dispatch, &attempt.dispatch_request);
+  free_fixture (&fixture);
+}
+
 static void
 test_calls_of_a_plain_service_are_spread_evenly (void)
 {
@@ -622,6 +639,7 @@
 
   CU_ADD_TEST (suite, test_calls_of_a_context_go_to_its_home);
   CU_ADD_TEST (suite, test_a_popular_context_has_few_homes_within_the_load_limit);
+  CU_ADD_TEST (suite, test_a_call_without_any_target_is_refused_at_once);
   CU_ADD_TEST (suite, test_calls_of_a_plain_service_are_spread_evenly);
   CU_ADD_TEST (suite, test_queued_calls_are_served_by_priority);
   CU_ADD_TEST (suite, test_routes_order_calls_of_equally_urgent_teams);
