--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -431,6 +431,19 @@
 
         threading.Thread(target=remove_after_drain, daemon=True).start()
 
+    def lose_all_entries(self, stay_s=4):
+        """Removes the entries of all servers, which go on serving for stay_s; then new ones come."""
+        with self.leave_lock:
+            servers = self.current_servers()
+        for server in servers:
+            server.remove()
+            self.leaves.append([server.id, time.monotonic(), None])
+        time.sleep(stay_s)
+        for server in servers:
+            self.record_leave_end(server)
+            with self.leave_lock:
+                self.add_soak_server(self.position_of(server))
+
     def record_leave_end(self, server):
         for leave in self.leaves:
             if leave[0] == server.id and leave[2] is None:
@@ -526,8 +539,8 @@
 
 
 def run_undisturbed_phase(platform):
-    """Plays a drill, then lets two servers leave, publishes a version and stops a router, all
-    without other faults, so that the time limits hold for them."""
+    """Plays a drill, then lets two servers leave, publishes a version, lets all servers be replaced
+    and stops a router, all without other faults, so that the time limits hold for them."""
     try:
         f.wait_for(lambda: all(r["process"].popen.poll() is None and platform.is_ready(r)
                                for r in platform.routers), "", 15)
@@ -539,6 +552,8 @@
         platform.leave(platform.current_servers()[position])
     platform.put_version()
     time.sleep(3.2)
+    platform.lose_all_entries()
+    time.sleep(3.2)
     platform.replace(platform.routers[0], signal.SIGTERM)
     time.sleep(2.2)
 
