--- a/src/liblimpetroad/cluster_state/vm_list.c
+++ b/src/liblimpetroad/cluster_state/vm_list.c
@@ -99,7 +99,7 @@
   /* A complete list names at least the routers. */
   if (list->count == 0)
     return limpet_error_set (error, LIMPET_STATUS_INVALID, "vm_list", NULL,
-                             "vms: names no VM, not even a router");
+                             "vms: names no VM that can be read, not even a router");
   return LIMPET_STATUS_OK;
 }
 
--- a/src/test_liblimpetroad/read_schedule_tests.c
+++ b/src/test_liblimpetroad/read_schedule_tests.c
@@ -1,9 +1,9 @@
 #include "tests.h"
 
-#include "limpetroad/status_port.h"
 #include "limpetroad/topic_state.h"
 #include "platform/watch_private.h"
 #include "private/state_message.h"
+#include "watch_stubs.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -27,12 +27,6 @@
   bool do_others_run;
 } Router;
 
-static void
-ignore_snapshot (void *user)
-{
-  (void)user;
-}
-
 static void
 ignore_record (void *user, const char *key, const char *value, size_t length)
 {
@@ -42,13 +36,6 @@
   (void)length;
 }
 
-static void
-ignore_read (void *user, const LimpetGossipBatch *batch)
-{
-  (void)user;
-  (void)batch;
-}
-
 static LimpetMs
 next_read_delay_ms (void *user, uint32_t topic)
 {
@@ -64,13 +51,6 @@
   return 2;
 }
 
-static LimpetMs
-no_delay (void *user)
-{
-  (void)user;
-  return 0;
-}
-
 static LimpetMs
 max_state_age_ms (void *user)
 {
@@ -92,26 +72,19 @@
   return ((Router *)user)->state_port != NULL ? htonl (INADDR_LOOPBACK) : 0;
 }
 
-static void
-ignore_router (void *user, uint32_t address)
-{
-  (void)user;
-  (void)address;
-}
-
 static const PlatformWatchOps watch_ops = {
-  .on_snapshot_begin = ignore_snapshot,
-  .on_snapshot_end = ignore_snapshot,
+  .on_snapshot_begin = watch_stub_ignore_snapshot,
+  .on_snapshot_end = watch_stub_ignore_snapshot,
   .on_record = ignore_record,
-  .on_read = ignore_read,
+  .on_read = watch_stub_ignore_read,
   .next_read_delay_ms = next_read_delay_ms,
   .reader_count = reader_count,
-  .first_read_delay_ms = no_delay,
-  .behind_read_delay_ms = no_delay,
+  .first_read_delay_ms = watch_stub_no_delay,
+  .behind_read_delay_ms = watch_stub_no_delay,
   .max_state_age_ms = max_state_age_ms,
   .state_age_ms = state_age_ms,
   .pick_router = pick_router,
-  .greet = ignore_router,
+  .greet = watch_stub_ignore_router,
   .are_records_pushed = true,
   .log_step = "test",
 };
@@ -170,17 +143,8 @@
 static void
 receive_state (Router *router)
 {
-  int port = 20000;
-
-  router->state_port = limpet_status_port_new (&router->loop, serve_state, router);
-  while (limpet_status_port_init (router->state_port, "127.0.0.1", port, NULL)
-         != LIMPET_STATUS_OK)
-    {
-      limpet_status_port_close (router->state_port);
-      router->state_port = limpet_status_port_new (&router->loop, serve_state, router);
-      port++;
-    }
-  platform_watch_ask_routers (router->watch, &router->loop, "127.0.0.1", port);
+  router->state_port
+      = watch_stub_serve_states (&router->loop, router->watch, serve_state, router);
 }
 
 static void
--- a/src/test_liblimpetroad/watch_tests.c
+++ b/src/test_liblimpetroad/watch_tests.c
@@ -3,11 +3,11 @@
 #include "limpetroad/log_era.h"
 #include "limpetroad/read_hedge.h"
 #include "limpetroad/state_offer.h"
-#include "limpetroad/status_port.h"
 #include "limpetroad/topic_state.h"
 #include "platform/store_client.h"
 #include "platform/watch_private.h"
 #include "private/state_message.h"
+#include "watch_stubs.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -236,12 +236,6 @@
   uv_read_start ((uv_stream_t *)client, alloc_buffer, on_request);
 }
 
-static void
-ignore_snapshot (void *user)
-{
-  (void)user;
-}
-
 static void
 append_value (void *user, const char *key, const char *value, size_t length)
 {
@@ -249,13 +243,6 @@
   g_string_append_len (((StoreServer *)user)->values, value, (gssize)length);
 }
 
-static void
-ignore_read (void *user, const LimpetGossipBatch *batch)
-{
-  (void)user;
-  (void)batch;
-}
-
 /* Makes the watch read at once, and then not again before the test ends, unless another
  * router gives it records after a failed read, or the responses are outdated. */
 static LimpetMs
@@ -279,20 +266,6 @@
   return server->state_port != NULL && !server->is_silent ? htonl (INADDR_LOOPBACK) : 0;
 }
 
-static void
-ignore_router (void *user, uint32_t address)
-{
-  (void)user;
-  (void)address;
-}
-
-static LimpetMs
-no_delay (void *user)
-{
-  (void)user;
-  return 0;
-}
-
 static LimpetMs
 state_age_ms (void *user, uint32_t topic)
 {
@@ -318,18 +291,18 @@
 }
 
 static const PlatformWatchOps watch_ops = {
-  .on_snapshot_begin = ignore_snapshot,
-  .on_snapshot_end = ignore_snapshot,
+  .on_snapshot_begin = watch_stub_ignore_snapshot,
+  .on_snapshot_end = watch_stub_ignore_snapshot,
   .on_record = append_value,
-  .on_read = ignore_read,
+  .on_read = watch_stub_ignore_read,
   .next_read_delay_ms = delay_of_single_read,
   .reader_count = reader_count,
-  .first_read_delay_ms = no_delay,
-  .behind_read_delay_ms = no_delay,
+  .first_read_delay_ms = watch_stub_no_delay,
+  .behind_read_delay_ms = watch_stub_no_delay,
   .max_state_age_ms = max_state_age_ms,
   .state_age_ms = state_age_ms,
   .pick_router = pick_router,
-  .greet = ignore_router,
+  .greet = watch_stub_ignore_router,
   .are_records_pushed = true,
   .log_step = "test",
 };
@@ -346,21 +319,6 @@
   return 200;
 }
 
-static void
-start_state_port (StoreServer *server)
-{
-  int port = 0;
-
-  server->state_port = limpet_status_port_new (&server->loop, serve_state, server);
-  for (port = 20000;
-       limpet_status_port_init (server->state_port, "127.0.0.1", port, NULL) != 0; port++)
-    {
-      limpet_status_port_close (server->state_port);
-      server->state_port = limpet_status_port_new (&server->loop, serve_state, server);
-    }
-  platform_watch_ask_routers (server->watch, &server->loop, "127.0.0.1", port);
-}
-
 /* Stops once the awaited values have come, or at the latest after 5 s. */
 static void
 stop_if_served (uv_timer_t *timer)
@@ -394,7 +352,8 @@
   address.port = ntohs (socket_address.sin_port);
   server->watch = platform_watch_new (&server->loop, &address, "t", &watch_ops, server);
   if (server->state != NULL)
-    start_state_port (server);
+    server->state_port
+        = watch_stub_serve_states (&server->loop, server->watch, serve_state, server);
   if (server->is_silent)
     uv_timer_start (&server->response_timer, announce_record, 50, 0);
   uv_timer_start (&server->stop_timer, stop_if_served, server->is_silent ? 200 : 700,
